Add net library: fibers over Asio, HTTP server and client

Cause: all programs need HTTP/1.1 with streams, timeouts and a truthful error. Change: fiber_thread, http_server, http_client, SSE splitter. A client error says whether the request may have reached the peer; a truncated answer is an error; a pooled connection that the peer closed is not used again. Before: none. Conclusion: rpc, platform clients and daemons can be written on it.

--- /dev/null
+++ b/libs/net/include/quincebank/net/http_client.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "quincebank/base/error.h"
+#include "quincebank/base/time.h"
+#include "quincebank/net/endpoint.h"
+#include "quincebank/net/http_message.h"
+#include "quincebank/net/net_fwd.h"
+
+namespace quincebank {
+
+struct http_call {
+  endpoint peer;
+  http_request request;
+  milliseconds connect_timeout{1'000};
+  milliseconds response_timeout{10'000};  ///< From the last byte sent to the answer's header.
+  milliseconds idle_timeout{3'000};       ///< Between two reads of the answer's body.
+};
+
+/// \brief Answer whose body is read piece by piece.
+///
+/// The connection is used again only after the whole body was read; otherwise it is closed.
+class http_stream {
+ public:
+  virtual ~http_stream() = default;
+
+  [[nodiscard]] virtual int status() const noexcept = 0;
+  [[nodiscard]] virtual const http_headers& headers() const noexcept = 0;
+  /// \brief Suspends the fiber until bytes have come.
+  /// \returns The bytes, nothing at the end of the body, or an error: `kTimeout` after silence,
+  ///          `kTruncated` if the connection ended before the body did.
+  [[nodiscard]] virtual result<std::optional<std::string>> ReadSome() = 0;
+};
+
+/// \brief HTTP/1.1 client with a pool of idle connections. Used by the fibers of one thread.
+class http_client {
+ public:
+  explicit http_client(fiber_thread& thread);
+  ~http_client();
+  http_client(const http_client&) = delete;
+  http_client& operator=(const http_client&) = delete;
+
+  /// \brief Sends the request and reads the answer's header.
+  /// \returns The open answer, or an error whose verdict is "not run" only if no byte of the
+  ///          request can have reached the peer.
+  [[nodiscard]] result<std::unique_ptr<http_stream>> Open(const http_call& call);
+
+  /// \brief Sends the request and reads the whole answer.
+  [[nodiscard]] result<http_response> Call(const http_call& call);
+
+ private:
+  class impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/net/include/quincebank/net/http_server.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+#include "quincebank/base/error.h"
+#include "quincebank/base/time.h"
+#include "quincebank/net/endpoint.h"
+#include "quincebank/net/http_message.h"
+#include "quincebank/net/net_fwd.h"
+
+namespace quincebank {
+
+/// \brief One request and the way to answer it. Used by one fiber only.
+///
+/// A handler answers either by `Respond` or by `StartStream`, any number of `Write` and `Finish`.
+/// If it returns without having finished, the connection is closed, so that the peer sees a
+/// truncated answer and never takes a part for the whole.
+class http_exchange {
+ public:
+  virtual ~http_exchange() = default;
+
+  [[nodiscard]] virtual const http_request& request() const noexcept = 0;
+  /// \returns False if the peer is gone.
+  virtual bool Respond(http_response response) = 0;
+  virtual bool StartStream(int status, const http_headers& headers) = 0;
+  virtual bool Write(std::string_view chunk) = 0;
+  virtual bool Finish() = 0;
+};
+
+using http_handler = std::function<void(http_exchange&)>;
+
+struct http_limits {
+  std::uint32_t header_bytes = 16U * 1024U;
+  std::uint64_t body_bytes = 8ULL * 1024U * 1024U;
+  milliseconds idle_timeout{60'000};   ///< Between requests of one connection.
+  milliseconds read_timeout{10'000};   ///< For a whole request, from its first byte.
+  milliseconds write_timeout{10'000};  ///< For each write of an answer.
+};
+
+/// \brief HTTP/1.1 server that runs a fiber for each connection.
+///
+/// Each thread accepts on a socket of its own (SO_REUSEPORT), so that connections stay on one
+/// thread.
+class http_server {
+ public:
+  /// \param threads  must outlive the server.
+  /// \returns The listening server, or an error if the address can't be bound.
+  [[nodiscard]] static result<std::unique_ptr<http_server>> Listen(
+      const std::vector<fiber_thread*>& threads,
+      const endpoint& address,
+      http_handler handler,
+      const http_limits& limits = {});
+
+  ~http_server();
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+
+  /// \brief The bound address; its port is set even if port 0 was asked for.
+  [[nodiscard]] const endpoint& address() const noexcept { return address_; }
+
+  /// \brief Answers with `Connection: close` from now on, so that peers open no further request on
+  /// connections that are about to end.
+  void AnnounceClose() noexcept;
+  /// \brief Stops accepting and closes idle connections. Running requests go on.
+  void Close();
+  /// \brief Number of requests that are being read or answered.
+  [[nodiscard]] int running() const noexcept;
+
+ private:
+  class listener;
+  friend class listener;
+  http_server(endpoint address, http_handler handler, const http_limits& limits);
+
+  endpoint address_;
+  http_handler handler_;
+  http_limits limits_;
+  std::atomic<bool> announce_close_{false};
+  std::atomic<int> running_{0};
+  std::vector<std::shared_ptr<listener>> listeners_;
+};
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/net/include/quincebank/net/sse.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace quincebank {
+
+/// \brief Splits a stream of server-sent events at the blank lines between events.
+///
+/// Events that are cut by the boundaries of reads come out whole.
+class sse_splitter {
+ public:
+  /// \brief Adds bytes and calls `visit` with each completed event, its blank line included.
+  void Feed(std::string_view bytes, const std::function<void(std::string_view)>& visit);
+  /// \brief Bytes of an event that has not ended yet.
+  [[nodiscard]] const std::string& rest() const noexcept { return rest_; }
+
+ private:
+  std::string rest_;
+};
+
+/// \brief Whether an event holds only comment lines, such as a heartbeat.
+[[nodiscard]] bool IsSseComment(std::string_view event) noexcept;
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/net/src/fiber_thread.cc
@@ -0,0 +1,70 @@
+#include "quincebank/net/fiber_thread.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <future>
+#include <utility>
+
+#include "quincebank/net/impl/asio_scheduler.h"
+
+namespace quincebank {
+namespace {
+
+// Beast's parsers and the JSON codecs need more than the default of a few pages.
+constexpr std::size_t kFiberStackBytes = 128U * 1024U;
+
+}  // namespace
+
+void stop_signal::Set() {
+  {
+    const std::lock_guard lock(mutex_);
+    set_ = true;
+  }
+  changed_.notify_all();
+}
+
+bool stop_signal::IsSet() const {
+  const std::lock_guard lock(mutex_);
+  return set_;
+}
+
+bool stop_signal::WaitFor(milliseconds duration) {
+  std::unique_lock lock(mutex_);
+  return changed_.wait_for(lock, duration, [this] { return set_; });
+}
+
+fiber_thread::fiber_thread(std::string name) : name_(std::move(name)), thread_([this] { Run(); }) {}
+
+fiber_thread::~fiber_thread() {
+  stop_.Set();
+  thread_.join();
+}
+
+void fiber_thread::Spawn(std::function<void()> task) {
+  boost::asio::post(io_, [task = std::move(task)] {
+    boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
+                         boost::fibers::fixedsize_stack(kFiberStackBytes), task)
+        .detach();
+  });
+}
+
+void fiber_thread::RunAndWait(const std::function<void()>& task) {
+  std::promise<void> done;
+  Spawn([&] {
+    task();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+void fiber_thread::Run() {
+  boost::fibers::use_scheduling_algorithm<impl::asio_scheduler>(io_);
+  const auto work = boost::asio::make_work_guard(io_);
+  constexpr milliseconds kLongTime = std::chrono::hours(24);
+  while (!stop_.WaitFor(kLongTime)) {
+  }
+}
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/net/src/http_client.cc
@@ -0,0 +1,219 @@
+#include "quincebank/net/http_client.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "quincebank/net/fiber_thread.h"
+#include "quincebank/net/impl/await.h"
+
+namespace quincebank {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using impl::Await;
+using impl::io_outcome;
+
+constexpr std::size_t kIdlePerPeer = 64;
+constexpr std::size_t kReadBytes = 16U * 1024U;
+
+struct connection {
+  explicit connection(asio::io_context& io) : stream(io) {}
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+};
+
+// A peer that closed or sent bytes unasked has made the connection useless; a request written to
+// it could not be told from one that ran.
+bool IsReusable(connection& idle) {
+  char byte = 0;
+  const auto received =
+      ::recv(idle.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+error ToError(const boost::system::error_code& ec, std::string what, verdict outcome) {
+  const bool timeout = ec == beast::error::timeout;
+  return MakeError(timeout ? error_code::kTimeout : error_code::kUnavailable,
+                   std::move(what) + ": " + ec.message(), outcome);
+}
+
+}  // namespace
+
+class http_client::impl {
+ public:
+  explicit impl(fiber_thread& thread) : thread_(thread) {}
+
+  result<std::unique_ptr<connection>> Connect(const http_call& call) {
+    auto& idle = idle_[call.peer];
+    while (!idle.empty()) {
+      std::unique_ptr<connection> kept = std::move(idle.back());
+      idle.pop_back();
+      if (IsReusable(*kept))
+        return kept;
+    }
+    boost::system::error_code ec;
+    const auto ip = asio::ip::make_address(call.peer.address, ec);
+    if (ec)
+      return MakeError(error_code::kInvalidArgument, call.peer.address + " is not an IP address");
+    auto fresh = std::make_unique<connection>(thread_.io());
+    const io_outcome connected = Await([&](auto handler) {
+      fresh->stream.expires_after(call.connect_timeout);
+      fresh->stream.async_connect(tcp::endpoint(ip, call.peer.port), std::move(handler));
+    });
+    if (connected.ec)
+      return ToError(connected.ec, "connect to " + ToString(call.peer), verdict::kNotRun);
+    fresh->stream.socket().set_option(tcp::no_delay(true), ec);
+    return fresh;
+  }
+
+  void Keep(const endpoint& peer, std::unique_ptr<connection> finished) {
+    auto& idle = idle_[peer];
+    if (idle.size() < kIdlePerPeer && finished->buffer.size() == 0)
+      idle.push_back(std::move(finished));
+  }
+
+ private:
+  fiber_thread& thread_;
+  std::map<endpoint, std::vector<std::unique_ptr<connection>>> idle_;
+};
+
+namespace {
+
+template <typename Pool>
+class beast_stream final : public http_stream {
+ public:
+  beast_stream(std::shared_ptr<Pool> pool,
+               endpoint peer,
+               std::unique_ptr<connection> connected,
+               milliseconds idle_timeout)
+      : pool_(std::move(pool)),
+        peer_(std::move(peer)),
+        connection_(std::move(connected)),
+        idle_timeout_(idle_timeout) {
+    parser_.body_limit(boost::none);
+  }
+
+  result<void> ReadHeader(const http_call& call) {
+    const io_outcome read = Await([&](auto handler) {
+      connection_->stream.expires_after(call.response_timeout);
+      http::async_read_header(connection_->stream, connection_->buffer, parser_,
+                              std::move(handler));
+    });
+    if (read.ec) {
+      connection_.reset();
+      return ToError(read.ec, "no answer from " + ToString(peer_), verdict::kMayHaveRun);
+    }
+    for (const auto& field : parser_.get())
+      headers_.Add(std::string(field.name_string()), std::string(field.value()));
+    KeepIfDone();
+    return outcome_success();
+  }
+
+  [[nodiscard]] int status() const noexcept override { return parser_.get().result_int(); }
+  [[nodiscard]] const http_headers& headers() const noexcept override { return headers_; }
+
+  result<std::optional<std::string>> ReadSome() override {
+    std::string bytes;
+    while (bytes.empty()) {
+      if (parser_.is_done()) {
+        KeepIfDone();
+        return std::optional<std::string>();
+      }
+      if (!connection_)
+        return MakeError(error_code::kTruncated, "answer ended early", verdict::kMayHaveRun);
+      bytes.resize(kReadBytes);
+      parser_.get().body().data = bytes.data();
+      parser_.get().body().size = bytes.size();
+      const io_outcome read = Await([&](auto handler) {
+        connection_->stream.expires_after(idle_timeout_);
+        http::async_read_some(connection_->stream, connection_->buffer, parser_,
+                              std::move(handler));
+      });
+      bytes.resize(bytes.size() - parser_.get().body().size);
+      if (read.ec && read.ec != http::error::need_buffer) {
+        connection_.reset();
+        if (read.ec == beast::error::timeout)
+          return ToError(read.ec, "no bytes from " + ToString(peer_), verdict::kMayHaveRun);
+        return MakeError(error_code::kTruncated,
+                         "answer of " + ToString(peer_) + " ended early: " + read.ec.message(),
+                         verdict::kMayHaveRun);
+      }
+    }
+    return std::optional<std::string>(std::move(bytes));
+  }
+
+ private:
+  static result<void> outcome_success() { return BOOST_OUTCOME_V2_NAMESPACE::success(); }
+
+  void KeepIfDone() {
+    if (!connection_ || !parser_.is_done())
+      return;
+    if (parser_.keep_alive())
+      pool_->Keep(peer_, std::move(connection_));
+    connection_.reset();
+  }
+
+  std::shared_ptr<Pool> pool_;
+  endpoint peer_;
+  std::unique_ptr<connection> connection_;
+  milliseconds idle_timeout_;
+  http::response_parser<http::buffer_body> parser_;
+  http_headers headers_;
+};
+
+}  // namespace
+
+http_client::http_client(fiber_thread& thread) : impl_(std::make_shared<impl>(thread)) {}
+
+http_client::~http_client() = default;
+
+result<std::unique_ptr<http_stream>> http_client::Open(const http_call& call) {
+  BOOST_OUTCOME_TRY(std::unique_ptr<connection> connected, impl_->Connect(call));
+  http::request<http::string_body> message;
+  message.method_string(call.request.method);
+  message.target(call.request.target);
+  message.version(11);
+  for (const http_header& field : call.request.headers) {
+    if (IsHopByHop(field.name))
+      continue;
+    message.insert(field.name, field.value);
+  }
+  if (message.find(http::field::host) == message.end())
+    message.set(http::field::host, ToString(call.peer));
+  message.body() = call.request.body;
+  message.prepare_payload();
+  const io_outcome written = Await([&](auto handler) {
+    connected->stream.expires_after(call.response_timeout);
+    http::async_write(connected->stream, message, std::move(handler));
+  });
+  if (written.ec)
+    return ToError(written.ec, "send to " + ToString(call.peer), verdict::kMayHaveRun);
+  auto stream = std::make_unique<beast_stream<impl>>(impl_, call.peer, std::move(connected),
+                                                     call.idle_timeout);
+  BOOST_OUTCOME_TRY(stream->ReadHeader(call));
+  return std::unique_ptr<http_stream>(std::move(stream));
+}
+
+result<http_response> http_client::Call(const http_call& call) {
+  BOOST_OUTCOME_TRY(const std::unique_ptr<http_stream> stream, Open(call));
+  http_response response{stream->status(), stream->headers(), {}};
+  for (;;) {
+    BOOST_OUTCOME_TRY(const std::optional<std::string> piece, stream->ReadSome());
+    if (!piece)
+      return response;
+    response.body += *piece;
+  }
+}
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/net/src/http_server.cc
@@ -0,0 +1,328 @@
+#include "quincebank/net/http_server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/intrusive/list.hpp>
+#include <utility>
+
+#include "quincebank/base/log.h"
+#include "quincebank/net/fiber_thread.h"
+#include "quincebank/net/impl/await.h"
+
+namespace quincebank {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using impl::Await;
+using impl::io_outcome;
+using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+constexpr logger kLog{"http"};
+// Pause after a failed accept (such as no file descriptors left), so that the loop doesn't spin.
+constexpr milliseconds kAcceptRetryDelay{50};
+
+struct connection : boost::intrusive::list_base_hook<> {
+  explicit connection(tcp::socket socket) : stream(std::move(socket)) {}
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  bool idle = true;
+};
+
+class beast_exchange final : public http_exchange {
+ public:
+  beast_exchange(connection& peer,
+                 const http_request& request,
+                 const http_limits& limits,
+                 bool keep_alive)
+      : peer_(peer), request_(request), limits_(limits), keep_alive_(keep_alive) {}
+
+  [[nodiscard]] const http_request& request() const noexcept override { return request_; }
+
+  bool Respond(http_response response) override {
+    http::response<http::string_body> message{static_cast<http::status>(response.status), 11};
+    CopyHeaders(response.headers, message);
+    message.body() = std::move(response.body);
+    message.keep_alive(keep_alive_);
+    message.prepare_payload();
+    finished_ = Completed(Await([&](auto handler) {
+      peer_.stream.expires_after(limits_.write_timeout);
+      http::async_write(peer_.stream, message, std::move(handler));
+    }));
+    return finished_;
+  }
+
+  bool StartStream(int status, const http_headers& headers) override {
+    http::response<http::empty_body> message{static_cast<http::status>(status), 11};
+    CopyHeaders(headers, message);
+    message.chunked(true);
+    message.keep_alive(keep_alive_);
+    http::response_serializer<http::empty_body> serializer{message};
+    return Completed(Await([&](auto handler) {
+      peer_.stream.expires_after(limits_.write_timeout);
+      http::async_write_header(peer_.stream, serializer, std::move(handler));
+    }));
+  }
+
+  bool Write(std::string_view chunk) override {
+    if (chunk.empty())
+      return !broken_;
+    return Completed(Await([&](auto handler) {
+      peer_.stream.expires_after(limits_.write_timeout);
+      asio::async_write(peer_.stream,
+                        http::make_chunk(asio::const_buffer(chunk.data(), chunk.size())),
+                        std::move(handler));
+    }));
+  }
+
+  bool Finish() override {
+    finished_ = Completed(Await([&](auto handler) {
+      peer_.stream.expires_after(limits_.write_timeout);
+      asio::async_write(peer_.stream, http::make_chunk_last(), std::move(handler));
+    }));
+    return finished_;
+  }
+
+  [[nodiscard]] bool finished() const noexcept { return finished_; }
+
+ private:
+  template <typename Message>
+  static void CopyHeaders(const http_headers& headers, Message& message) {
+    for (const http_header& field : headers) {
+      if (IsHopByHop(field.name))
+        continue;
+      message.insert(field.name, field.value);
+    }
+  }
+
+  bool Completed(const io_outcome& outcome) {
+    broken_ = broken_ || outcome.ec.failed();
+    return !broken_;
+  }
+
+  connection& peer_;
+  const http_request& request_;
+  const http_limits& limits_;
+  const bool keep_alive_;
+  bool finished_ = false;
+  bool broken_ = false;
+};
+
+http_request ToRequest(http::request<http::string_body>&& message) {
+  http_request request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message)
+    request.headers.Add(std::string(field.name_string()), std::string(field.value()));
+  request.body = std::move(message.body());
+  return request;
+}
+
+http_response RefuseParse(const boost::system::error_code& ec) {
+  const bool too_large = ec == http::error::body_limit;
+  const bool header_limit = ec == http::error::header_limit;
+  const int status = too_large ? 413 : header_limit ? 431 : 400;
+  http_response response{status, {{"Content-Type", "application/json"}}, {}};
+  response.headers.Set("Quincebank-Verdict", std::string(ToString(verdict::kNotRun)));
+  response.body = R"({"error":{"code":"invalid-argument","message":")" + ec.message() +
+                  R"(","verdict":"not-run"}})";
+  return response;
+}
+
+}  // namespace
+
+/// Accepts on one thread and owns that thread's connections.
+class http_server::listener : public std::enable_shared_from_this<http_server::listener> {
+ public:
+  listener(http_server& server, fiber_thread& thread)
+      : server_(server), thread_(thread), acceptor_(thread.io()) {}
+
+  boost::system::error_code Bind(const tcp::endpoint& address) {
+    boost::system::error_code ec;
+    acceptor_.open(address.protocol(), ec);
+    if (!ec)
+      acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec)
+      acceptor_.set_option(reuse_port(true), ec);
+    if (!ec)
+      acceptor_.bind(address, ec);
+    if (!ec)
+      acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+    return ec;
+  }
+
+  [[nodiscard]] std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+  void Start() {
+    ++fibers_;
+    thread_.Spawn([self = shared_from_this()] {
+      self->Accept();
+      --self->fibers_;
+    });
+  }
+
+  void Close() {
+    thread_.RunAndWait([this] {
+      closing_ = true;
+      boost::system::error_code ignored;
+      acceptor_.close(ignored);
+      for (connection& peer : connections_) {
+        if (!peer.idle)
+          continue;
+        peer.stream.cancel();
+      }
+    });
+  }
+
+  /// Ends all connections at once; the server's owner has waited long enough.
+  void Abort() {
+    thread_.RunAndWait([this] {
+      for (connection& peer : connections_)
+        peer.stream.close();
+    });
+  }
+
+  [[nodiscard]] int fibers() const noexcept { return fibers_; }
+
+ private:
+  void Accept() {
+    while (!closing_) {
+      tcp::socket socket(thread_.io());
+      const io_outcome accepted =
+          Await([&](auto handler) { acceptor_.async_accept(socket, std::move(handler)); });
+      if (closing_)
+        break;
+      if (accepted.ec) {
+        kLog.Warning("accept failed: ", accepted.ec.message());
+        boost::this_fiber::sleep_for(kAcceptRetryDelay);
+        continue;
+      }
+      boost::system::error_code ignored;
+      socket.set_option(tcp::no_delay(true), ignored);
+      ++fibers_;
+      thread_.Spawn(
+          [self = shared_from_this(), shared = std::make_shared<tcp::socket>(std::move(socket))] {
+            self->Serve(std::move(*shared));
+            --self->fibers_;
+          });
+    }
+  }
+
+  void Serve(tcp::socket socket) {
+    connection peer(std::move(socket));
+    connections_.push_back(peer);
+    while (!closing_ && ServeOne(peer)) {
+    }
+    connections_.erase(connections_.iterator_to(peer));
+    boost::system::error_code ignored;
+    peer.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
+  bool ServeOne(connection& peer) {
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(server_.limits_.header_bytes);
+    parser.body_limit(server_.limits_.body_bytes);
+    peer.idle = true;
+    if (peer.buffer.size() == 0) {
+      const io_outcome first = Await([&](auto handler) {
+        peer.stream.expires_after(server_.limits_.idle_timeout);
+        peer.stream.async_read_some(peer.buffer.prepare(kReadBytes), std::move(handler));
+      });
+      if (first.ec)
+        return false;
+      peer.buffer.commit(first.bytes);
+    }
+    peer.idle = false;
+    ++server_.running_;
+    const bool again = Answer(peer, parser);
+    --server_.running_;
+    return again;
+  }
+
+  bool Answer(connection& peer, http::request_parser<http::string_body>& parser) {
+    const io_outcome read = Await([&](auto handler) {
+      peer.stream.expires_after(server_.limits_.read_timeout);
+      http::async_read(peer.stream, peer.buffer, parser, std::move(handler));
+    });
+    const bool keep_alive =
+        !read.ec && parser.keep_alive() && !closing_ && !server_.announce_close_;
+    const http_request request = read.ec ? http_request{} : ToRequest(parser.release());
+    beast_exchange exchange(peer, request, server_.limits_, keep_alive);
+    if (read.ec) {
+      if (read.ec.category() == http::make_error_code(http::error::body_limit).category() &&
+          read.ec != http::error::partial_message) {
+        exchange.Respond(RefuseParse(read.ec));
+      }
+      return false;
+    }
+    server_.handler_(exchange);
+    return exchange.finished() && keep_alive;
+  }
+
+  static constexpr std::size_t kReadBytes = 4096;
+
+  http_server& server_;
+  fiber_thread& thread_;
+  tcp::acceptor acceptor_;
+  bool closing_ = false;
+  std::atomic<int> fibers_{0};
+  boost::intrusive::list<connection> connections_;
+};
+
+http_server::http_server(endpoint address, http_handler handler, const http_limits& limits)
+    : address_(std::move(address)), handler_(std::move(handler)), limits_(limits) {}
+
+result<std::unique_ptr<http_server>> http_server::Listen(const std::vector<fiber_thread*>& threads,
+                                                         const endpoint& address,
+                                                         http_handler handler,
+                                                         const http_limits& limits) {
+  boost::system::error_code ec;
+  const auto ip = asio::ip::make_address(address.address, ec);
+  if (ec) {
+    return MakeError(error_code::kInvalidArgument, address.address + " is not an IP address");
+  }
+  std::unique_ptr<http_server> server(new http_server(address, std::move(handler), limits));
+  for (fiber_thread* const thread : threads) {
+    auto accepting = std::make_shared<listener>(*server, *thread);
+    ec = accepting->Bind({ip, server->address_.port});
+    if (ec) {
+      return MakeError(error_code::kUnavailable,
+                       "can't listen on " + ToString(address) + ": " + ec.message());
+    }
+    server->address_.port = accepting->port();
+    server->listeners_.push_back(std::move(accepting));
+  }
+  for (const auto& accepting : server->listeners_)
+    accepting->Start();
+  return server;
+}
+
+http_server::~http_server() {
+  Close();
+  for (const auto& accepting : listeners_) {
+    accepting->Abort();
+    while (accepting->fibers() > 0)
+      std::this_thread::sleep_for(milliseconds(1));
+  }
+}
+
+void http_server::AnnounceClose() noexcept {
+  announce_close_ = true;
+}
+
+void http_server::Close() {
+  for (const auto& accepting : listeners_)
+    accepting->Close();
+}
+
+int http_server::running() const noexcept {
+  return running_;
+}
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/net/tests/http_test.cc
@@ -0,0 +1,156 @@
+#include <gtest/gtest.h>
+
+#include <boost/fiber/operations.hpp>
+#include <optional>
+#include <string>
+
+#include "quincebank/net/net.h"
+
+namespace quincebank {
+namespace {
+
+void Handle(http_exchange& exchange) {
+  const http_request& request = exchange.request();
+  if (request.target == "/echo") {
+    exchange.Respond({200, {{"X-Method", request.method}}, request.body});
+    return;
+  }
+  if (request.target == "/stream") {
+    exchange.StartStream(200, {{"Content-Type", "text/event-stream"}});
+    exchange.Write("data: a\n\n");
+    exchange.Write("data: b\n\n");
+    exchange.Finish();
+    return;
+  }
+  if (request.target == "/cut") {
+    exchange.StartStream(200, {});
+    exchange.Write("part");
+    return;
+  }
+  if (request.target == "/silent") {
+    exchange.StartStream(200, {});
+    exchange.Write("part");
+    boost::this_fiber::sleep_for(milliseconds(200));
+    exchange.Finish();
+    return;
+  }
+  exchange.Respond({404, {}, {}});
+}
+
+class http_test : public testing::Test {
+ protected:
+  void SetUp() override {
+    http_limits limits;
+    limits.body_bytes = 1000;
+    auto listening = http_server::Listen({&server_thread_}, {"127.0.0.1", 0}, Handle, limits);
+    ASSERT_TRUE(listening.has_value());
+    server_ = std::move(listening.value());
+  }
+
+  result<http_response> Call(const std::string& method,
+                             const std::string& target,
+                             const std::string& body = {}) {
+    http_call call{server_->address(), {method, target, {}, body}};
+    call.idle_timeout = milliseconds(50);
+    result<http_response> answer = MakeError(error_code::kInternal, "no answer");
+    client_thread_.RunAndWait([&] { answer = client_.Call(call); });
+    return answer;
+  }
+
+  fiber_thread server_thread_{"server"};
+  fiber_thread client_thread_{"client"};
+  http_client client_{client_thread_};
+  std::unique_ptr<http_server> server_;
+};
+
+TEST_F(http_test, CarriesBodyAndHeaders) {
+  for (int i = 0; i < 3; ++i) {
+    const auto answer = Call("POST", "/echo", "text");
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer.value().body, "text");
+    EXPECT_EQ(answer.value().headers.Get("x-method"), "POST");
+  }
+}
+
+TEST_F(http_test, StreamsInPieces) {
+  const auto answer = Call("GET", "/stream");
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer.value().body, "data: a\n\ndata: b\n\n");
+}
+
+struct failure_case {
+  const char* name;
+  const char* target;
+  error_code code;
+};
+
+class broken_answer_test : public http_test, public testing::WithParamInterface<failure_case> {};
+
+// Guards against taking a part of an answer for the whole.
+TEST_P(broken_answer_test, IsAnErrorThatMayHaveRun) {
+  const auto answer = Call("GET", GetParam().target);
+  ASSERT_FALSE(answer.has_value());
+  EXPECT_EQ(answer.error().code, GetParam().code);
+  EXPECT_EQ(answer.error().outcome, verdict::kMayHaveRun);
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults,
+                         broken_answer_test,
+                         testing::Values(failure_case{"cut", "/cut", error_code::kTruncated},
+                                         failure_case{"silent", "/silent", error_code::kTimeout}),
+                         [](const auto& info) { return info.param.name; });
+
+TEST_F(http_test, RefusesAnOversizedBody) {
+  const auto answer = Call("POST", "/echo", std::string(2000, 'x'));
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer.value().status, 413);
+  EXPECT_EQ(answer.value().headers.Get("Quincebank-Verdict"), "not-run");
+}
+
+// Guards against "may have run" for a peer that was never reached.
+TEST_F(http_test, RefusedConnectionHasNotRun) {
+  const endpoint address = server_->address();
+  server_.reset();
+  result<http_response> answer = MakeError(error_code::kInternal, "no answer");
+  client_thread_.RunAndWait([&] { answer = client_.Call({address, {}}); });
+  ASSERT_FALSE(answer.has_value());
+  EXPECT_EQ(answer.error().outcome, verdict::kNotRun);
+}
+
+// Guards against a request written to a pooled connection that the peer has closed meanwhile.
+TEST_F(http_test, DropsAPooledConnectionThatThePeerClosed) {
+  ASSERT_TRUE(Call("POST", "/echo", "1").has_value());
+  const endpoint address = server_->address();
+  server_.reset();
+  auto again = http_server::Listen({&server_thread_}, address, Handle);
+  ASSERT_TRUE(again.has_value());
+  server_ = std::move(again.value());
+  const auto answer = Call("POST", "/echo", "2");
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer.value().body, "2");
+}
+
+TEST(sse_test, JoinsEventsAcrossReads) {
+  sse_splitter splitter;
+  std::vector<std::string> events;
+  for (const char* piece : {"data: a\n", "\ndata", ": b\n\n: hb\n\n", "data: c"})
+    splitter.Feed(piece, [&](std::string_view event) { events.emplace_back(event); });
+  EXPECT_EQ(events, (std::vector<std::string>{"data: a\n\n", "data: b\n\n", ": hb\n\n"}));
+  EXPECT_EQ(splitter.rest(), "data: c");
+  EXPECT_TRUE(IsSseComment(events[2]));
+  EXPECT_FALSE(IsSseComment(events[0]));
+}
+
+class endpoint_test : public testing::TestWithParam<const char*> {};
+
+TEST_P(endpoint_test, RefusesWhatIsNotAnAddress) {
+  EXPECT_FALSE(ParseEndpoint(GetParam()).has_value());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Texts,
+    endpoint_test,
+    testing::Values("", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "localhost:80", "1.2.3.4:65536"));
+
+}  // namespace
+}  // namespace quincebank
