--- a/libs/base/include/quincebank/base/error.h
+++ b/libs/base/include/quincebank/base/error.h
@@ -4,6 +4,7 @@
 #include <boost/outcome/policy/all_narrow.hpp>
 #include <boost/outcome/try.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -28,6 +29,8 @@
 
 /// \brief Returns the wire form, such as `invalid-argument`.
 [[nodiscard]] std::string_view ToString(error_code code) noexcept;
+/// \brief Parses the wire form.
+[[nodiscard]] std::optional<error_code> ParseErrorCode(std::string_view text) noexcept;
 
 /// \brief Failure with its reason and whether the request may have run.
 struct error {
