--- /dev/null
+++ b/libs/standins/src/hosts_standin.cc
@@ -0,0 +1,63 @@
+#include <deque>
+#include <string>
+
+#include "http_reply.h"
+#include "quincebank/net/http_message.h"
+#include "quincebank/standins/standin.h"
+
+namespace quincebank {
+namespace {
+
+/// Serves the host list: `PUT /hosts` replaces it, `GET /hosts` shows it after the lag.
+class hosts_standin final : public standin {
+ public:
+  void Handle(http_exchange& exchange) override {
+    const http_request& request = exchange.request();
+    if (request.target == "/control") {
+      ReadControl(exchange, [&](json_reader& reader) {
+        down_ = reader.Bool("down", down_);
+        lag_ = reader.Millis("lag_ms", {0, 600'000}, lag_);
+      });
+      return;
+    }
+    if (request.target != "/hosts") {
+      ReplyError(exchange, 404, "not found");
+      return;
+    }
+    if (request.method == "PUT") {
+      versions_.push_back({std::chrono::steady_clock::now(), request.body});
+      ReplyJson(exchange, 200, boost::json::object{{"ok", true}});
+      return;
+    }
+    if (down_) {
+      ReplyError(exchange, 503, "service is down");
+      return;
+    }
+    exchange.Respond({200, {{"Content-Type", "application/json"}}, Visible()});
+  }
+
+ private:
+  struct version {
+    time_point since;
+    std::string body;
+  };
+
+  std::string Visible() {
+    const time_point limit = std::chrono::steady_clock::now() - lag_;
+    while (versions_.size() > 1 && versions_[1].since <= limit)
+      versions_.pop_front();
+    return versions_.empty() ? "[]" : versions_.front().body;
+  }
+
+  std::deque<version> versions_;
+  bool down_ = false;
+  milliseconds lag_{0};
+};
+
+}  // namespace
+
+std::unique_ptr<standin> MakeHostsStandin(const standin_settings& /*settings*/) {
+  return std::make_unique<hosts_standin>();
+}
+
+}  // namespace quincebank
