Fix a warning in the key-value contract test

Cause: the compiler can't prove that an optional holds a value. Change: the test asserts it. Before: build failed under -Werror.

--- a/libs/standins/tests/kv_contract_test.cc
+++ b/libs/standins/tests/kv_contract_test.cc
@@ -78,6 +78,7 @@
   InFiber([&] {
     ASSERT_TRUE(kv_->CompareAndSwap("k", "1", kKvAbsent).value());
     const auto before = kv_->Get("k").value();
+    ASSERT_TRUE(before.has_value());
     ASSERT_TRUE(kv_->CompareAndSwap("k", "2", before->index).value());
     EXPECT_EQ(kv_->Watch("k", before->index, kTimeout).value()->value, "2");
   });
