--- /dev/null
+++ b/libs/routing/src/prefix_index.cc
@@ -0,0 +1,183 @@
+#include "quincebank/routing/prefix_index.h"
+
+#include <algorithm>
+#include <bit>
+#include <limits>
+
+#include "quincebank/base/random.h"
+
+namespace quincebank {
+
+prefix_index::prefix_index(std::size_t max_blocks)
+    : sets_(std::bit_ceil(std::max<std::size_t>(max_blocks, kWays) / kWays)) {}
+
+prefix_index::source* prefix_index::SourceOf(upstream_key key) {
+  const auto [position, added] =
+      slots_.try_emplace(key.value, static_cast<std::uint16_t>(sources_.size()));
+  if (!added)
+    return &sources_[position->second];
+  const auto free = std::find_if(sources_.begin(), sources_.end(),
+                                 [](const source& one) { return one.key == upstream_key{}; });
+  if (free != sources_.end()) {
+    position->second = static_cast<std::uint16_t>(free - sources_.begin());
+  } else if (sources_.size() < std::numeric_limits<std::uint16_t>::max()) {
+    sources_.emplace_back();
+  } else {
+    slots_.erase(position);
+    return nullptr;
+  }
+  source& fresh = sources_[position->second];
+  fresh.key = key;
+  fresh.epoch = std::max<std::uint16_t>(fresh.epoch, 1);
+  return &fresh;
+}
+
+void prefix_index::Invalidate(source& from) {
+  ++invalidations_;
+  if (from.epoch < std::numeric_limits<std::uint16_t>::max()) {
+    ++from.epoch;
+    return;
+  }
+  // The epoch wraps: holders with an old equal number must not come back to life.
+  const auto slot = static_cast<std::uint16_t>(&from - sources_.data());
+  for (set& one : sets_) {
+    for (block& entry : one.ways) {
+      for (holder& held : entry.holders) {
+        if (held.slot == slot)
+          held = {};
+      }
+    }
+  }
+  from.epoch = 1;
+}
+
+void prefix_index::Apply(const cache_event& event) {
+  source* const from = SourceOf(event.upstream);
+  if (from == nullptr)
+    return;
+  const auto slot = static_cast<std::uint16_t>(from - sources_.data());
+  if (!from->has_events) {
+    from->has_events = true;
+    from->boot = event.boot;
+    from->previous_boot = event.boot;
+    from->next = event.sequence;
+  } else if (event.boot != from->boot) {
+    if (event.boot == from->previous_boot)
+      return;
+    Invalidate(*from);
+    from->previous_boot = from->boot;
+    from->boot = event.boot;
+    from->next = event.sequence;
+  }
+  if (event.sequence < from->next) {
+    // A late eviction is still safe to apply; a late store may have been evicted since.
+    if (event.kind == cache_event_kind::kEvicted) {
+      for (const std::uint64_t hash : event.blocks)
+        Remove(slot, hash);
+    }
+    return;
+  }
+  if (event.sequence > from->next || event.kind == cache_event_kind::kCleared)
+    Invalidate(*from);
+  from->next = event.sequence + 1;
+  if (event.kind == cache_event_kind::kCleared)
+    return;
+  for (const std::uint64_t hash : event.blocks) {
+    if (event.kind == cache_event_kind::kStored) {
+      Store(slot, hash);
+    } else {
+      Remove(slot, hash);
+    }
+  }
+}
+
+void prefix_index::NoteServed(upstream_key upstream, std::span<const std::uint64_t> blocks) {
+  const source* const from = SourceOf(upstream);
+  if (from == nullptr)
+    return;
+  const auto slot = static_cast<std::uint16_t>(from - sources_.data());
+  for (const std::uint64_t hash : blocks)
+    Store(slot, hash);
+}
+
+void prefix_index::Forget(upstream_key upstream) {
+  const auto position = slots_.find(upstream.value);
+  if (position == slots_.end())
+    return;
+  source& from = sources_[position->second];
+  Invalidate(from);
+  // The epoch stays, so that the next user of the slot does not inherit the blocks.
+  from = source{.epoch = from.epoch};
+  slots_.erase(position);
+}
+
+void prefix_index::Store(std::uint16_t slot, std::uint64_t hash) {
+  ++clock_;
+  set& candidates = sets_[Mix64(hash) & (sets_.size() - 1)];
+  block* target = &candidates.ways.front();
+  for (block& entry : candidates.ways) {
+    if (entry.stored_at != 0 && entry.hash == hash) {
+      target = &entry;
+      break;
+    }
+    if (entry.stored_at < target->stored_at)
+      target = &entry;
+  }
+  if (target->hash != hash || target->stored_at == 0)
+    *target = block{hash, 0, {}};
+  target->stored_at = clock_;
+  // The newest holder is first; the oldest falls out.
+  auto& holders = target->holders;
+  auto position = std::find_if(holders.begin(), holders.end(), [&](const holder& held) {
+    return held.epoch != 0 && held.slot == slot;
+  });
+  if (position == holders.end())
+    position = std::prev(holders.end());
+  std::move_backward(holders.begin(), position, std::next(position));
+  holders.front() = {slot, sources_[slot].epoch};
+}
+
+void prefix_index::Remove(std::uint16_t slot, std::uint64_t hash) {
+  set& candidates = sets_[Mix64(hash) & (sets_.size() - 1)];
+  for (block& entry : candidates.ways) {
+    if (entry.hash != hash)
+      continue;
+    for (holder& held : entry.holders) {
+      if (held.slot == slot)
+        held = {};
+    }
+  }
+}
+
+const prefix_index::block* prefix_index::FindBlock(std::uint64_t hash) const noexcept {
+  for (const block& entry : sets_[Mix64(hash) & (sets_.size() - 1)].ways) {
+    if (entry.stored_at != 0 && entry.hash == hash)
+      return &entry;
+  }
+  return nullptr;
+}
+
+prefix_hits prefix_index::Find(std::span<const std::uint64_t> prefix) const noexcept {
+  prefix_hits hits;
+  for (std::size_t depth = prefix.size(); depth > 0; --depth) {
+    const block* const found = FindBlock(prefix[depth - 1]);
+    if (found == nullptr)
+      continue;
+    for (const holder& held : found->holders) {
+      if (held.epoch == 0 || held.epoch != sources_[held.slot].epoch)
+        continue;
+      const upstream_key key = sources_[held.slot].key;
+      const auto known = hits.view();
+      if (std::any_of(known.begin(), known.end(),
+                      [&](const prefix_hit& hit) { return hit.upstream == key; })) {
+        continue;
+      }
+      hits.hit.at(hits.count) = {key, static_cast<std::uint32_t>(depth)};
+      if (++hits.count == kMaxPrefixHits)
+        return hits;
+    }
+  }
+  return hits;
+}
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/routing/src/weigh.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "quincebank/routing/choose.h"
+
+namespace quincebank {
+
+/// \brief What all candidates of one decision share, computed once.
+class weigher {
+ public:
+  explicit weigher(const route_input& input) noexcept;
+
+  /// \brief Computes load, score and exclusion of one upstream.
+  [[nodiscard]] route_candidate Weigh(std::uint32_t index,
+                                      std::uint32_t cached_blocks,
+                                      candidate_source source) const noexcept;
+  [[nodiscard]] bool Tried(std::uint32_t index) const noexcept;
+  [[nodiscard]] upstream_load LoadOf(std::uint32_t index) const noexcept;
+  [[nodiscard]] std::uint32_t prefix_blocks() const noexcept { return prefix_blocks_; }
+  [[nodiscard]] std::uint16_t region() const noexcept { return region_; }
+
+ private:
+  const route_input& input_;
+  std::uint32_t prefix_blocks_;
+  std::uint16_t region_;
+  std::uint16_t failure_domain_;
+  std::uint64_t queue_percent_;
+  std::int64_t deadline_us_;
+};
+
+/// \brief Adds a candidate unless the decision has it already; keeps the better estimate of the
+/// cached blocks. When the list is full, the candidate replaces an excluded one or else the one
+/// with the highest score.
+void Keep(route_decision& decision, const route_candidate& candidate) noexcept;
+
+/// \brief Sets the chosen index to the candidate with the lowest score that is not excluded.
+///
+/// \returns Whether there is one.
+bool PickLowest(route_decision& decision) noexcept;
+
+/// \brief Says why a service's pool has no upstream for the request.
+[[nodiscard]] error NoPoolError(const route_input& input);
+/// \brief Says why no upstream of the pool can be chosen.
+[[nodiscard]] error ExcludedError(const route_input& input, const routing_table::pool& pool);
+
+/// \brief Policy `quincebank`.
+[[nodiscard]] result<route_decision> ChooseByScore(const route_input& input);
+/// \brief Policy `round-robin`.
+[[nodiscard]] result<route_decision> ChooseByTurn(const route_input& input);
+/// \brief Policy `least-loaded`: the lowest load by the last hint, without own corrections.
+[[nodiscard]] result<route_decision> ChooseLeastLoaded(const route_input& input);
+/// \brief Policy `two-random`: the lower load by the last hint of two drawn upstreams.
+[[nodiscard]] result<route_decision> ChooseOfTwo(const route_input& input);
+
+}  // namespace quincebank
