--- /dev/null
+++ b/libs/admission/include/quincebank/admission/concurrency_limit.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "quincebank/admission/request.h"
+#include "quincebank/admission/settings.h"
+#include "quincebank/base/time.h"
+
+namespace quincebank {
+
+/// \brief When work was started, in terms of changes of the limit.
+struct limit_mark {
+  std::uint32_t round = 0;  ///< Changes of the limit before it.
+  std::uint32_t epoch = 0;  ///< Decreases of the limit before it.
+};
+
+/// \brief Concurrency limit that is raised only on evidence and falls at once.
+///
+/// Evidence for a raise is good work that was started under the present limit and finished while
+/// the limit was used. Bad work counts if it was started after the last decrease, so that one
+/// overload lowers the limit once.
+class concurrency_limit {
+ public:
+  concurrency_limit(std::size_t cold, std::size_t full, const ramp_settings& ramp) noexcept;
+
+  [[nodiscard]] std::size_t limit() const noexcept { return limit_; }
+  [[nodiscard]] bool cold() const noexcept { return cold_; }
+  [[nodiscard]] bool full() const noexcept { return limit_ == full_limit_; }
+  [[nodiscard]] limit_mark mark() const noexcept { return {round_, epoch_}; }
+
+  /// \param in_flight  work in flight, the finished one included.
+  void OnFinish(limit_mark started,
+                work_outcome outcome,
+                milliseconds service_time,
+                std::size_t in_flight) noexcept;
+  /// \brief Returns to the cold limit.
+  void FallBack() noexcept;
+
+ private:
+  void Grow() noexcept;
+  void Decrease(std::size_t limit) noexcept;
+  void StartRound() noexcept;
+  void Decide() noexcept;
+
+  const std::size_t cold_limit_;
+  const std::size_t full_limit_;
+  const ramp_settings ramp_;
+  std::size_t limit_;
+  /// Limit above which growth is by single steps, since a higher one was too slow before.
+  std::size_t threshold_;
+  std::uint32_t round_ = 0;
+  std::uint32_t epoch_ = 0;
+  std::size_t good_ = 0;
+  std::size_t slow_ = 0;
+  std::size_t spikes_in_a_row_ = 0;
+  bool cold_ = true;
+};
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/admission/include/quincebank/admission/fwd.h
@@ -0,0 +1,19 @@
+#pragma once
+
+namespace quincebank {
+
+struct admission_decision;
+struct admission_request;
+struct admission_settings;
+struct admission_state;
+struct admission_ticket;
+struct queue_changes;
+struct rejection;
+struct shed_ticket;
+
+class admission_gate;
+class backoff_after;
+class hedge_policy;
+class retry_budget;
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/admission/include/quincebank/admission/occupancy.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstddef>
+
+#include "quincebank/base/time.h"
+
+namespace quincebank {
+
+/// \brief Running estimates of how long a request occupies a slot.
+class occupancy_estimate {
+ public:
+  explicit occupancy_estimate(milliseconds initial) noexcept;
+
+  void Observe(nanoseconds occupied) noexcept;
+  [[nodiscard]] nanoseconds mean() const noexcept;
+  /// \brief Time that nine in ten requests exceed.
+  [[nodiscard]] nanoseconds low() const noexcept;
+  [[nodiscard]] nanoseconds median() const noexcept;
+  /// \brief Expected wait behind `ahead` requests that are served `limit` at a time.
+  [[nodiscard]] nanoseconds Wait(std::size_t ahead, std::size_t limit) const noexcept;
+
+ private:
+  double mean_;
+  double low_;
+  double median_;
+};
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/admission/src/concurrency_limit.cc
@@ -0,0 +1,104 @@
+#include "quincebank/admission/concurrency_limit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quincebank {
+namespace {
+
+// A round holds as much finished work as the limit, but at least this much: two quick answers say
+// little about an upstream.
+constexpr std::size_t kLeastEvidence = 3;
+// A round with at most one slow request in this many is good.
+constexpr std::size_t kGoodPerSlow = 8;
+// The limit counts as used from three quarters on. Work that finished at a lower concurrency says
+// nothing about a higher limit.
+constexpr std::size_t kUsedNumerator = 3;
+constexpr std::size_t kUsedDenominator = 4;
+
+}  // namespace
+
+concurrency_limit::concurrency_limit(std::size_t cold,
+                                     std::size_t full,
+                                     const ramp_settings& ramp) noexcept
+    : cold_limit_(cold), full_limit_(full), ramp_(ramp), limit_(cold), threshold_(full) {}
+
+void concurrency_limit::OnFinish(limit_mark started,
+                                 work_outcome outcome,
+                                 milliseconds service_time,
+                                 std::size_t in_flight) noexcept {
+  if (outcome == work_outcome::kNoEvidence || started.epoch != epoch_)
+    return;
+  if (outcome == work_outcome::kRefused) {
+    Decrease(static_cast<std::size_t>(static_cast<double>(limit_) * ramp_.decrease));
+    return;
+  }
+  const double good_ms = static_cast<double>(ramp_.good_service_time.count());
+  const bool failed = outcome != work_outcome::kServed;
+  const bool spike =
+      failed || static_cast<double>(service_time.count()) > good_ms * ramp_.spike_factor;
+  spikes_in_a_row_ = spike ? spikes_in_a_row_ + 1 : 0;
+  if (spikes_in_a_row_ >= ramp_.spike_count) {
+    const std::size_t before = limit_;
+    FallBack();
+    // The fast part of the next ramp stops below the limit at which the upstream failed.
+    threshold_ = std::max(cold_limit_, before / 2);
+    return;
+  }
+  if (failed || service_time > ramp_.good_service_time) {
+    ++slow_;
+  } else if (started.round == round_ && in_flight * kUsedDenominator >= limit_ * kUsedNumerator) {
+    ++good_;
+  }
+  Decide();
+}
+
+void concurrency_limit::Decide() noexcept {
+  if (good_ + slow_ < std::max(limit_, kLeastEvidence))
+    return;
+  const std::size_t good = good_;
+  const std::size_t slow = slow_;
+  good_ = 0;
+  slow_ = 0;
+  if (slow * kGoodPerSlow <= good) {
+    Grow();
+  } else if (slow > good) {
+    Decrease(static_cast<std::size_t>(static_cast<double>(limit_) * ramp_.decrease));
+  }
+}
+
+void concurrency_limit::Grow() noexcept {
+  cold_ = false;
+  if (limit_ >= full_limit_)
+    return;
+  if (limit_ < threshold_) {
+    const auto grown = static_cast<std::size_t>(static_cast<double>(limit_) * ramp_.growth);
+    limit_ = std::min(threshold_, std::max(limit_ + 1, grown));
+  } else {
+    ++limit_;
+  }
+  limit_ = std::min(limit_, full_limit_);
+  StartRound();
+}
+
+void concurrency_limit::Decrease(std::size_t limit) noexcept {
+  limit_ = std::max(cold_limit_, std::min(limit, limit_));
+  threshold_ = limit_;
+  ++epoch_;
+  StartRound();
+}
+
+void concurrency_limit::FallBack() noexcept {
+  Decrease(cold_limit_);
+  threshold_ = full_limit_;
+  cold_ = true;
+}
+
+void concurrency_limit::StartRound() noexcept {
+  ++round_;
+  good_ = 0;
+  slow_ = 0;
+  spikes_in_a_row_ = 0;
+}
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/admission/src/fair_queue.cc
@@ -0,0 +1,211 @@
+#include "quincebank/admission/fair_queue.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace quincebank {
+namespace {
+
+// Virtual time of one unit of cost at weight 1. Weights above it would be served for free; at
+// 10,000 requests a second the virtual time lasts for decades.
+constexpr std::uint64_t kUnit = 1U << 20U;
+
+std::uint32_t WeightOf(const admission_request& request) noexcept {
+  return std::clamp<std::uint32_t>(request.weight, 1, kUnit);
+}
+
+std::uint64_t ChargeOf(std::uint32_t cost, std::uint32_t weight) noexcept {
+  return std::max<std::uint64_t>(1, std::max<std::uint32_t>(cost, 1) * kUnit / weight);
+}
+
+std::uint8_t PriorityOf(const admission_request& request) noexcept {
+  return std::min(request.priority, kHighestPriority);
+}
+
+}  // namespace
+
+fair_queue::fair_queue(std::size_t capacity, std::size_t idle_capacity)
+    : idle_capacity_(idle_capacity),
+      // One more than both bounds, for the flow that is being created.
+      flows_(capacity + idle_capacity + 1),
+      buckets_(std::bit_ceil(flows_.size())),
+      table_(flow_table::bucket_traits(buckets_.data(), buckets_.size())) {
+  for (workspace_flow& flow : flows_)
+    unused_.push_back(flow);
+}
+
+fair_queue::~fair_queue() {
+  for (workspace_flow& flow : flows_)
+    flow.queued.clear();
+}
+
+workspace_flow* fair_queue::FindFlow(std::uint64_t workspace) {
+  const auto found = table_.find(workspace);
+  return found == table_.end() ? nullptr : &*found;
+}
+
+const workspace_flow* fair_queue::FindFlow(std::uint64_t workspace) const {
+  const auto found = table_.find(workspace);
+  return found == table_.end() ? nullptr : &*found;
+}
+
+workspace_flow& fair_queue::FlowOf(const admission_request& request) {
+  workspace_flow* flow = FindFlow(request.workspace);
+  if (flow == nullptr) {
+    if (unused_.empty())
+      Forget(idle_.front());
+    flow = &unused_.front();
+    unused_.pop_front();
+    flow->workspace = request.workspace;
+    flow->finish = 0;
+    flow->weight = WeightOf(request);
+    table_.insert(*flow);
+    idle_.push_back(*flow);
+  }
+  SetWeight(*flow, WeightOf(request));
+  return *flow;
+}
+
+void fair_queue::SetWeight(workspace_flow& flow, std::uint32_t weight) {
+  if (flow.weight == weight)
+    return;
+  // A workspace under constant load never empties its queue, so a changed weight applies at once.
+  if (!flow.queued.empty())
+    active_weight_ += std::uint64_t{weight} - flow.weight;
+  flow.weight = weight;
+  if (!flow.queued.empty())
+    UpdateExcess(flow);
+}
+
+void fair_queue::Forget(workspace_flow& flow) {
+  idle_.erase(idle_.iterator_to(flow));
+  table_.erase(table_.iterator_to(flow));
+  unused_.push_back(flow);
+}
+
+void fair_queue::TrimIdle() {
+  // Forgetting a flow whose finish time has passed loses nothing; beyond the bound, the flow that
+  // was idle for longest loses the rest of one request's charge.
+  while (!idle_.empty() && (idle_.front().finish <= virtual_time_ || idle_.size() > idle_capacity_))
+    Forget(idle_.front());
+}
+
+void fair_queue::UpdateExcess(workspace_flow& flow) {
+  by_excess_.erase(by_excess_.iterator_to(flow));
+  flow.excess = flow.queued.size() * kUnit / flow.weight;
+  by_excess_.insert(flow);
+}
+
+void fair_queue::Push(admission_entry& entry, const admission_request& request) {
+  workspace_flow& flow = FlowOf(request);
+  entry.sequence = ++sequence_;
+  entry.cost = request.cost;
+  entry.priority = PriorityOf(request);
+  entry.flow = &flow;
+  const bool first = flow.queued.empty();
+  flow.queued.insert(entry);
+  ++flow.by_priority.at(entry.priority);
+  ++size_;
+  if (first) {
+    idle_.erase(idle_.iterator_to(flow));
+    flow.start = std::max(virtual_time_, flow.finish);
+    flow.sequence = sequence_;
+    flow.excess = kUnit / flow.weight;
+    active_weight_ += flow.weight;
+    backlogged_.insert(flow);
+    by_excess_.insert(flow);
+  } else {
+    UpdateExcess(flow);
+  }
+}
+
+void fair_queue::Detach(admission_entry& entry) {
+  workspace_flow& flow = *entry.flow;
+  flow.queued.erase(flow.queued.iterator_to(entry));
+  --flow.by_priority.at(entry.priority);
+  --size_;
+  entry.flow = nullptr;
+  if (!flow.queued.empty()) {
+    UpdateExcess(flow);
+    return;
+  }
+  backlogged_.erase(backlogged_.iterator_to(flow));
+  by_excess_.erase(by_excess_.iterator_to(flow));
+  active_weight_ -= flow.weight;
+  idle_.push_back(flow);
+  TrimIdle();
+}
+
+admission_entry* fair_queue::Pop() {
+  if (backlogged_.empty())
+    return nullptr;
+  workspace_flow& flow = *backlogged_.begin();
+  admission_entry& entry = *flow.queued.begin();
+  virtual_time_ = std::max(virtual_time_, flow.start);
+  flow.finish = flow.start + ChargeOf(entry.cost, flow.weight);
+  backlogged_.erase(backlogged_.begin());
+  flow.start = flow.finish;
+  flow.sequence = ++sequence_;
+  backlogged_.insert(flow);
+  Detach(entry);
+  return &entry;
+}
+
+void fair_queue::Remove(admission_entry& entry) {
+  Detach(entry);
+}
+
+void fair_queue::Charge(const admission_request& request) {
+  workspace_flow& flow = FlowOf(request);
+  const std::uint64_t start = std::max(virtual_time_, flow.finish);
+  virtual_time_ = start;
+  flow.finish = start + ChargeOf(request.cost, WeightOf(request));
+  if (flow.queued.empty()) {
+    idle_.erase(idle_.iterator_to(flow));
+    idle_.push_back(flow);
+  }
+  TrimIdle();
+}
+
+std::size_t fair_queue::Ahead(const admission_request& request) const {
+  const workspace_flow* flow = FindFlow(request.workspace);
+  std::size_t own = 0;
+  std::uint64_t weight = WeightOf(request);
+  std::uint64_t active = active_weight_;
+  if (flow != nullptr && !flow->queued.empty()) {
+    for (std::size_t p = PriorityOf(request); p < flow->by_priority.size(); ++p)
+      own += flow->by_priority.at(p);
+    weight = flow->weight;
+  } else {
+    active += weight;
+  }
+  // While one request of this workspace is served, the others are served in proportion to their
+  // weights. The requests that are queued are an upper bound.
+  return std::min<std::size_t>(size_, (own + 1) * active / weight - 1);
+}
+
+admission_entry* fair_queue::Victim(const admission_request& request) {
+  if (by_excess_.empty())
+    return nullptr;
+  workspace_flow& longest = *by_excess_.begin();
+  const workspace_flow* own = FindFlow(request.workspace);
+  if (own == &longest) {
+    admission_entry& last = *longest.queued.rbegin();
+    return last.priority < PriorityOf(request) ? &last : nullptr;
+  }
+  const bool known = own != nullptr && !own->queued.empty();
+  const std::size_t queued = known ? own->queued.size() : 0;
+  const std::uint64_t weight = known ? own->weight : WeightOf(request);
+  if ((queued + 1) * kUnit / weight < longest.excess)
+    return &*longest.queued.rbegin();
+  // At its share, a workspace may still replace its own work of a lower priority.
+  if (known && own->queued.rbegin()->priority < PriorityOf(request))
+    return const_cast<admission_entry*>(&*own->queued.rbegin());
+  return nullptr;
+}
+
+admission_entry* fair_queue::Longest() {
+  return by_excess_.empty() ? nullptr : &*by_excess_.begin()->queued.rbegin();
+}
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/admission/src/gate.cc
@@ -0,0 +1,245 @@
+#include "quincebank/admission/gate.h"
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <utility>
+
+namespace quincebank {
+namespace {
+
+// Expired work is looked for at most this often, so that a sweep costs little under load.
+constexpr milliseconds kSweepInterval{50};
+constexpr unsigned kGenerationShift = 32;
+
+struct refusal_text {
+  error_code code;
+  std::string_view message;
+};
+
+// Indexed by `shed_reason`.
+constexpr std::array<refusal_text, 7> kRefusals{{
+    {error_code::kInternal, "not refused"},
+    {error_code::kDraining, "the upstream is draining"},
+    {error_code::kTimeout, "the deadline cannot be met"},
+    {error_code::kOverloaded, "the upstream is cold and at its limit"},
+    {error_code::kOverloaded, "the queue is full"},
+    {error_code::kOverloaded, "displaced from the queue by other work"},
+    {error_code::kOverloaded, "the upstream's limit fell"},
+}};
+
+}  // namespace
+
+admission_gate::admission_gate(const admission_settings& settings)
+    : settings_(Normalized(settings)),
+      limit_(settings_.cold_limit, settings_.full_limit, settings_.ramp),
+      occupancy_(settings_.expected_service_time),
+      queue_(settings_.queue_limit, settings_.idle_workspace_limit),
+      entries_(settings_.queue_limit + settings_.full_limit),
+      free_(entries_.size()) {
+  for (std::uint32_t i = 0; i < entries_.size(); ++i) {
+    entries_[i].index = i;
+    free_[free_.size() - 1 - i] = i;
+  }
+}
+
+admission_entry* admission_gate::Allocate() noexcept {
+  if (free_.empty())
+    return nullptr;
+  entry& work = entries_[free_.back()];
+  free_.pop_back();
+  ++work.generation;
+  return &work;
+}
+
+void admission_gate::Release(entry& work) noexcept {
+  work.where = entry::place::kFree;
+  free_.push_back(work.index);
+}
+
+admission_entry* admission_gate::Find(admission_ticket ticket) noexcept {
+  const auto index = static_cast<std::uint32_t>(ticket.value);
+  const auto generation = static_cast<std::uint32_t>(ticket.value >> kGenerationShift);
+  if (index >= entries_.size())
+    return nullptr;
+  entry& work = entries_[index];
+  const bool current = work.where != entry::place::kFree && work.generation == generation;
+  return current ? &work : nullptr;
+}
+
+std::size_t admission_gate::QueueLimit() const noexcept {
+  if (draining_ || limit_.cold())
+    return 0;
+  // The queue grows with the limit, so that waiting takes no longer while ramping.
+  return settings_.queue_limit * limit_.limit() / settings_.full_limit;
+}
+
+milliseconds admission_gate::RetryAfter() const noexcept {
+  const nanoseconds wait = occupancy_.Wait(queue_.size(), limit_.limit());
+  return std::clamp(std::chrono::duration_cast<milliseconds>(wait), settings_.min_retry_after,
+                    settings_.max_retry_after);
+}
+
+rejection admission_gate::Refuse(shed_reason reason) const {
+  const refusal_text& text = kRefusals.at(static_cast<std::size_t>(reason));
+  return {reason, MakeError(text.code, std::string(text.message)),
+          reason == shed_reason::kDraining ? settings_.max_retry_after : RetryAfter()};
+}
+
+bool admission_gate::CanMeetDeadline(const admission_request& request) const noexcept {
+  if (!request.deadline)
+    return true;
+  // A free slot is given to anything that has a chance. A slot that others wait for goes only to
+  // work that more likely than not meets its deadline.
+  if (queue_.empty() && in_flight_ < limit_.limit())
+    return occupancy_.low() <= *request.deadline;
+  if (occupancy_.median() > *request.deadline)
+    return false;
+  const nanoseconds wait = occupancy_.Wait(queue_.Ahead(request), limit_.limit());
+  return wait + occupancy_.median() <= *request.deadline;
+}
+
+admission_decision admission_gate::Offer(const admission_request& request, time_point now) {
+  using kind = admission_decision::kind;
+  if (draining_)
+    return {kind::kRejected, {}, Refuse(shed_reason::kDraining)};
+  if (!CanMeetDeadline(request))
+    return {kind::kRejected, {}, Refuse(shed_reason::kDeadline)};
+  if (!queue_.empty() || in_flight_ >= limit_.limit())
+    return Enqueue(request, now);
+  entry* const work = Allocate();
+  if (work == nullptr)
+    return {kind::kRejected, {}, Refuse(shed_reason::kQueueFull)};
+  queue_.Charge(request);
+  Start(*work, now);
+  return {kind::kAdmitted, {std::uint64_t{work->generation} << kGenerationShift | work->index}, {}};
+}
+
+admission_decision admission_gate::Enqueue(const admission_request& request, time_point now) {
+  using kind = admission_decision::kind;
+  const std::size_t queue_limit = QueueLimit();
+  if (queue_limit == 0) {
+    const shed_reason reason = limit_.cold() ? shed_reason::kCold : shed_reason::kQueueFull;
+    return {kind::kRejected, {}, Refuse(reason)};
+  }
+  if (queue_.size() >= queue_limit) {
+    entry* const victim = queue_.Victim(request);
+    if (victim == nullptr)
+      return {kind::kRejected, {}, Refuse(shed_reason::kQueueFull)};
+    Shed(*victim, shed_reason::kDisplaced);
+  }
+  entry* const work = Allocate();
+  if (work == nullptr)
+    return {kind::kRejected, {}, Refuse(shed_reason::kQueueFull)};
+  work->where = entry::place::kQueued;
+  work->deadline = request.deadline ? now + *request.deadline : time_point::max();
+  queue_.Push(*work, request);
+  return {kind::kQueued, {std::uint64_t{work->generation} << kGenerationShift | work->index}, {}};
+}
+
+void admission_gate::Start(entry& work, time_point now) noexcept {
+  work.where = entry::place::kInFlight;
+  work.started = now;
+  work.mark = limit_.mark();
+  ++in_flight_;
+}
+
+void admission_gate::Finish(admission_ticket ticket,
+                            work_outcome outcome,
+                            milliseconds service_time,
+                            time_point now) {
+  entry* const work = Find(ticket);
+  if (work == nullptr || work->where != entry::place::kInFlight)
+    return;
+  // Failed work can end at once and would make the estimates too short.
+  if (outcome == work_outcome::kServed || outcome == work_outcome::kTimedOut)
+    occupancy_.Observe(now - work->started);
+  limit_.OnFinish(work->mark, outcome, service_time, in_flight_);
+  --in_flight_;
+  Release(*work);
+}
+
+void admission_gate::Cancel(admission_ticket ticket) {
+  entry* const work = Find(ticket);
+  if (work == nullptr)
+    return;
+  if (work->where == entry::place::kQueued) {
+    queue_.Remove(*work);
+  } else {
+    --in_flight_;
+  }
+  Release(*work);
+}
+
+void admission_gate::Shed(entry& work, shed_reason reason) {
+  queue_.Remove(work);
+  shed_.push_back(
+      {{std::uint64_t{work.generation} << kGenerationShift | work.index}, Refuse(reason)});
+  Release(work);
+}
+
+void admission_gate::ShedExpired(time_point now) {
+  if (now < next_sweep_ || queue_.empty())
+    return;
+  next_sweep_ = now + kSweepInterval;
+  const nanoseconds needed = occupancy_.low();
+  std::vector<entry*> expired;
+  queue_.Each([&](entry& work) {
+    if (work.deadline != time_point::max() && work.deadline - now < needed)
+      expired.push_back(&work);
+  });
+  for (entry* work : expired)
+    Shed(*work, shed_reason::kDeadline);
+}
+
+queue_changes admission_gate::NextAdmitted(time_point now) {
+  queue_changes changes;
+  const std::size_t queue_limit = QueueLimit();
+  while (queue_.size() > queue_limit)
+    Shed(*queue_.Longest(), draining_ ? shed_reason::kDraining : shed_reason::kFallback);
+  ShedExpired(now);
+  while (!queue_.empty() && in_flight_ < limit_.limit()) {
+    entry& work = *queue_.Pop();
+    const admission_ticket ticket{std::uint64_t{work.generation} << kGenerationShift | work.index};
+    if (work.deadline != time_point::max() && work.deadline - now < occupancy_.low()) {
+      shed_.push_back({ticket, Refuse(shed_reason::kDeadline)});
+      Release(work);
+      continue;
+    }
+    Start(work, now);
+    changes.admitted.push_back(ticket);
+  }
+  changes.shed.swap(shed_);
+  return changes;
+}
+
+void admission_gate::OnUpstreamBoot(std::uint64_t boot_number) {
+  const bool changed = boot_number_.has_value() && *boot_number_ != boot_number;
+  boot_number_ = boot_number;
+  if (changed)
+    limit_.FallBack();
+}
+
+void admission_gate::OnConnectionLost() {
+  limit_.FallBack();
+}
+
+void admission_gate::SetDraining(bool draining) {
+  if (draining_ && !draining)
+    limit_.FallBack();
+  draining_ = draining;
+}
+
+admission_state admission_gate::State() const noexcept {
+  admission_phase phase = admission_phase::kRamping;
+  if (draining_) {
+    phase = admission_phase::kDraining;
+  } else if (limit_.cold()) {
+    phase = admission_phase::kCold;
+  } else if (limit_.full()) {
+    phase = admission_phase::kFull;
+  }
+  return {in_flight_, queue_.size(), limit_.limit(), phase};
+}
+
+}  // namespace quincebank
