Add the idempotency library's headers and a first implementation

Cause: the entry and agent daemons need the claim, ledger and request interfaces before they can be written. Before: no code.

--- /dev/null
+++ b/libs/idempotency/include/quincebank/idempotency/fwd.h
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace quincebank {
+
+class attempt_ledger;
+class claim_bucket;
+class claim_writer;
+class keyed_request;
+struct claim;
+struct claim_decision;
+struct claim_key;
+struct request_action;
+struct request_key;
+struct request_spec;
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/idempotency/src/attempt_ledger.cc
@@ -0,0 +1,207 @@
+#include "quincebank/idempotency/attempt_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "quincebank/idempotency/timed_attempt.h"
+
+namespace quincebank {
+namespace {
+
+begin_outcome RepeatOutcome(attempt_state state) noexcept {
+  switch (state) {
+    case attempt_state::kRunning:
+      return begin_outcome::kAlreadyRunning;
+    case attempt_state::kBlocked:
+      return begin_outcome::kBlocked;
+    case attempt_state::kMayHaveRun:
+      return begin_outcome::kMayHaveRun;
+    default:
+      return begin_outcome::kDone;
+  }
+}
+
+}  // namespace
+
+attempt_ledger::attempt_ledger(incarnation self,
+                               ledger_limits limits,
+                               time_point started,
+                               wall_time wall_started)
+    : self_(self), limits_(limits), started_(started), wall_started_(wall_started) {}
+
+attempt_ledger::~attempt_ledger() {
+  held_.clear();
+  ages_.clear();
+}
+
+wall_time attempt_ledger::WallTime(time_point now) const noexcept {
+  return wall_started_ + std::chrono::duration_cast<wall_time::duration>(now - started_);
+}
+
+bool attempt_ledger::BeyondHorizon(attempt_id attempt, time_point now) const noexcept {
+  return AttemptTime(attempt) < WallTime(now) - limits_.horizon;
+}
+
+attempt_ledger::record* attempt_ledger::FindRunning(attempt_id attempt) noexcept {
+  const auto found = records_.find(attempt);
+  if (found == records_.end() || found->second.state != attempt_state::kRunning)
+    return nullptr;
+  return &found->second;
+}
+
+attempt_ledger::record* attempt_ledger::Insert(attempt_id attempt,
+                                               attempt_state state,
+                                               time_point now) {
+  Expire(now);
+  if (records_.size() >= limits_.max_records)
+    return nullptr;
+  record& entry = records_[attempt];
+  entry.id = attempt;
+  entry.state = state;
+  entry.ended = now;
+  ages_.push_back(entry);
+  return &entry;
+}
+
+begin_outcome attempt_ledger::Begin(attempt_id attempt, incarnation wanted, time_point now) {
+  if (wanted != self_)
+    return begin_outcome::kWrongIncarnation;
+  const auto found = records_.find(attempt);
+  if (found != records_.end())
+    return RepeatOutcome(found->second.state);
+  if (BeyondHorizon(attempt, now) || AttemptTime(attempt) > WallTime(now) + kClockMargin)
+    return begin_outcome::kUntimely;
+  if (Insert(attempt, attempt_state::kRunning, now) == nullptr)
+    return begin_outcome::kFull;
+  ++running_;
+  return begin_outcome::kStart;
+}
+
+void attempt_ledger::SetHead(attempt_id attempt, int status, std::string headers) {
+  record* const entry = FindRunning(attempt);
+  if (entry == nullptr)
+    return;
+  entry->status = status;
+  held_bytes_ -= entry->headers.size();
+  entry->headers = std::move(headers);
+  held_bytes_ += entry->headers.size();
+}
+
+bool attempt_ledger::Append(attempt_id attempt, std::string_view bytes) {
+  record* const entry = FindRunning(attempt);
+  if (entry == nullptr || !entry->holding)
+    return false;
+  const bool fits = entry->bytes.size() + bytes.size() <= limits_.max_answer_bytes;
+  while (fits && held_bytes_ + bytes.size() > limits_.max_total_bytes && !held_.empty())
+    DropOldest();
+  if (!fits || held_bytes_ + bytes.size() > limits_.max_total_bytes) {
+    DropAnswer(*entry);
+    return false;
+  }
+  entry->bytes += bytes;
+  held_bytes_ += bytes.size();
+  return true;
+}
+
+void attempt_ledger::End(record& entry, attempt_state state, time_point now) {
+  entry.state = state;
+  entry.ended = now;
+  --running_;
+  if (state == attempt_state::kDone)
+    held_.push_back(entry);
+  else
+    DropAnswer(entry);
+}
+
+void attempt_ledger::Complete(attempt_id attempt, int status, time_point now) {
+  record* const entry = FindRunning(attempt);
+  if (entry == nullptr)
+    return;
+  entry->status = status;
+  End(*entry, entry->holding ? attempt_state::kDone : attempt_state::kAnswerGone, now);
+}
+
+void attempt_ledger::Fail(attempt_id attempt, verdict outcome, time_point now) {
+  record* const entry = FindRunning(attempt);
+  if (entry == nullptr)
+    return;
+  if (outcome == verdict::kNotRun)
+    End(*entry, attempt_state::kBlocked, now);
+  else if (outcome == verdict::kRan)
+    End(*entry, attempt_state::kAnswerGone, now);
+  else
+    End(*entry, attempt_state::kMayHaveRun, now);
+}
+
+attempt_state attempt_ledger::Status(attempt_id attempt, time_point now) const {
+  const auto found = records_.find(attempt);
+  if (found != records_.end())
+    return found->second.state;
+  return BeyondHorizon(attempt, now) ? attempt_state::kForgotten : attempt_state::kNeverSeen;
+}
+
+attempt_state attempt_ledger::Status(attempt_id attempt, incarnation wanted, time_point now) const {
+  return wanted == self_ ? Status(attempt, now) : attempt_state::kWrongIncarnation;
+}
+
+attempt_state attempt_ledger::Block(attempt_id attempt, incarnation wanted, time_point now) {
+  const attempt_state state = Status(attempt, wanted, now);
+  if (state != attempt_state::kNeverSeen)
+    return state;
+  if (Insert(attempt, attempt_state::kBlocked, now) == nullptr)
+    return attempt_state::kNeverSeen;
+  return attempt_state::kBlocked;
+}
+
+answer_part attempt_ledger::Read(attempt_id attempt, std::uint64_t offset, time_point now) const {
+  answer_part part;
+  part.state = Status(attempt, now);
+  if (part.state != attempt_state::kRunning && part.state != attempt_state::kDone)
+    return part;
+  const record& entry = records_.find(attempt)->second;
+  part.status = entry.status;
+  if (!entry.holding || offset > entry.bytes.size())
+    return part;
+  part.available = true;
+  part.complete = part.state == attempt_state::kDone;
+  part.headers = entry.headers;
+  part.bytes = std::string_view(entry.bytes).substr(offset);
+  return part;
+}
+
+void attempt_ledger::DropAnswer(record& entry) {
+  held_bytes_ -= entry.bytes.size() + entry.headers.size();
+  entry.holding = false;
+  // Assignment of an empty string keeps the capacity.
+  std::string().swap(entry.bytes);
+  std::string().swap(entry.headers);
+}
+
+void attempt_ledger::DropOldest() {
+  record& entry = held_.front();
+  held_.pop_front();
+  entry.state = attempt_state::kAnswerGone;
+  DropAnswer(entry);
+}
+
+void attempt_ledger::Expire(time_point now) {
+  while (!held_.empty() && held_.front().ended + limits_.answer_retention <= now)
+    DropOldest();
+  while (!ages_.empty() && BeyondHorizon(ages_.front().id, now)) {
+    record& entry = ages_.front();
+    ages_.pop_front();
+    if (entry.state == attempt_state::kRunning) {
+      // A running attempt stays on record whatever its age.
+      ages_.push_back(entry);
+      if (ages_.size() == 1 || ages_.front().state == attempt_state::kRunning)
+        return;
+      continue;
+    }
+    if (entry.by_held.is_linked())
+      held_.erase(held_.iterator_to(entry));
+    DropAnswer(entry);
+    records_.erase(entry.id);
+  }
+}
+
+}  // namespace quincebank
