--- a/libs/net/src/fiber_thread.cc
+++ b/libs/net/src/fiber_thread.cc
@@ -5,6 +5,7 @@
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 #include <future>
+#include <memory>
 #include <utility>
 
 #include "quincebank/net/impl/asio_scheduler.h"
@@ -51,12 +52,13 @@
 }
 
 void fiber_thread::RunAndWait(const std::function<void()>& task) {
-  std::promise<void> done;
-  Spawn([&] {
+  // The shared owner keeps the promise alive until `set_value` has returned.
+  const auto done = std::make_shared<std::promise<void>>();
+  Spawn([done, &task] {
     task();
-    done.set_value();
+    done->set_value();
   });
-  done.get_future().wait();
+  done->get_future().wait();
 }
 
 void fiber_thread::Run() {
