Add agent library: admission, ledger and answers of one upstream

Cause: what an upstream can bear and which attempts it has seen need one owner. Change: agent_service runs attempts through the admission gate and the attempt ledger, streams answers from the ledger with heartbeats, answers status and block calls, probes the upstream's boot number.

--- /dev/null
+++ b/libs/agent/include/quincebank/agent/agent_service.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+
+#include "quincebank/admission/settings.h"
+#include "quincebank/base/ids.h"
+#include "quincebank/base/time.h"
+#include "quincebank/idempotency/attempt_ledger.h"
+#include "quincebank/messages/agent_load.h"
+#include "quincebank/net/endpoint.h"
+#include "quincebank/net/net_fwd.h"
+#include "quincebank/rpc/rpc_server.h"
+
+namespace quincebank {
+
+/// \brief What an agent takes from the configuration about its upstream.
+struct upstream_settings {
+  endpoint upstream;
+  admission_settings admission;
+  milliseconds connect_timeout{500};
+  milliseconds first_byte_timeout{10'000};
+  milliseconds silence_timeout{60'000};  ///< Between two reads of the upstream's answer.
+  milliseconds probe_interval{500};
+
+  [[nodiscard]] bool SameAdmission(const upstream_settings& other) const noexcept {
+    return admission.cold_limit == other.admission.cold_limit &&
+           admission.full_limit == other.admission.full_limit &&
+           admission.queue_limit == other.admission.queue_limit;
+  }
+};
+
+/// \brief Share of one workspace, as the configuration gives it.
+struct workspace_rank {
+  std::uint32_t weight = 1;
+  std::uint8_t priority = 5;
+};
+
+/// \brief Reads the configuration for the agent; called on its traffic thread.
+class agent_directory {
+ public:
+  virtual ~agent_directory() = default;
+  [[nodiscard]] virtual workspace_rank RankOf(std::string_view workspace) const = 0;
+  [[nodiscard]] virtual std::uint64_t version() const = 0;
+};
+
+/// \brief Sole authority on one upstream: what it can bear, and which attempts it has seen.
+///
+/// All state belongs to the traffic thread; the methods may be called from any thread.
+class agent_service {
+ public:
+  /// \param traffic  thread that serves the agent's HTTP requests; must outlive the service.
+  agent_service(fiber_thread& traffic,
+                incarnation self,
+                const upstream_settings& settings,
+                const ledger_limits& limits);
+  ~agent_service();
+  agent_service(const agent_service&) = delete;
+  agent_service& operator=(const agent_service&) = delete;
+
+  /// \brief Answers `/attempt/...` and `/attempts/<id>`. Called by fibers of the traffic thread.
+  void Handle(http_exchange& exchange);
+  /// \brief Adds `agent.status`, `agent.attempt_status` and `agent.block_attempt`.
+  void AddMethods(rpc_server& rpc);
+
+  void SetDirectory(std::shared_ptr<const agent_directory> directory);
+  /// \brief Changes the upstream's address, limits or timeouts.
+  void SetUpstream(const upstream_settings& settings);
+  /// \brief Whether the upstream's failure domain is out of service.
+  void SetDraining(bool draining);
+  /// \brief Takes no new attempt from now on; running ones go on.
+  void SetLeaving();
+  [[nodiscard]] agent_load Load();
+  /// \brief Ends the fibers that probe the upstream. Call before the thread ends.
+  void Stop();
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/agent/src/agent_impl.cc
@@ -0,0 +1,410 @@
+#include "agent_impl.h"
+
+#include <charconv>
+#include <utility>
+
+#include "quincebank/base/json_reader.h"
+#include "quincebank/base/log.h"
+#include "quincebank/messages/header_names.h"
+
+namespace quincebank {
+namespace {
+
+constexpr logger kLog{"agent"};
+// The gate asks for a call at least every 100 ms, so that expired work leaves the queue.
+constexpr milliseconds kSweepInterval{50};
+constexpr milliseconds kProbeTimeout{1000};
+
+time_point Now() {
+  return std::chrono::steady_clock::now();
+}
+
+result<attempt_id> ReadAttemptId(json_reader& reader) {
+  const auto attempt = ParseAttemptId(reader.String("attempt"));
+  if (!attempt)
+    return MakeError(error_code::kInvalidArgument, "attempt: expected 32 hexadecimal digits");
+  return *attempt;
+}
+
+}  // namespace
+
+agent_service::impl::impl(fiber_thread& traffic_thread,
+                          incarnation self,
+                          const upstream_settings& settings,
+                          const ledger_limits& limits)
+    : traffic(traffic_thread),
+      self_(self),
+      settings_(settings),
+      http_(traffic_thread),
+      probe_(MakeHttpProbe(http_, settings.upstream, kProbeTimeout)),
+      gate_(std::make_unique<admission_gate>(settings.admission)),
+      ledger_(self, limits, Now(), std::chrono::system_clock::now()) {}
+
+void agent_service::impl::Start() {
+  traffic.Spawn([this] { ProbeLoop(); });
+  traffic.Spawn([this] { SweepLoop(); });
+}
+
+void agent_service::impl::ProbeLoop() {
+  while (!stop.WaitFor(settings_.probe_interval)) {
+    const auto report = probe_->Probe();
+    if (!report) {
+      if (boot_ != 0)
+        kLog.Warning("upstream is unreachable: ", report.error().message);
+      boot_ = 0;
+      gate_->OnConnectionLost();
+    } else {
+      if (report.value().boot != boot_)
+        kLog.Info("upstream boot ", report.value().boot, ", limit starts cold");
+      boot_ = report.value().boot;
+      gate_->OnUpstreamBoot(boot_);
+    }
+    ApplyQueue();
+  }
+}
+
+void agent_service::impl::SweepLoop() {
+  while (!stop.WaitFor(kSweepInterval)) {
+    ApplyQueue();
+    ledger_.Expire(Now());
+  }
+}
+
+void agent_service::impl::ApplyQueue() {
+  const queue_changes changes = gate_->NextAdmitted(Now());
+  for (const admission_ticket ticket : changes.admitted) {
+    const auto found = waiting_.find(ticket.value);
+    if (found == waiting_.end())
+      continue;
+    found->second->admitted = true;
+    found->second->decided = true;
+    found->second->signal.Notify();
+  }
+  for (const shed_ticket& shed : changes.shed) {
+    const auto found = waiting_.find(shed.ticket.value);
+    if (found == waiting_.end())
+      continue;
+    found->second->refused = shed.refused;
+    found->second->decided = true;
+    found->second->signal.Notify();
+  }
+}
+
+std::optional<rejection> agent_service::impl::WaitForSlot(http_exchange& exchange,
+                                                          admission_ticket ticket) {
+  admission_wait wait;
+  waiting_.emplace(ticket.value, &wait);
+  ApplyQueue();
+  bool connected = true;
+  for (std::uint64_t seen = 0; !wait.decided;) {
+    seen = wait.signal.WaitFor(seen, kHeartbeatInterval);
+    if (wait.decided || !connected)
+      continue;
+    connected = exchange.Write(Encode(attempt_heartbeat{Load()}));
+    if (connected)
+      continue;
+    // The entry is gone and the attempt has not begun, so nobody needs it to run.
+    gate_->Cancel(ticket);
+    wait.decided = true;
+    wait.refused.failure = MakeError(error_code::kUnavailable, "entry closed the connection");
+  }
+  waiting_.erase(ticket.value);
+  if (wait.admitted)
+    return std::nullopt;
+  return wait.refused;
+}
+
+void agent_service::impl::RunAttempt(http_exchange& exchange) {
+  auto parsed = ParseAttemptRequest(exchange.request());
+  if (!parsed) {
+    Reject(exchange, {parsed.error(), std::nullopt, false, milliseconds(0), Load()});
+    return;
+  }
+  attempt_request& request = parsed.value();
+  const attempt_state known = ledger_.Status(request.attempt, request.wanted, Now());
+  if (known != attempt_state::kNeverSeen) {
+    Reject(exchange, FailureOf(known));
+    return;
+  }
+  if (directory_) {
+    const workspace_rank rank = directory_->RankOf(request.workspace);
+    request.admission.weight = rank.weight;
+  }
+  const admission_decision decision = gate_->Offer(request.admission, Now());
+  if (decision.rejected()) {
+    Reject(exchange, Refusal(decision.refused));
+    return;
+  }
+  exchange.StartStream(200, {{"Content-Type", "text/event-stream"}});
+  if (decision.queued()) {
+    const auto refused = WaitForSlot(exchange, decision.ticket);
+    if (refused) {
+      exchange.Write(Encode(Refusal(*refused)));
+      exchange.Finish();
+      return;
+    }
+  } else {
+    ApplyQueue();
+  }
+  const begin_outcome begun = ledger_.Begin(request.attempt, request.wanted, Now());
+  if (begun != begin_outcome::kStart) {
+    gate_->Finish(decision.ticket, work_outcome::kNoEvidence, milliseconds(0), Now());
+    ApplyQueue();
+    attempt_failure failure;
+    failure.failure =
+        MakeError(error_code::kConflict, "attempt not started: " + std::string(ToString(begun)));
+    failure.refused_by_ledger = begun;
+    failure.load = Load();
+    exchange.Write(Encode(failure));
+    exchange.Finish();
+    return;
+  }
+  const attempt_id attempt = request.attempt;
+  Start(request, decision.ticket);
+  Tail(exchange, attempt, 0);
+}
+
+void agent_service::impl::Start(const attempt_request& request, admission_ticket ticket) {
+  running_.emplace(request.attempt, new attempt_signal);
+  traffic.Spawn([this, request, ticket] { RunUpstream(request, ticket); });
+}
+
+void agent_service::impl::RunUpstream(const attempt_request& request, admission_ticket ticket) {
+  const time_point started = Now();
+  milliseconds first_byte{0};
+  const result<void> copied = CopyAnswer(request, started, first_byte);
+  const time_point now = Now();
+  if (copied) {
+    gate_->Finish(ticket, work_outcome::kServed, first_byte, now);
+  } else {
+    kLog.Warning("attempt ", ToString(request.attempt), " failed: ", copied.error().message);
+    ledger_.Fail(request.attempt, copied.error().outcome, now);
+    const bool timeout = copied.error().code == error_code::kTimeout;
+    gate_->Finish(ticket, timeout ? work_outcome::kTimedOut : work_outcome::kUpstreamError,
+                  first_byte, now);
+    if (!timeout)
+      gate_->OnConnectionLost();
+  }
+  ApplyQueue();
+  const auto signal = running_.extract(request.attempt);
+  signal.mapped()->Notify();
+}
+
+result<void> agent_service::impl::CopyAnswer(const attempt_request& request,
+                                             time_point started,
+                                             milliseconds& first_byte) {
+  http_call call{settings_.upstream, request.forwarded};
+  call.connect_timeout = settings_.connect_timeout;
+  call.response_timeout = settings_.first_byte_timeout;
+  call.idle_timeout = settings_.silence_timeout;
+  BOOST_OUTCOME_TRY(const std::unique_ptr<http_stream> stream, http_.Open(call));
+  attempt_head head{stream->status(), {}};
+  for (const http_header& field : stream->headers()) {
+    if (IsHopByHop(field.name))
+      continue;
+    head.headers.Add(field.name, field.value);
+  }
+  ledger_.SetHead(request.attempt, head.status, EncodeHead(head));
+  const ref_ptr<attempt_signal> signal = running_.at(request.attempt);
+  signal->Notify();
+  for (;;) {
+    BOOST_OUTCOME_TRY(const std::optional<std::string> piece, stream->ReadSome());
+    if (first_byte.count() == 0)
+      first_byte = std::chrono::duration_cast<milliseconds>(Now() - started);
+    if (!piece)
+      break;
+    if (!ledger_.Append(request.attempt, *piece)) {
+      return MakeError(error_code::kInternal, "answer is larger than an agent holds",
+                       verdict::kMayHaveRun);
+    }
+    signal->Notify();
+  }
+  ledger_.Complete(request.attempt, head.status, Now());
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void agent_service::impl::Tail(http_exchange& exchange, attempt_id attempt, std::uint64_t offset) {
+  const auto found = running_.find(attempt);
+  const ref_ptr<attempt_signal> signal = found == running_.end() ? nullptr : found->second;
+  bool head_sent = false;
+  std::uint64_t seen = 0;
+  for (;;) {
+    const answer_part part = ledger_.Read(attempt, offset, Now());
+    const bool complete = part.complete;
+    const bool failed = part.state != attempt_state::kRunning && part.state != attempt_state::kDone;
+    if (failed || !part.available) {
+      exchange.Write(Encode(FailureOf(failed ? part.state : attempt_state::kAnswerGone)));
+      exchange.Finish();
+      return;
+    }
+    if (!SendNew(exchange, attempt, part, head_sent, offset))
+      return;
+    if (complete) {
+      if (exchange.Write(Encode(attempt_end{Load()})))
+        exchange.Finish();
+      return;
+    }
+    const std::uint64_t before = seen;
+    seen = signal ? signal->WaitFor(seen, kHeartbeatInterval) : seen;
+    if (seen == before && !exchange.Write(Encode(attempt_heartbeat{Load()})))
+      return;
+  }
+}
+
+bool agent_service::impl::SendNew(http_exchange& exchange,
+                                  attempt_id attempt,
+                                  const answer_part& part,
+                                  bool& head_sent,
+                                  std::uint64_t& offset) {
+  std::string text;
+  if (!head_sent && part.status != 0) {
+    text = "event: head\ndata: " + std::string(part.headers) + "\n\n";
+    head_sent = true;
+  }
+  if (!part.bytes.empty()) {
+    offset += part.bytes.size();
+    text += Encode(attempt_body{std::string(part.bytes)});
+  }
+  if (text.empty())
+    return true;
+  (void)attempt;
+  return exchange.Write(text);
+}
+
+void agent_service::impl::ReadAttempt(http_exchange& exchange) {
+  const auto target = ParseTarget(exchange.request().target);
+  constexpr std::string_view kPrefix = "/attempts/";
+  const auto attempt =
+      target ? ParseAttemptId(std::string_view(target->path).substr(kPrefix.size())) : std::nullopt;
+  const auto wanted = ParseIncarnation(exchange.request().headers.Get(kIncarnationField));
+  const std::string_view digits = target ? target->Query("offset").value_or("0") : "";
+  std::uint64_t offset = 0;
+  const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), offset);
+  if (!attempt || !wanted || ec != std::errc()) {
+    Reject(exchange, {MakeError(error_code::kInvalidArgument,
+                                "expected /attempts/<id>?offset=N and an incarnation")});
+    return;
+  }
+  const attempt_state state = ledger_.Status(*attempt, *wanted, Now());
+  if (state != attempt_state::kRunning && state != attempt_state::kDone) {
+    Reject(exchange, FailureOf(state));
+    return;
+  }
+  if (exchange.StartStream(200, {{"Content-Type", "text/event-stream"}}))
+    Tail(exchange, *attempt, offset);
+}
+
+void agent_service::impl::Reject(http_exchange& exchange, const attempt_failure& failure) const {
+  if (!exchange.StartStream(200, {{"Content-Type", "text/event-stream"}}))
+    return;
+  if (exchange.Write(Encode(failure)))
+    exchange.Finish();
+}
+
+attempt_failure agent_service::impl::FailureOf(attempt_state state) const {
+  struct refusal {
+    attempt_state state;
+    error_code code;
+    std::optional<begin_outcome> ledger;
+    bool gone;
+  };
+  static constexpr std::array<refusal, 8> kRefusals{{
+      {attempt_state::kNeverSeen, error_code::kNotFound, std::nullopt, false},
+      {attempt_state::kRunning, error_code::kConflict, begin_outcome::kAlreadyRunning, false},
+      {attempt_state::kDone, error_code::kConflict, begin_outcome::kDone, false},
+      {attempt_state::kAnswerGone, error_code::kNotFound, std::nullopt, true},
+      {attempt_state::kMayHaveRun, error_code::kUnavailable, begin_outcome::kMayHaveRun, false},
+      {attempt_state::kBlocked, error_code::kConflict, begin_outcome::kBlocked, false},
+      {attempt_state::kForgotten, error_code::kNotFound, begin_outcome::kUntimely, false},
+      {attempt_state::kWrongIncarnation, error_code::kStale, begin_outcome::kWrongIncarnation,
+       false},
+  }};
+  attempt_failure failure;
+  for (const refusal& known : kRefusals) {
+    if (known.state != state)
+      continue;
+    failure.failure =
+        MakeError(known.code, "attempt is " + std::string(ToString(state)), VerdictOf(state));
+    failure.refused_by_ledger = known.ledger;
+    failure.answer_gone = known.gone;
+  }
+  failure.load = Load();
+  return failure;
+}
+
+attempt_failure agent_service::impl::Refusal(const rejection& refused) const {
+  attempt_failure failure;
+  failure.failure = refused.failure;
+  failure.retry_after = refused.retry_after;
+  failure.load = Load();
+  return failure;
+}
+
+result<boost::json::value> agent_service::impl::AttemptStatus(const boost::json::object& params) {
+  std::vector<error> errors;
+  const boost::json::value value(params);
+  json_reader reader(value, "", errors);
+  BOOST_OUTCOME_TRY(const attempt_id attempt, ReadAttemptId(reader));
+  const auto wanted = ParseIncarnation(reader.String("incarnation", ""));
+  const attempt_state state =
+      wanted ? ledger_.Status(attempt, *wanted, Now()) : ledger_.Status(attempt, Now());
+  return boost::json::value{{"state", ToString(state)}, {"load", ToJson(Load())}};
+}
+
+result<boost::json::value> agent_service::impl::BlockAttempt(const boost::json::object& params) {
+  std::vector<error> errors;
+  const boost::json::value value(params);
+  json_reader reader(value, "", errors);
+  BOOST_OUTCOME_TRY(const attempt_id attempt, ReadAttemptId(reader));
+  const auto wanted = ParseIncarnation(reader.String("incarnation"));
+  if (!wanted)
+    return MakeError(error_code::kInvalidArgument, "incarnation: expected 16 hexadecimal digits");
+  const attempt_state state = ledger_.Block(attempt, *wanted, Now());
+  return boost::json::value{{"state", ToString(state)}, {"load", ToJson(Load())}};
+}
+
+void agent_service::impl::SetDirectory(std::shared_ptr<const agent_directory> directory) {
+  directory_ = std::move(directory);
+}
+
+void agent_service::impl::SetUpstream(const upstream_settings& settings) {
+  if (!settings.SameAdmission(settings_) && ledger_.running() == 0 && waiting_.empty()) {
+    // Running work holds tickets of the present gate; new limits wait until it has finished.
+    gate_ = std::make_unique<admission_gate>(settings.admission);
+    gate_->SetDraining(draining_ || leaving_);
+  }
+  if (settings.upstream != settings_.upstream)
+    probe_ = MakeHttpProbe(http_, settings.upstream, kProbeTimeout);
+  settings_ = settings;
+}
+
+void agent_service::impl::SetDraining(bool draining) {
+  if (draining != draining_)
+    kLog.Info(draining ? "failure domain is out, new work is refused" : "failure domain is back");
+  draining_ = draining;
+  gate_->SetDraining(draining_ || leaving_);
+  ApplyQueue();
+}
+
+void agent_service::impl::SetLeaving() {
+  leaving_ = true;
+  gate_->SetDraining(true);
+  ApplyQueue();
+}
+
+agent_load agent_service::impl::Load() const {
+  const admission_state state = gate_->State();
+  agent_load load;
+  load.in_flight = static_cast<std::uint32_t>(state.in_flight);
+  load.queued = static_cast<std::uint32_t>(state.queued);
+  load.limit = static_cast<std::uint32_t>(state.limit);
+  load.cold = state.phase == admission_phase::kCold;
+  load.draining = draining_;
+  load.leaving = leaving_;
+  load.life = self_;
+  load.boot = boot_;
+  load.config_version = directory_ ? directory_->version() : 0;
+  return load;
+}
+
+}  // namespace quincebank
