--- /dev/null
+++ b/libs/membership/src/config_exchange.cc
@@ -0,0 +1,316 @@
+#include "quincebank/membership/config_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "quincebank/base/digest.h"
+#include "quincebank/membership/rendezvous.h"
+
+namespace quincebank {
+namespace {
+
+/// Pause between two watches, so that a root that changes all the time costs few reads.
+constexpr milliseconds kServicePause{100};
+/// Pause between reads while no configuration was ever accepted.
+constexpr milliseconds kAbsentPause{1'000};
+/// Longest pause of a fresh node that is no watcher: all nodes of the fleet may be in this state.
+constexpr milliseconds kStrangerLastWait{15'000};
+
+milliseconds Spread(std::string_view key, std::string_view node, milliseconds range) {
+  return milliseconds(RendezvousScore(key, node) % static_cast<std::uint64_t>(range.count()));
+}
+
+}  // namespace
+
+config_exchange::config_exchange(config_peer self,
+                                 exchange_settings settings,
+                                 config_holder& holder,
+                                 time_point start)
+    : self_(std::move(self)),
+      settings_(settings),
+      holder_(holder),
+      start_(start),
+      service_next_(start),
+      service_wait_(settings.service_first_wait) {}
+
+void config_exchange::OnPeers(std::vector<config_peer> peers, time_point now) {
+  std::erase_if(peers, [this](const config_peer& peer) { return peer.name == self_.name; });
+  std::vector<std::string> names;
+  names.reserve(peers.size());
+  std::vector<std::string> entries;
+  for (const config_peer& peer : peers) {
+    names.push_back(peer.name);
+    if (peer.role == peer_role::kEntry && peer.region == self_.region)
+      entries.push_back(peer.name);
+  }
+  watch_rank_.reset();
+  if (self_.role == peer_role::kEntry) {
+    const std::string key = "watch/" + self_.region;
+    const std::uint64_t mine = RendezvousScore(key, self_.name);
+    watch_rank_ = static_cast<std::size_t>(
+        std::count_if(entries.begin(), entries.end(),
+                      [&](const std::string& name) { return RendezvousScore(key, name) > mine; }));
+  }
+  std::vector<std::string> polled = PolledPeers();
+  std::vector<config_peer> ordered;
+  ordered.reserve(peers.size());
+  for (const std::uint32_t index : RendezvousOrder(self_.name, names, names.size()))
+    ordered.push_back(std::move(peers[index]));
+  peers_ = std::move(ordered);
+  // Slots name peers by position, which has changed.
+  std::vector<slot> kept;
+  for (std::size_t i = 0; i < slots_.size(); ++i) {
+    const auto found = std::find_if(peers_.begin(), peers_.end(), [&](const config_peer& peer) {
+      return peer.name == polled[i];
+    });
+    if (found == peers_.end())
+      continue;
+    kept.push_back(slots_[i]);
+    kept.back().peer = static_cast<std::uint32_t>(found - peers_.begin());
+  }
+  slots_ = std::move(kept);
+  std::erase_if(notes_, [this](const auto& note) {
+    return std::none_of(peers_.begin(), peers_.end(),
+                        [&](const config_peer& peer) { return peer.name == note.first; });
+  });
+  FillSlots(now);
+}
+
+std::size_t config_exchange::AddSlots(bool remote,
+                                      bool resting,
+                                      std::size_t count,
+                                      time_point now) {
+  std::size_t added = 0;
+  for (std::uint32_t i = 0; i < peers_.size() && added < count; ++i) {
+    const config_peer& peer = peers_[i];
+    if ((peer.region != self_.region) != remote)
+      continue;
+    const auto note = notes_.find(peer.name);
+    const bool rests = note != notes_.end() && note->second.rest_until > now;
+    if (rests != resting)
+      continue;
+    if (std::any_of(slots_.begin(), slots_.end(), [i](const slot& s) { return s.peer == i; }))
+      continue;
+    slots_.push_back({i, now + Spread(self_.name, peer.name, settings_.poll_interval), 0});
+    ++added;
+  }
+  return added;
+}
+
+void config_exchange::FillSlots(time_point now) {
+  std::size_t remote = 0;
+  for (const slot& used : slots_)
+    remote += peers_[used.peer].region != self_.region ? 1 : 0;
+  const std::size_t free = settings_.peers - std::min(settings_.peers, slots_.size());
+  std::size_t want_remote =
+      std::min(free, settings_.remote_peers - std::min(settings_.remote_peers, remote));
+  std::size_t want_local = free - want_remote;
+  // Resting peers are taken only if no other is left in the same place, so that a node whose peers
+  // all failed keeps trying.
+  for (const bool resting : {false, true}) {
+    want_remote -= AddSlots(true, resting, want_remote, now);
+    want_local -= AddSlots(false, resting, want_local, now);
+  }
+  std::size_t left = want_remote + want_local;
+  for (const bool resting : {false, true}) {
+    left -= AddSlots(false, resting, left, now);
+    left -= AddSlots(true, resting, left, now);
+  }
+}
+
+std::vector<exchange_action> config_exchange::Due(time_point now) {
+  holder_.Tick(now);
+  std::vector<exchange_action> due;
+  DueService(now, due);
+  DuePolls(now, due);
+  DueFetches(now, due);
+  return due;
+}
+
+void config_exchange::DuePolls(time_point now, std::vector<exchange_action>& due) {
+  for (slot& used : slots_) {
+    if (now < used.next)
+      continue;
+    used.next = std::max(used.next + settings_.poll_interval, now);
+    due.push_back({exchange_step::kAskPeer, peers_[used.peer], {}, 0, settings_.call_timeout});
+  }
+}
+
+bool config_exchange::IsWatcher(time_point now) const {
+  if (!watch_rank_)
+    return false;
+  if (*watch_rank_ < settings_.watchers)
+    return true;
+  if (*watch_rank_ >= settings_.watchers + settings_.standby_watchers)
+    return false;
+  // Stand-ins start a second apart, so that the first one's read can reach the others.
+  const milliseconds patience =
+      settings_.standby_age + seconds(1) * (*watch_rank_ - settings_.watchers);
+  const auto age = holder_.Status(now).age;
+  return age ? *age > patience : now - start_ > patience;
+}
+
+void config_exchange::DueService(time_point now, std::vector<exchange_action>& due) {
+  if (service_open_ || now < service_next_)
+    return;
+  if (IsWatcher(now)) {
+    due.push_back({exchange_step::kWatchRoot, {}, {}, service_index_, settings_.watch_wait});
+    service_open_ = true;
+    return;
+  }
+  const holder_state state = holder_.Status(now).state;
+  if (state != holder_state::kEmpty && state != holder_state::kProvisional)
+    return;
+  due.push_back({exchange_step::kReadRoot, {}, {}, 0, settings_.call_timeout});
+  service_open_ = true;
+}
+
+std::vector<std::uint32_t> config_exchange::Sources() const {
+  std::vector<std::uint32_t> sources;
+  for (std::uint32_t i = 0; i < peers_.size() && !notes_.empty(); ++i) {
+    const auto note = notes_.find(peers_[i].name);
+    if (note != notes_.end() && note->second.version > holder_.version())
+      sources.push_back(i);
+  }
+  std::stable_sort(sources.begin(), sources.end(), [this](std::uint32_t a, std::uint32_t b) {
+    return notes_.find(peers_[a].name)->second.version >
+           notes_.find(peers_[b].name)->second.version;
+  });
+  return sources;
+}
+
+bool config_exchange::MayReadService(const fetch& entry, time_point now) const {
+  const milliseconds patience =
+      settings_.service_fallback + Spread("fallback", self_.name, seconds(1));
+  return IsWatcher(now) || now - entry.first_seen >= patience;
+}
+
+void config_exchange::DueFetches(time_point now, std::vector<exchange_action>& due) {
+  const std::vector<std::string> missing = holder_.Missing();
+  std::erase_if(fetches_, [&missing](const auto& entry) {
+    return !entry.second.open &&
+           std::find(missing.begin(), missing.end(), entry.first) == missing.end();
+  });
+  if (missing.empty())
+    return;
+  const std::vector<std::uint32_t> sources = Sources();
+  auto open = static_cast<std::size_t>(std::count_if(
+      fetches_.begin(), fetches_.end(), [](const auto& entry) { return entry.second.open; }));
+  for (const std::string& digest : missing) {
+    const auto [place, fresh] = fetches_.try_emplace(digest);
+    fetch& entry = place->second;
+    if (fresh)
+      entry.first_seen = entry.next = now;
+    if (entry.open || now < entry.next || open >= settings_.parallel_fetches)
+      continue;
+    // Watchers begin at the service, all others at their peers.
+    const bool turn = entry.tries % 2 == (IsWatcher(now) ? 0U : 1U);
+    const bool from_service = MayReadService(entry, now) && (turn || sources.empty());
+    if (from_service && holder_.IsRoot(digest)) {
+      if (service_open_)
+        continue;
+      service_open_ = true;
+      entry.next = now + settings_.call_timeout;
+      ++entry.tries;
+      due.push_back({exchange_step::kReadRoot, {}, {}, 0, settings_.call_timeout});
+      continue;
+    }
+    if (from_service) {
+      due.push_back({exchange_step::kFetchFromService, {}, digest, 0, settings_.call_timeout});
+    } else if (!sources.empty()) {
+      const config_peer& source = peers_[sources[entry.tries % sources.size()]];
+      due.push_back({exchange_step::kFetchFromPeer, source, digest, 0, settings_.call_timeout});
+    } else {
+      continue;
+    }
+    entry.open = true;
+    ++open;
+  }
+}
+
+void config_exchange::OnPeerRoot(std::string_view peer,
+                                 const root_announcement& heard,
+                                 time_point asked_at,
+                                 time_point now) {
+  for (slot& used : slots_) {
+    if (peers_[used.peer].name == peer)
+      used.failures = 0;
+  }
+  peer_note& note = notes_[std::string(peer)];
+  note.version = std::max(note.version, heard.version);
+  note.rest_until = {};
+  if (heard.version > 0)
+    holder_.Hear(heard, root_source::kPeer, asked_at, now);
+}
+
+void config_exchange::OnPeerFailed(std::string_view peer, time_point now) {
+  for (auto used = slots_.begin(); used != slots_.end(); ++used) {
+    if (peers_[used->peer].name != peer)
+      continue;
+    if (++used->failures < settings_.peer_failures)
+      return;
+    notes_[std::string(peer)].rest_until = now + settings_.peer_rest;
+    slots_.erase(used);
+    FillSlots(now);
+    return;
+  }
+}
+
+void config_exchange::OnBody(std::string_view digest, std::string_view body, time_point now) {
+  if (!holder_.Store(digest, body, now)) {
+    OnFetchFailed(digest, now);
+    return;
+  }
+  const auto entry = fetches_.find(digest);
+  if (entry != fetches_.end())
+    fetches_.erase(entry);
+}
+
+void config_exchange::OnFetchFailed(std::string_view digest, time_point now) {
+  const auto entry = fetches_.find(digest);
+  if (entry == fetches_.end())
+    return;
+  entry->second.open = false;
+  ++entry->second.tries;
+  entry->second.next = now + settings_.fetch_retry;
+}
+
+void config_exchange::OnServiceRoot(const std::optional<stored_value>& value,
+                                    time_point asked_at,
+                                    time_point now) {
+  service_open_ = false;
+  service_wait_ = settings_.service_first_wait;
+  service_next_ = now + (value ? kServicePause : kAbsentPause);
+  if (!value)
+    return;
+  service_index_ = value->index;
+  (void)holder_.HearRootBody(value->value, root_source::kService, asked_at, now);
+}
+
+void config_exchange::OnServiceFailed(time_point now) {
+  service_open_ = false;
+  service_next_ = now + service_wait_ + Spread("service", self_.name, settings_.service_first_wait);
+  const milliseconds last = watch_rank_ && *watch_rank_ < settings_.watchers
+                                ? settings_.service_last_wait
+                                : kStrangerLastWait;
+  service_wait_ = std::min(2 * service_wait_, last);
+}
+
+root_relation config_exchange::OnOffer(const root_announcement& offered,
+                                       const std::vector<std::string>& bodies,
+                                       time_point now) {
+  const root_relation relation = holder_.Hear(offered, root_source::kOffer, now, now);
+  for (const std::string& body : bodies)
+    (void)holder_.Store(Sha256Hex(body), body, now);
+  return relation;
+}
+
+std::vector<std::string> config_exchange::PolledPeers() const {
+  std::vector<std::string> names;
+  names.reserve(slots_.size());
+  for (const slot& used : slots_)
+    names.push_back(peers_[used.peer].name);
+  return names;
+}
+
+}  // namespace quincebank
