Add entry, node, agent and operator programs

Cause: the thin path needs all processes: look-up, routing, claims, attempts, configuration exchange and the operators' tool. Change: libs entry, node, cli; programs quincebank-entry, quincebank-agent, quincebank. An address that another process listens on is refused, since SO_REUSEPORT would split its connections. Before: libraries only.

--- /dev/null
+++ b/libs/agent/include/quincebank/agent/agent_node.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "quincebank/agent/agent_service.h"
+#include "quincebank/net/fiber_thread.h"
+#include "quincebank/net/http_server.h"
+#include "quincebank/node/node_control.h"
+#include "quincebank/rpc/rpc_server.h"
+
+namespace quincebank {
+
+/// \brief Settings of an agent.
+struct agent_settings {
+  node_settings node;
+  std::string upstream;                 ///< Name of its upstream in the configuration.
+  milliseconds shutdown_linger{2'000};  ///< Held answers can still be fetched this long.
+  ledger_limits ledger;
+};
+
+/// \brief Reads and checks the settings file of an agent.
+[[nodiscard]] result<agent_settings> ParseAgentSettings(std::string_view text);
+
+/// \brief The agent process: configuration, the agent of one upstream, and its HTTP server.
+class agent_node {
+ public:
+  agent_node(const agent_settings& settings, fiber_thread& control, incarnation self);
+  ~agent_node();
+  agent_node(const agent_node&) = delete;
+  agent_node& operator=(const agent_node&) = delete;
+
+  /// \brief Starts the control loops and listens.
+  [[nodiscard]] result<void> Start();
+  /// \brief Refuses new attempts and waits until the running ones have ended.
+  void Shutdown();
+
+ private:
+  void Handle(http_exchange& exchange);
+  void OnConfig(const ref_ptr<const effective_config>& config);
+
+  const agent_settings settings_;
+  fiber_thread& control_;
+  fiber_thread traffic_{"traffic"};
+  node_control node_;
+  agent_service agent_;
+  rpc_server rpc_;
+  std::unique_ptr<http_server> server_;
+  std::atomic<bool> known_{false};  ///< The configuration names the upstream.
+  std::atomic<bool> leaving_{false};
+};
+
+}  // namespace quincebank
--- a/libs/agent/include/quincebank/agent/agent_service.h
+++ b/libs/agent/include/quincebank/agent/agent_service.h
@@ -71,8 +71,8 @@
   /// \brief Takes no new attempt from now on; running ones go on.
   void SetLeaving();
   [[nodiscard]] agent_load Load();
-  /// \brief Ends the fibers that probe the upstream. Call before the thread ends.
-  void Stop();
+  /// \brief Like `Load`, for fibers of the traffic thread.
+  [[nodiscard]] agent_load LoadHere() const;
 
  private:
   class impl;
--- a/libs/agent/src/agent_impl.cc
+++ b/libs/agent/src/agent_impl.cc
@@ -41,8 +41,16 @@
       ledger_(self, limits, Now(), std::chrono::system_clock::now()) {}
 
 void agent_service::impl::Start() {
-  traffic.Spawn([this] { ProbeLoop(); });
-  traffic.Spawn([this] { SweepLoop(); });
+  Spawn([this] { ProbeLoop(); });
+  Spawn([this] { SweepLoop(); });
+}
+
+void agent_service::impl::Spawn(std::function<void()> task) {
+  ++fibers;
+  traffic.Spawn([this, task = std::move(task)] {
+    task();
+    --fibers;
+  });
 }
 
 void agent_service::impl::ProbeLoop() {
@@ -166,7 +174,7 @@
 
 void agent_service::impl::Start(const attempt_request& request, admission_ticket ticket) {
   running_.emplace(request.attempt, new attempt_signal);
-  traffic.Spawn([this, request, ticket] { RunUpstream(request, ticket); });
+  Spawn([this, request, ticket] { RunUpstream(request, ticket); });
 }
 
 void agent_service::impl::RunUpstream(const attempt_request& request, admission_ticket ticket) {
--- a/libs/agent/src/agent_impl.h
+++ b/libs/agent/src/agent_impl.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <boost/fiber/future/promise.hpp>
+#include <atomic>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,7 +21,7 @@
 namespace quincebank {
 
 /// \brief State of the agent; every member function runs on the traffic thread.
-class agent_service::impl : public std::enable_shared_from_this<agent_service::impl> {
+class agent_service::impl {
  public:
   impl(fiber_thread& traffic,
        incarnation self,
@@ -42,6 +43,7 @@
 
   stop_signal stop;
   fiber_thread& traffic;
+  std::atomic<int> fibers{0};  ///< Fibers of this object that have not returned.
 
  private:
   struct admission_wait {
@@ -51,6 +53,7 @@
     bool decided = false;
   };
 
+  void Spawn(std::function<void()> task);
   void ProbeLoop();
   void SweepLoop();
   void ApplyQueue();
--- /dev/null
+++ b/libs/agent/src/agent_node.cc
@@ -0,0 +1,122 @@
+#include "quincebank/agent/agent_node.h"
+
+#include <boost/json/serialize.hpp>
+
+#include "quincebank/agent/agent_config.h"
+#include "quincebank/base/json_reader.h"
+#include "quincebank/base/log.h"
+
+namespace quincebank {
+namespace {
+
+constexpr logger kLog{"agent"};
+constexpr milliseconds kShutdownTick{20};
+
+void ReplyJson(http_exchange& exchange, int status, const boost::json::value& body) {
+  exchange.Respond({status, {{"Content-Type", "application/json"}}, boost::json::serialize(body)});
+}
+
+/// Settings until the configuration names the upstream: nothing is admitted.
+upstream_settings Unconfigured() {
+  upstream_settings settings;
+  settings.upstream = {"127.0.0.1", 1};
+  return settings;
+}
+
+}  // namespace
+
+result<agent_settings> ParseAgentSettings(std::string_view text) {
+  constexpr int_range kLingerMs{0, 600'000};
+  constexpr int_range kMegabytes{1, 1'024};
+  constexpr std::size_t kMegabyte = std::size_t{1} << 20U;
+  BOOST_OUTCOME_TRY(const boost::json::value parsed, ParseJson(text));
+  std::vector<error> errors;
+  json_reader reader(parsed, "", errors);
+  agent_settings settings;
+  settings.node = ReadNodeSettings(reader);
+  settings.upstream = reader.String("upstream");
+  settings.shutdown_linger =
+      reader.Millis("shutdown_linger_ms", kLingerMs, settings.shutdown_linger);
+  settings.ledger.max_total_bytes =
+      kMegabyte * static_cast<std::size_t>(reader.Int(
+                      "held_answers_mb", kMegabytes,
+                      static_cast<std::int64_t>(settings.ledger.max_total_bytes / kMegabyte)));
+  reader.Finish();
+  if (!errors.empty())
+    return JoinErrors(errors);
+  return settings;
+}
+
+agent_node::agent_node(const agent_settings& settings, fiber_thread& control, incarnation self)
+    : settings_(settings),
+      control_(control),
+      node_(control, settings.node, peer_role::kAgent),
+      agent_(traffic_, self, Unconfigured(), settings.ledger) {
+  agent_.SetDraining(true);
+}
+
+agent_node::~agent_node() {
+  server_.reset();
+  node_.Stop();
+}
+
+result<void> agent_node::Start() {
+  node_.AddMethods(rpc_);
+  agent_.AddMethods(rpc_);
+  BOOST_OUTCOME_TRY(server_,
+                    http_server::Listen({&traffic_}, settings_.node.listen,
+                                        [this](http_exchange& exchange) { Handle(exchange); }));
+  node_control::observers observers;
+  observers.on_config = [this](const auto& config) { OnConfig(config); };
+  node_.Start(std::move(observers));
+  kLog.Info("listens on ", ToString(server_->address()), " for ", settings_.upstream);
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void agent_node::OnConfig(const ref_ptr<const effective_config>& config) {
+  agent_.SetDirectory(MakeDirectory(config));
+  const auto upstream = UpstreamSettingsOf(*config, settings_.upstream);
+  known_ = upstream.has_value();
+  if (!upstream) {
+    kLog.Warning("the configuration has no upstream named ", settings_.upstream);
+    agent_.SetDraining(true);
+    return;
+  }
+  agent_.SetUpstream(*upstream);
+  agent_.SetDraining(config->IsDomainDrained(settings_.node.failure_domain) ||
+                     config->IsDrained(*config->FindUpstream(settings_.upstream)));
+}
+
+void agent_node::Handle(http_exchange& exchange) {
+  const http_request& request = exchange.request();
+  if (request.target.starts_with("/attempt")) {
+    agent_.Handle(exchange);
+  } else if (request.target == "/rpc" && request.method == "POST") {
+    rpc_.Serve(exchange);
+  } else if (request.target == "/healthz") {
+    ReplyJson(exchange, 200, boost::json::object{{"ok", true}});
+  } else if (request.target == "/readyz") {
+    const bool ready = known_ && !leaving_;
+    ReplyJson(exchange, ready ? 200 : 503,
+              boost::json::object{{"ready", ready}, {"load", ToJson(agent_.LoadHere())}});
+  } else {
+    ReplyJson(exchange, 404, boost::json::object{{"error", "no such path"}});
+  }
+}
+
+void agent_node::Shutdown() {
+  leaving_ = true;
+  agent_.SetLeaving();
+  kLog.Info("leaves; running attempts go on");
+  for (agent_load load = agent_.Load(); load.in_flight + load.queued > 0; load = agent_.Load())
+    std::this_thread::sleep_for(kShutdownTick);
+  // Entries that lost a connection fetch the rest of an answer.
+  std::this_thread::sleep_for(settings_.shutdown_linger);
+  server_->AnnounceClose();
+  server_->Close();
+  while (server_->running() > 0)
+    std::this_thread::sleep_for(kShutdownTick);
+  kLog.Info("all attempts have ended");
+}
+
+}  // namespace quincebank
--- a/libs/agent/src/agent_service.cc
+++ b/libs/agent/src/agent_service.cc
@@ -18,6 +18,9 @@
 }
 
 agent_service::~agent_service() {
+  impl_->stop.Set();
+  while (impl_->fibers > 0)
+    std::this_thread::sleep_for(milliseconds(1));
   fiber_thread& traffic = impl_->traffic;
   traffic.RunAndWait([&] { impl_.reset(); });
 }
@@ -62,8 +65,8 @@
   return load;
 }
 
-void agent_service::Stop() {
-  impl_->stop.Set();
+agent_load agent_service::LoadHere() const {
+  return impl_->Load();
 }
 
 }  // namespace quincebank
--- a/libs/base/include/quincebank/base/record.h
+++ b/libs/base/include/quincebank/base/record.h
@@ -29,6 +29,9 @@
 /// \brief Reads what `ToJson` wrote; missing members stay empty.
 [[nodiscard]] decision_record RecordFromJson(const boost::json::object& object);
 
+/// \brief Writes the record as one line of JSON on standard output, for a collector.
+void WriteRecordLine(const decision_record& record);
+
 /// \brief Keeps the last decisions of a process in memory. Safe for use by several threads.
 class record_log {
  public:
--- a/libs/base/src/record.cc
+++ b/libs/base/src/record.cc
@@ -1,7 +1,8 @@
 #include "quincebank/base/record.h"
 
 #include <algorithm>
-#include <boost/json/value_to.hpp>
+#include <boost/json/serialize.hpp>
+#include <iostream>
 #include <utility>
 
 namespace quincebank {
@@ -51,6 +52,10 @@
   return record;
 }
 
+void WriteRecordLine(const decision_record& record) {
+  std::cout << json::serialize(ToJson(record)) << std::endl;
+}
+
 record_log::record_log(std::size_t capacity, std::function<void(const decision_record&)> sink)
     : capacity_(capacity), sink_(std::move(sink)) {}
 
--- /dev/null
+++ b/libs/entry/include/quincebank/entry/claim_service.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <boost/fiber/future/promise.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "quincebank/idempotency/claim_writer.h"
+#include "quincebank/idempotency/request_key.h"
+#include "quincebank/node/node_control.h"
+
+namespace quincebank {
+
+/// \brief Writes the claims of this entry, one writer for each bucket. Lives on the control thread.
+class claim_service {
+ public:
+  claim_service(node_control& node, std::uint64_t seed);
+
+  /// \brief Claims or looks up a key; suspends the calling fiber of any thread until decided.
+  [[nodiscard]] claim_decision Decide(const request_key& key, const claim_request& request);
+  /// \brief Lets a later write drop the claim of an attempt that provably never runs.
+  void Release(const request_key& key, const claim& released);
+
+ private:
+  struct bucket_state {
+    bucket_state(const std::string& name, const claim_writer_options& options)
+        : writer(name, options) {}
+
+    claim_writer writer;
+    std::map<std::uint64_t, boost::fibers::promise<claim_decision>*> waiting;  ///< By ticket.
+    std::optional<time_point> wake;
+    int calls = 0;  ///< Calls to the service under way.
+    time_point used;
+  };
+
+  [[nodiscard]] bucket_state& BucketOf(const request_key& key);
+  [[nodiscard]] claim_decision DecideHere(const request_key& key, const claim_request& request);
+  void Drive(bucket_state& bucket);
+  void Call(bucket_state& bucket, const store_action& action);
+  [[nodiscard]] store_reply Perform(const store_action& action);
+  void ScheduleWake(bucket_state& bucket);
+  void DropIdle();
+
+  node_control& node_;
+  claim_writer_options options_;
+  std::map<std::string, std::unique_ptr<bucket_state>, std::less<>> buckets_;
+};
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/entry/include/quincebank/entry/entry_snapshot.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <mutex>
+#include <utility>
+#include <vector>
+
+#include "quincebank/base/ref_counted.h"
+#include "quincebank/config/effective_config.h"
+#include "quincebank/entry/upstream_slot.h"
+#include "quincebank/routing/entries.h"
+#include "quincebank/routing/table.h"
+
+namespace quincebank {
+
+/// \brief Upstreams of one service; slot n belongs to upstream n of the table.
+struct service_view {
+  ref_ptr<const routing_table> table;
+  std::vector<ref_ptr<upstream_slot>> slots;
+};
+
+/// \brief What traffic threads read: configuration, upstreams and the other entries.
+struct entry_snapshot : ref_counted<entry_snapshot> {
+  ref_ptr<const effective_config> config;
+  std::vector<service_view> services;  ///< In the order of `config->services()`.
+  std::vector<entry_address> entries;  ///< For look-ups.
+};
+
+/// \brief Hands the newest snapshot from the control thread to the traffic threads.
+class snapshot_box {
+ public:
+  void Set(ref_ptr<const entry_snapshot> snapshot) {
+    const std::lock_guard lock(mutex_);
+    snapshot_ = std::move(snapshot);
+  }
+  [[nodiscard]] ref_ptr<const entry_snapshot> Get() const {
+    const std::lock_guard lock(mutex_);
+    return snapshot_;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  ref_ptr<const entry_snapshot> snapshot_;
+};
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/entry/src/claim_service.cc
@@ -0,0 +1,127 @@
+#include "quincebank/entry/claim_service.h"
+
+#include <array>
+#include <utility>
+
+#include "quincebank/net/run_on.h"
+
+namespace quincebank {
+namespace {
+
+// An idle writer keeps its bucket's value as a cache; a time slice is unused after a minute.
+constexpr milliseconds kIdleLimit{60'000};
+
+time_point Now() {
+  return std::chrono::steady_clock::now();
+}
+
+}  // namespace
+
+claim_service::claim_service(node_control& node, std::uint64_t seed) : node_(node) {
+  options_.seed = seed;
+}
+
+claim_decision claim_service::Decide(const request_key& key, const claim_request& request) {
+  return RunOn(node_.thread(), [&] { return DecideHere(key, request); });
+}
+
+void claim_service::Release(const request_key& key, const claim& released) {
+  RunOn(node_.thread(), [&] { BucketOf(key).writer.Release(released.key, released.attempt); });
+}
+
+claim_service::bucket_state& claim_service::BucketOf(const request_key& key) {
+  const std::string name = BucketName(options_.layout, key);
+  auto found = buckets_.find(name);
+  if (found == buckets_.end()) {
+    DropIdle();
+    found = buckets_.emplace(name, std::make_unique<bucket_state>(name, options_)).first;
+  }
+  found->second->used = Now();
+  return *found->second;
+}
+
+claim_decision claim_service::DecideHere(const request_key& key, const claim_request& request) {
+  bucket_state& bucket = BucketOf(key);
+  boost::fibers::promise<claim_decision> promise;
+  auto future = promise.get_future();
+  const std::uint64_t ticket = bucket.writer.Add(request, Now());
+  bucket.waiting.emplace(ticket, &promise);
+  Drive(bucket);
+  return future.get();
+}
+
+void claim_service::Drive(bucket_state& bucket) {
+  for (const store_action& action : bucket.writer.Poll(Now(), std::chrono::system_clock::now())) {
+    ++bucket.calls;
+    node_.SpawnTracked([this, &bucket, action] { Call(bucket, action); });
+  }
+  for (claim_decision& decision : bucket.writer.TakeDecisions()) {
+    const auto found = bucket.waiting.find(decision.ticket);
+    if (found == bucket.waiting.end())
+      continue;
+    found->second->set_value(std::move(decision));
+    bucket.waiting.erase(found);
+  }
+  ScheduleWake(bucket);
+}
+
+void claim_service::Call(bucket_state& bucket, const store_action& action) {
+  const store_reply reply = Perform(action);
+  --bucket.calls;
+  bucket.writer.OnReply(reply, Now());
+  Drive(bucket);
+}
+
+store_reply claim_service::Perform(const store_action& action) {
+  store_reply reply;
+  reply.operation = action.operation;
+  if (action.what == store_action::kind::kRead) {
+    auto entry = node_.kv().Get(action.key);
+    if (!entry)
+      return reply;
+    reply.what = store_reply::status::kOk;
+    if (entry.value()) {
+      reply.value = std::move(entry.value()->value);
+      reply.index = entry.value()->index;
+    }
+    return reply;
+  }
+  if (action.what == store_action::kind::kErase) {
+    if (node_.kv().Erase(action.key))
+      reply.what = store_reply::status::kOk;
+    return reply;
+  }
+  const auto swapped = node_.kv().CompareAndSwap(action.key, action.value, action.index);
+  if (swapped)
+    reply.what = swapped.value() ? store_reply::status::kOk : store_reply::status::kConflict;
+  return reply;
+}
+
+void claim_service::ScheduleWake(bucket_state& bucket) {
+  const auto wake = bucket.writer.NextWake();
+  const bool stopping = node_.WaitOrStop(milliseconds(0));
+  if (!wake || stopping || (bucket.wake && *bucket.wake <= *wake))
+    return;
+  bucket.wake = wake;
+  ++bucket.calls;
+  node_.SpawnTracked([this, &bucket, at = *wake] {
+    const auto delay = std::chrono::ceil<milliseconds>(at - Now());
+    if (delay.count() > 0)
+      (void)node_.WaitOrStop(delay);
+    --bucket.calls;
+    if (bucket.wake == at)
+      bucket.wake.reset();
+    Drive(bucket);
+  });
+}
+
+void claim_service::DropIdle() {
+  const time_point limit = Now() - kIdleLimit;
+  std::erase_if(buckets_, [&](const auto& item) {
+    const bucket_state& bucket = *item.second;
+    return bucket.used < limit && bucket.calls == 0 && bucket.waiting.empty() &&
+           bucket.writer.Idle();
+  });
+}
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/entry/src/request_flow.cc
@@ -0,0 +1,401 @@
+#include "request_flow.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/fiber/operations.hpp>
+#include <charconv>
+#include <utility>
+
+#include "quincebank/base/json_reader.h"
+#include "quincebank/messages/messages.h"
+#include "quincebank/routing/replay.h"
+#include "refusal.h"
+
+namespace quincebank {
+namespace {
+
+constexpr std::string_view kServicesPrefix = "/services/";
+constexpr milliseconds kStatusTimeout{1'000};
+// Told to callers when nothing better is known, such as during an outage of the key-value service.
+constexpr milliseconds kDefaultRetryAfter{2'000};
+// Larger bodies are not parsed for their prompt; their first blocks decide.
+constexpr std::size_t kMaxParsedBody = 1'000'000;
+
+time_point Now() {
+  return std::chrono::steady_clock::now();
+}
+
+wall_time WallNow() {
+  return std::chrono::system_clock::now();
+}
+
+std::string NewRequestId(entry_shared& shared) {
+  random_source random(Mix64(shared.seed) ^ ++shared.requests);
+  return ToString(NewAttemptId(random));
+}
+
+result<long long> ReadNumber(const http_headers& headers,
+                             std::string_view field,
+                             long long min,
+                             long long max,
+                             long long fallback) {
+  const auto text = headers.Find(field);
+  if (!text)
+    return fallback;
+  long long value = 0;
+  const char* const last = text->data() + text->size();
+  const auto [end, ec] = std::from_chars(text->data(), last, value);
+  if (ec != std::errc() || end != last || value < min || value > max) {
+    error failure = MakeError(
+        error_code::kInvalidArgument,
+        "expected a whole number from " + std::to_string(min) + " to " + std::to_string(max));
+    failure.path = std::string(field);
+    return failure;
+  }
+  return value;
+}
+
+std::string PromptOf(const std::string& body) {
+  if (body.size() > kMaxParsedBody)
+    return body;
+  const auto parsed = ParseJson(body);
+  const boost::json::object* const object = parsed ? parsed.value().if_object() : nullptr;
+  const boost::json::value* const prompt = object ? object->if_contains("prompt") : nullptr;
+  if (prompt == nullptr || !prompt->is_string())
+    return body;
+  return std::string(prompt->get_string());
+}
+
+}  // namespace
+
+std::optional<service_target> ParseServiceTarget(std::string_view target) {
+  if (!target.starts_with(kServicesPrefix))
+    return std::nullopt;
+  target.remove_prefix(kServicesPrefix.size());
+  const std::size_t slash = target.find('/');
+  if (slash == 0 || slash == std::string_view::npos)
+    return std::nullopt;
+  return service_target{std::string(target.substr(0, slash)), std::string(target.substr(slash))};
+}
+
+request_flow::request_flow(entry_shared& shared, traffic_context& context, http_exchange& exchange)
+    : shared_(shared),
+      context_(context),
+      exchange_(exchange),
+      id_(NewRequestId(shared)),
+      random_(random_source::FromSystem()),
+      answer_(exchange, id_),
+      started_(Now()) {}
+
+void request_flow::Run(const service_target& target) {
+  const result<void> prepared = Prepare(target);
+  if (!prepared) {
+    Refuse(exchange_, prepared.error(), id_, kDefaultRetryAfter);
+    return;
+  }
+  shared_.retries.OnRequest();
+  keyed_request machine(spec_, random_source(random_.Next()));
+  request_action action = machine.Start(Now(), WallNow());
+  while (action.kind != action_kind::kFinish && !answer_.caller_gone())
+    action = Perform(machine, action);
+  if (action.kind == action_kind::kFinish)
+    Finish(action.end);
+}
+
+result<void> request_flow::Prepare(const service_target& target) {
+  snapshot_ = shared_.snapshots.Get();
+  if (!snapshot_)
+    return MakeError(error_code::kUnavailable, "no configuration is in force yet");
+  const auto index = snapshot_->config->FindService(target.service);
+  if (!index)
+    return MakeError(error_code::kNotFound, "unknown service '" + target.service + "'");
+  service_ = &snapshot_->config->services()[*index];
+  view_ = &snapshot_->services[*index];
+  if (!view_->table)
+    return MakeError(error_code::kUnavailable, "service has no valid upstreams");
+  path_ = target.path;
+  const std::string plain_path = path_.substr(0, path_.find('?'));
+  const route_config* const route =
+      snapshot_->config->FindRoute(*index, exchange_.request().method, plain_path);
+  if (route == nullptr) {
+    return MakeError(error_code::kNotFound, "service '" + target.service + "' has no route for " +
+                                                exchange_.request().method + " " + plain_path);
+  }
+  BOOST_OUTCOME_TRY(ReadCallerFields());
+  BOOST_OUTCOME_TRY(spec_, MakeSpec(*route));
+  if (service_->kind == service_kind::kModel)
+    prefix_ = PrefixHashes(workspace_ + "/" + service_->name, PromptOf(exchange_.request().body));
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+result<void> request_flow::ReadCallerFields() {
+  const http_headers& headers = exchange_.request().headers;
+  workspace_ = std::string(headers.Get(kWorkspaceField));
+  const auto share = snapshot_->config->FindWorkspace(workspace_);
+  if (!share) {
+    error failure =
+        MakeError(error_code::kInvalidArgument, "unknown workspace '" + workspace_ + "'");
+    failure.path = std::string(kWorkspaceField);
+    return failure;
+  }
+  BOOST_OUTCOME_TRY(const long long priority,
+                    ReadNumber(headers, kPriorityField, 0, kMaxPriority, share->priority));
+  priority_ = static_cast<int>(priority);
+  const long long longest = service_->total_timeout.count();
+  BOOST_OUTCOME_TRY(const long long deadline,
+                    ReadNumber(headers, kDeadlineField, 1, longest, longest));
+  deadline_ = started_ + milliseconds(deadline);
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+result<request_spec> request_flow::MakeSpec(const route_config& route) {
+  const http_request& request = exchange_.request();
+  request_spec spec;
+  spec.deadline = deadline_;
+  if (route.repeatable) {
+    spec.kind = request_kind::kRepeatable;
+    return spec;
+  }
+  const auto key = request.headers.Find(kIdempotencyKeyField);
+  if (!key)
+    return spec;
+  spec.kind = request_kind::kKeyed;
+  BOOST_OUTCOME_TRY(spec.key, ParseRequestKey(service_->name, workspace_, *key, WallNow()));
+  spec.request_digest = RequestDigest(request.method, path_, request.body);
+  return spec;
+}
+
+request_action request_flow::Perform(keyed_request& machine, const request_action& action) {
+  switch (action.kind) {
+    case action_kind::kChoose:
+      return ChooseTarget(machine, action);
+    case action_kind::kClaim:
+    case action_kind::kLook: {
+      const claim_decision decision = AskClaims(action);
+      RecordClaim(action, decision);
+      return machine.OnClaim(action.step, decision, Now());
+    }
+    case action_kind::kSend:
+      return machine.OnCopy(action.step, Send(action), Now());
+    case action_kind::kFetch:
+      return machine.OnCopy(action.step, Fetch(action), Now());
+    case action_kind::kAskState:
+      return machine.OnState(action.step, AskAgent(action, "agent.attempt_status"), Now());
+    case action_kind::kBlock:
+      return machine.OnState(action.step, AskAgent(action, "agent.block_attempt"), Now());
+    case action_kind::kAskRetry:
+      return machine.OnPermission(action.step, shared_.retries.TryRepeat(), Now());
+    case action_kind::kWait:
+      boost::this_fiber::sleep_until(action.wake);
+      return machine.OnWake(action.step, Now());
+    case action_kind::kNone:
+    case action_kind::kFinish:
+      break;
+  }
+  return action;
+}
+
+request_action request_flow::ChooseTarget(keyed_request& machine, const request_action& action) {
+  std::vector<upstream_key> tried;
+  std::vector<upstream_load> loads;
+  loads.reserve(view_->slots.size());
+  const time_point now = Now();
+  for (const ref_ptr<upstream_slot>& slot : view_->slots) {
+    loads.push_back(slot->Read(now));
+    if (std::find(action.tried.begin(), action.tried.end(), ToString(slot->agent())) !=
+        action.tried.end()) {
+      tried.push_back(KeyOf(slot->name()));
+    }
+  }
+  const route_policy* policy = FindRoutePolicy(service_->policy);
+  if (policy == nullptr)
+    policy = FindRoutePolicy(kDefaultRoutePolicy);
+  for (;;) {
+    route_input input;
+    input.table = view_->table;
+    input.loads = loads;
+    input.request.workspace = workspace_;
+    input.request.prefix = prefix_.view();
+    input.request.priority = priority_;
+    input.request.deadline = std::chrono::duration_cast<milliseconds>(deadline_ - Now());
+    input.request.failure_domain = shared_.settings.node.failure_domain;
+    input.request.region = shared_.settings.node.region;
+    input.request.tried = tried;
+    input.request.seed = random_.Next();
+    input.request.turn = ++shared_.decisions;
+    const result<route_decision> decision = Choose(*policy, input);
+    shared_.records->Append(MakeRouteRecord(id_, WallNow(), *policy, input, decision));
+    if (!decision) {
+      refused_as_ = decision.error().code;
+      return machine.OnTarget(action.step, std::nullopt, decision.error().message, Now(),
+                              WallNow());
+    }
+    const std::uint32_t index = decision.value().index;
+    const auto target = TargetOf(index);
+    if (target)
+      return machine.OnTarget(action.step, target, {}, Now(), WallNow());
+    tried.push_back(view_->table->key(index));
+  }
+}
+
+std::optional<attempt_target> request_flow::TargetOf(std::uint32_t index) {
+  upstream_slot& slot = *view_->slots[index];
+  if (slot.life().value == 0) {
+    const auto answer = context_.rpc.Call(slot.agent(), "agent.status", {}, kStatusTimeout);
+    const auto load =
+        answer ? AgentLoadFromJson(answer.value()) : result<agent_load>(answer.error());
+    if (!load) {
+      shared_.directory->Report(slot.name(), contact::kRefused);
+      return std::nullopt;
+    }
+    slot.OnLoad(load.value(), Now());
+  }
+  return attempt_target{ToString(slot.agent()), slot.life()};
+}
+
+http_call request_flow::CallTo(const attempt_target& target) const {
+  http_call call;
+  const auto agent = ParseEndpoint(target.agent);
+  if (agent)
+    call.peer = agent.value();
+  call.connect_timeout = service_->connect_timeout;
+  call.response_timeout = kSilenceLimit;
+  call.idle_timeout = kSilenceLimit;
+  call.request.headers.Set(kIncarnationField, ToString(target.life));
+  call.request.headers.Set(kConfigVersionField, std::to_string(snapshot_->config->version()));
+  return call;
+}
+
+upstream_slot* request_flow::SlotOf(const std::string& agent) const {
+  for (const ref_ptr<upstream_slot>& slot : view_->slots) {
+    if (ToString(slot->agent()) == agent)
+      return slot.get();
+  }
+  return nullptr;
+}
+
+copy_report request_flow::Send(const request_action& action) {
+  const http_request& request = exchange_.request();
+  http_call call = CallTo(action.target);
+  call.request.method = request.method;
+  call.request.target = "/attempt" + path_;
+  call.request.body = request.body;
+  for (const http_header& field : request.headers) {
+    if (!IsHopByHop(field.name) && !call.request.headers.Find(field.name))
+      call.request.headers.Add(field.name, field.value);
+  }
+  call.request.headers.Remove("Host");
+  const auto left = std::chrono::duration_cast<milliseconds>(deadline_ - Now());
+  call.request.headers.Set(kAttemptField, ToString(action.attempt));
+  call.request.headers.Set(kServiceField, service_->name);
+  call.request.headers.Set(kWorkspaceField, workspace_);
+  call.request.headers.Set(kPriorityField, std::to_string(priority_));
+  call.request.headers.Set(kDeadlineField,
+                           std::to_string(std::max<milliseconds::rep>(left.count(), 0)));
+  upstream_slot* const slot = SlotOf(action.target.agent);
+  if (slot != nullptr)
+    slot->OnSent();
+  answer_.SetSource(call.peer, action.target.life, action.attempt, 0);
+  const copy_result copy = RunCopy(context_.http, call, answer_, slot);
+  retry_after_ = std::max(retry_after_, copy.retry_after);
+  refused_as_ = copy.refused_as;
+  ReportContact(action.target.agent, copy.report);
+  return copy.report;
+}
+
+copy_report request_flow::Fetch(const request_action& action) {
+  http_call call = CallTo(action.target);
+  call.request.target =
+      "/attempts/" + ToString(action.attempt) + "?offset=" + std::to_string(action.offset);
+  answer_.SetSource(call.peer, action.target.life, action.attempt, action.offset);
+  const copy_result copy = RunCopy(context_.http, call, answer_, SlotOf(action.target.agent));
+  ReportContact(action.target.agent, copy.report);
+  return copy.report;
+}
+
+void request_flow::ReportContact(const std::string& agent, const copy_report& report) {
+  const upstream_slot* const slot = SlotOf(agent);
+  if (slot == nullptr || answer_.caller_gone())
+    return;
+  if (report.outcome == copy_outcome::kNotSent)
+    shared_.directory->Report(slot->name(), contact::kRefused);
+  if (report.outcome == copy_outcome::kLost)
+    shared_.directory->Report(slot->name(), contact::kSilent);
+}
+
+claim_decision request_flow::AskClaims(const request_action& action) {
+  claim_request request;
+  request.value = action.value;
+  request.expected = action.expected;
+  request.look = action.kind == action_kind::kLook;
+  request.deadline = deadline_;
+  return shared_.claims->Decide(spec_.key, request);
+}
+
+state_report request_flow::AskAgent(const request_action& action, const std::string& method) {
+  state_report report;
+  const auto answer = context_.rpc.Call(
+      CallTo(action.target).peer, method,
+      {{"attempt", ToString(action.attempt)}, {"incarnation", ToString(action.target.life)}},
+      kStatusTimeout);
+  const boost::json::object* const object = answer ? answer.value().if_object() : nullptr;
+  const boost::json::value* const state = object ? object->if_contains("state") : nullptr;
+  if (state != nullptr && state->is_string())
+    report.state = ParseAttemptState(std::string_view(state->get_string()));
+  return report;
+}
+
+void request_flow::Finish(const request_end& end) {
+  if (end.release)
+    shared_.claims->Release(spec_.key, *end.release);
+  RecordEnd(end);
+  // Once the caller has a part of the answer, only a cut connection says that it is not whole.
+  if (end.answered || answer_.started())
+    return;
+  error failure = end.failure;
+  if (refused_as_ && failure.outcome == verdict::kNotRun)
+    failure.code = *refused_as_;
+  const bool retry =
+      failure.outcome == verdict::kNotRun && failure.code != error_code::kInvalidArgument;
+  Refuse(exchange_, failure, id_,
+         retry ? std::max(retry_after_, kDefaultRetryAfter) : milliseconds(0));
+}
+
+void request_flow::RecordClaim(const request_action& action, const claim_decision& decision) {
+  static constexpr std::array<std::string_view, 4> kOutcomes{"owned", "held", "absent", "not-run"};
+  decision_record record;
+  record.at = WallNow();
+  record.request = id_;
+  record.kind = "claim";
+  record.input = {{"attempt", ToString(action.value.attempt)},
+                  {"agent", action.value.target.agent},
+                  {"look", action.kind == action_kind::kLook},
+                  {"moved_from", action.expected ? ToString(*action.expected) : ""}};
+  record.outcome = {{"claim", kOutcomes.at(static_cast<std::size_t>(decision.outcome))},
+                    {"holder", ToString(decision.holder.attempt)},
+                    {"reason", decision.failure.message}};
+  shared_.records->Append(std::move(record));
+}
+
+void request_flow::RecordEnd(const request_end& end) {
+  static constexpr std::array<std::string_view, 3> kKinds{"keyed", "plain", "repeatable"};
+  decision_record record;
+  record.at = WallNow();
+  record.request = id_;
+  record.kind = "request";
+  record.input = {{"service", service_->name},
+                  {"workspace", workspace_},
+                  {"method", exchange_.request().method},
+                  {"path", path_},
+                  {"kind", kKinds.at(static_cast<std::size_t>(spec_.kind))},
+                  {"config_version", snapshot_->config->version()}};
+  record.outcome = {
+      {"verdict", ToString(end.outcome)},
+      {"answered", end.answered},
+      {"status", answer_.status()},
+      {"reason", end.failure.message},
+      {"duration_ms", std::chrono::duration_cast<milliseconds>(Now() - started_).count()}};
+  shared_.records->Append(std::move(record));
+}
+
+}  // namespace quincebank
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -114,6 +114,22 @@
   bool broken_ = false;
 };
 
+// With SO_REUSEPORT a second process could bind the same address and take a part of its
+// connections, so an address that another process listens on is found without it.
+boost::system::error_code CheckUnused(const tcp::endpoint& address) {
+  boost::system::error_code ec;
+  asio::io_context io;
+  tcp::acceptor probe(io);
+  probe.open(address.protocol(), ec);
+  if (!ec)
+    probe.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec)
+    probe.bind(address, ec);
+  if (!ec)
+    probe.listen(1, ec);
+  return ec;
+}
+
 http_request ToRequest(http::request<http::string_body>&& message) {
   http_request request;
   request.method = std::string(message.method_string());
@@ -287,6 +303,11 @@
   if (ec) {
     return MakeError(error_code::kInvalidArgument, address.address + " is not an IP address");
   }
+  ec = CheckUnused({ip, address.port});
+  if (ec) {
+    return MakeError(error_code::kUnavailable,
+                     "can't listen on " + ToString(address) + ": " + ec.message());
+  }
   std::unique_ptr<http_server> server(new http_server(address, std::move(handler), limits));
   for (fiber_thread* const thread : threads) {
     auto accepting = std::make_shared<listener>(*server, *thread);
--- a/libs/net/tests/http_test.cc
+++ b/libs/net/tests/http_test.cc
@@ -130,6 +130,13 @@
   EXPECT_EQ(answer.value().body, "2");
 }
 
+// Guards against two processes that share an address and split its connections.
+TEST_F(http_test, RefusesAnAddressInUse) {
+  const auto second = http_server::Listen({&server_thread_}, server_->address(), Handle);
+  ASSERT_FALSE(second.has_value());
+  EXPECT_EQ(second.error().code, error_code::kUnavailable);
+}
+
 TEST(sse_test, JoinsEventsAcrossReads) {
   sse_splitter splitter;
   std::vector<std::string> events;
--- /dev/null
+++ b/libs/node/include/quincebank/node/node_settings.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "quincebank/base/error.h"
+#include "quincebank/base/time.h"
+#include "quincebank/membership/config_peer.h"
+#include "quincebank/net/endpoint.h"
+
+namespace quincebank {
+
+class json_reader;
+
+/// \brief Settings that entries and agents share.
+struct node_settings {
+  std::string host;            ///< Name of this host, unique in the fleet.
+  std::string region;          ///< Region of this host.
+  std::string failure_domain;  ///< Failure domain of this host.
+  endpoint listen;             ///< Address that peers and callers use.
+  endpoint key_value;
+  milliseconds key_value_timeout{1'000};
+  endpoint host_list;
+  std::string host_list_path = "/hosts";
+  milliseconds host_list_interval{1'000};
+  std::size_t record_keep = 4'096;  ///< Decisions kept in memory.
+  bool record_stdout = false;       ///< Also writes each decision as a line on standard output.
+};
+
+/// \brief Reads the members of `node_settings`; the caller calls `Finish`.
+[[nodiscard]] node_settings ReadNodeSettings(json_reader& reader);
+
+/// \brief Reads a whole file.
+[[nodiscard]] result<std::string> ReadFile(const std::string& path);
+
+}  // namespace quincebank
--- a/libs/platform/include/quincebank/platform/kv_store.h
+++ b/libs/platform/include/quincebank/platform/kv_store.h
@@ -39,6 +39,9 @@
                                                     std::string_view value,
                                                     std::uint64_t expected) = 0;
 
+  /// \brief Deletes the key whatever its value. Only for keys that no writer uses any more.
+  [[nodiscard]] virtual result<void> Erase(std::string_view key) = 0;
+
   /// \brief Waits until the key's index differs from `seen`, at most `wait`.
   /// \returns The entry as it is then, changed or not.
   [[nodiscard]] virtual result<std::optional<kv_entry>> Watch(std::string_view key,
--- a/libs/platform/src/consul_kv.cc
+++ b/libs/platform/src/consul_kv.cc
@@ -56,10 +56,15 @@
     return Put(KeyTarget(key) + "?cas=" + std::to_string(expected), value);
   }
 
+  result<void> Erase(std::string_view key) override {
+    BOOST_OUTCOME_TRY(Write("DELETE", KeyTarget(key), {}));
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+
   result<std::string> OpenLease(milliseconds time_to_live) override {
     const auto body = boost::json::serialize(boost::json::object{
         {"TTL", std::to_string(time_to_live.count()) + "ms"}, {"Behavior", "release"}});
-    BOOST_OUTCOME_TRY(const http_response response, Write("/v1/session/create", body));
+    BOOST_OUTCOME_TRY(const http_response response, Write("PUT", "/v1/session/create", body));
     BOOST_OUTCOME_TRY(const boost::json::value parsed, ParseJson(response.body));
     std::vector<error> errors;
     json_reader reader(parsed, "", errors);
@@ -70,7 +75,7 @@
   }
 
   result<void> RenewLease(std::string_view lease) override {
-    BOOST_OUTCOME_TRY(Write("/v1/session/renew/" + std::string(lease), {}));
+    BOOST_OUTCOME_TRY(Write("PUT", "/v1/session/renew/" + std::string(lease), {}));
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
 
@@ -99,13 +104,15 @@
                                                          " bytes exceeds the limit of " +
                                                          std::to_string(kKvValueLimit));
     }
-    BOOST_OUTCOME_TRY(const http_response response, Write(target, value));
+    BOOST_OUTCOME_TRY(const http_response response, Write("PUT", target, value));
     return response.body.starts_with("true");
   }
 
-  result<http_response> Write(const std::string& target, std::string_view body) {
+  result<http_response> Write(const std::string& method,
+                              const std::string& target,
+                              std::string_view body) {
     BOOST_OUTCOME_TRY(http_response response,
-                      http_.Call(MakeCall(service_, "PUT", target, std::string(body), timeout_)));
+                      http_.Call(MakeCall(service_, method, target, std::string(body), timeout_)));
     // A 5xx answer may come after the write has reached the service's log.
     if (response.status != 200)
       return Refused(response, response.status >= 500 ? verdict::kMayHaveRun : verdict::kNotRun);
--- a/libs/standins/src/kv_standin.cc
+++ b/libs/standins/src/kv_standin.cc
@@ -70,6 +70,11 @@
         Read(exchange, key, target);
       } else if (method == "PUT") {
         Write(exchange, key, target);
+      } else if (method == "DELETE") {
+        ++writes_;
+        values_.erase(key);
+        changed_.notify_all();
+        exchange.Respond({200, {{"Content-Type", "application/json"}}, "true"});
       } else {
         ReplyError(exchange, 405, "method not allowed");
       }
