--- /dev/null
+++ b/libs/testing/src/deployment.cc
@@ -0,0 +1,318 @@
+#include "quincebank/testing/deployment.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+#include "quincebank/base/json_reader.h"
+
+namespace quincebank {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::array<const char*, 3> kDomains{"qc-east-a", "qc-east-b", "qc-east-c"};
+constexpr std::uint16_t kPort = 8000;
+constexpr milliseconds kPollInterval{20};
+constexpr milliseconds kToolTimeout{60'000};
+
+// Each process of the machine has loopback addresses of its own, so that deployments of tests that
+// run at the same time never meet.
+std::string NetworkOfThisProcess() {
+  constexpr int kBlock = 250;
+  const int pid = ::getpid();
+  return "127." + std::to_string(1 + pid / kBlock % kBlock) + "." + std::to_string(pid % kBlock);
+}
+
+std::string DomainOf(int index) {
+  return kDomains.at(static_cast<std::size_t>(index) % kDomains.size());
+}
+
+json::object Service(const std::string& name, const std::string& kind, json::array routes) {
+  json::object service{{"name", name},
+                       {"kind", kind},
+                       {"connect_timeout_ms", 500},
+                       {"first_byte_timeout_ms", 10'000},
+                       {"total_timeout_ms", 20'000},
+                       {"routes", std::move(routes)}};
+  if (kind == "model") {
+    service["model"] = "quince";
+    service["version"] = "1";
+  }
+  return service;
+}
+
+json::object Section(const std::string& owner, const std::string& kind, json::array list) {
+  return {{"owner", owner}, {"kind", kind}, {kind, std::move(list)}};
+}
+
+}  // namespace
+
+deployment::deployment(const deployment_plan& plan)
+    : plan_(plan), network_(NetworkOfThisProcess()) {
+  std::string pattern = (std::filesystem::temp_directory_path() / "quincebank-XXXXXX").string();
+  folder_ = ::mkdtemp(pattern.data());
+  Plan();
+}
+
+deployment::~deployment() {
+  for (const auto& [name, process] : running_)
+    process->Signal(SIGKILL);
+  running_.clear();
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+void deployment::Plan() {
+  AddProcess("kv", 0, {QUINCEBANK_STANDIN_PROGRAM, "--role=kv"});
+  AddProcess("hosts", 0, {QUINCEBANK_STANDIN_PROGRAM, "--role=hosts"});
+  for (int i = 0; i < plan_.entries; ++i) {
+    AddNode(QUINCEBANK_ENTRY_PROGRAM, "entry-" + std::to_string(i), i,
+            R"("lookup_ttl_ms": )" + std::to_string(plan_.lookup_ttl_ms));
+  }
+  for (int i = 0; i < plan_.drafts; ++i)
+    AddUpstream("drafts", i, plan_.engine_options);
+  for (int i = 0; i < plan_.orders; ++i)
+    AddUpstream("orders", i, plan_.orders_options);
+}
+
+void deployment::AddProcess(std::string name, int domain, std::vector<std::string> arguments) {
+  const int number = static_cast<int>(processes_.size()) + 1;
+  process_plan process{std::move(name),
+                       DomainOf(domain),
+                       {network_ + "." + std::to_string(number), kPort},
+                       std::move(arguments)};
+  if (process.arguments.front() == QUINCEBANK_STANDIN_PROGRAM) {
+    process.arguments.push_back("--listen=" + ToString(process.address));
+    process.arguments.push_back("--seed=" + std::to_string(number));
+  }
+  processes_.push_back(std::move(process));
+}
+
+void deployment::AddNode(const std::string& program,
+                         const std::string& name,
+                         int domain,
+                         std::string extra) {
+  AddProcess(name, domain, {program, "--settings=" + folder_ + "/" + name + ".json"});
+  const process_plan& process = processes_.back();
+  WriteFile(name + ".json",
+            "// Settings of " + name + ".\n{\n  \"host\": \"" + name +
+                "\", \"region\": \"qc-east\", \"failure_domain\": \"" + process.failure_domain +
+                "\",\n  \"listen\": \"" + ToString(process.address) +
+                "\",\n  \"key_value\": {\"address\": \"" + ToString(AddressOf("kv")) +
+                "\"},\n  \"host_list\": {\"address\": \"" + ToString(AddressOf("hosts")) +
+                "\", \"interval_ms\": 200},\n  " + std::move(extra) + "\n}\n");
+}
+
+void deployment::AddUpstream(const std::string& kind, int index, std::vector<std::string> options) {
+  const std::string name = kind + "-" + std::to_string(index);
+  std::vector<std::string> arguments{QUINCEBANK_STANDIN_PROGRAM,
+                                     kind == "drafts" ? "--role=engine" : "--role=orders",
+                                     "--cold-limit=" + std::to_string(plan_.cold_limit),
+                                     "--full-limit=" + std::to_string(plan_.full_limit)};
+  arguments.insert(arguments.end(), options.begin(), options.end());
+  AddProcess(name, index, std::move(arguments));
+  AddNode(QUINCEBANK_AGENT_PROGRAM, "agent-" + name, index,
+          R"("upstream": ")" + name + R"(", "shutdown_linger_ms": 200)");
+}
+
+std::string deployment::Document() const {
+  json::array domains;
+  for (const char* domain : kDomains)
+    domains.push_back(json::object{{"name", domain}, {"region", "qc-east"}, {"state", "in"}});
+  json::array upstreams;
+  for (const process_plan& process : processes_) {
+    const bool drafts = process.name.starts_with("drafts-");
+    if (!drafts && !process.name.starts_with("orders-"))
+      continue;
+    const endpoint agent = AddressOf("agent-" + process.name);
+    upstreams.push_back(json::object{{"name", process.name},
+                                     {"host", "agent-" + process.name},
+                                     {"failure_domain", process.failure_domain},
+                                     {"service", drafts ? "quince-drafts" : "order-desk"},
+                                     {"agent_address", agent.address},
+                                     {"agent_port", agent.port},
+                                     {"upstream_address", process.address.address},
+                                     {"upstream_port", process.address.port},
+                                     {"cold_limit", plan_.cold_limit},
+                                     {"full_limit", plan_.full_limit},
+                                     {"queue_limit", plan_.queue_limit}});
+  }
+  const json::array services{
+      Service("quince-drafts", "model",
+              {json::object{
+                  {"method", "POST"}, {"path_prefix", "/v1/completions"}, {"repeatable", true}}}),
+      Service("order-desk", "plain",
+              {json::object{{"method", "POST"}, {"path_prefix", "/orders"}, {"repeatable", false}},
+               json::object{{"method", "GET"}, {"path_prefix", "/orders"}, {"repeatable", true}}})};
+  const json::object document{
+      {"domains", Section("platform", "failure_domains", domains)},
+      {"models",
+       Section("models", "model_versions",
+               {json::object{{"model", "quince"}, {"version", "1"}, {"adapters", json::array()}}})},
+      {"services", Section("services", "services", services)},
+      {"upstreams", Section("platform", "upstreams", upstreams)},
+      {"workspaces", Section("accounts", "workspaces",
+                             {json::object{{"name", "cafe-nord"}, {"weight", 1}},
+                              json::object{{"name", "diner-sud"}, {"weight", 2}}})},
+  };
+  return json::serialize(document);
+}
+
+std::string deployment::HostList() const {
+  json::array list;
+  for (const process_plan& process : processes_) {
+    const bool entry = process.name.starts_with("entry-");
+    if (!entry && !process.name.starts_with("agent-"))
+      continue;
+    const bool leaves = std::find(leaving_.begin(), leaving_.end(), process.name) != leaving_.end();
+    list.push_back(json::object{{"targets", json::array{ToString(process.address)}},
+                                {"labels", json::object{{"host", process.name},
+                                                        {"failure_domain", process.failure_domain},
+                                                        {"role", entry ? "entry" : "upstream"},
+                                                        {"state", leaves ? "leaving" : "live"}}}});
+  }
+  return json::serialize(list);
+}
+
+void deployment::WriteFile(const std::string& name, const std::string& text) const {
+  std::ofstream(folder_ + "/" + name) << text;
+}
+
+void deployment::StartProcess(const process_plan& process) {
+  running_[process.name] =
+      std::make_unique<child_process>(process.arguments, folder_ + "/" + process.name + ".log");
+}
+
+result<void> deployment::Start() {
+  for (const process_plan& process : processes_)
+    StartProcess(process);
+  for (const char* platform : {"kv", "hosts"}) {
+    const bool up = WaitUntil([&] {
+      return Call(platform, {"GET", "/control", {}, {}}).has_value();
+    });
+    if (!up)
+      return MakeError(error_code::kUnavailable, std::string(platform) + " does not answer");
+  }
+  (void)Call("hosts", {"PUT", "/hosts", {}, HostList()});
+  WriteFile("document.json", Document());
+  std::string output;
+  if (RunTool(
+          {"apply", "--kv=" + ToString(AddressOf("kv")), "--hosts=" + ToString(AddressOf("hosts")),
+           "--author=setup", "--force", folder_ + "/document.json"},
+          &output) != 0) {
+    return MakeError(error_code::kInternal, "apply failed: " + output);
+  }
+  if (!WaitUntil([this] { return EntriesRoute(); }))
+    return MakeError(error_code::kTimeout, "the entries do not route");
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+bool deployment::EntriesRoute() {
+  for (const process_plan& process : processes_) {
+    const bool node = process.name.starts_with("entry-") || process.name.starts_with("agent-");
+    if (!node)
+      continue;
+    const auto ready = Call(process.name, {"GET", "/readyz", {}, {}});
+    if (!ready || ready.value().status != 200)
+      return false;
+  }
+  return true;
+}
+
+endpoint deployment::AddressOf(const std::string& process) const {
+  for (const process_plan& known : processes_) {
+    if (known.name == process)
+      return known.address;
+  }
+  return {};
+}
+
+child_process& deployment::Process(const std::string& name) {
+  return *running_.at(name);
+}
+
+void deployment::Restart(const std::string& name) {
+  running_.at(name)->Kill();
+  for (const process_plan& process : processes_) {
+    if (process.name == name)
+      StartProcess(process);
+  }
+}
+
+void deployment::SetLeaving(const std::string& process) {
+  leaving_.push_back(process);
+  (void)Call("hosts", {"PUT", "/hosts", {}, HostList()});
+}
+
+int deployment::RunTool(const std::vector<std::string>& arguments, std::string* tool_output) {
+  std::vector<std::string> command{QUINCEBANK_TOOL_PROGRAM};
+  command.insert(command.end(), arguments.begin(), arguments.end());
+  const std::string log = folder_ + "/tool.log";
+  std::filesystem::remove(log);
+  child_process tool(command, log);
+  const auto exit_code = tool.WaitFor(kToolTimeout);
+  if (tool_output != nullptr) {
+    std::ostringstream text;
+    text << std::ifstream(log).rdbuf();
+    *tool_output = text.str();
+  }
+  return exit_code.value_or(-1);
+}
+
+result<http_response> deployment::Call(const std::string& process,
+                                       const http_request& request,
+                                       milliseconds timeout) {
+  result<http_response> answer = MakeError(error_code::kInternal, "no answer");
+  http_call call{AddressOf(process), request};
+  call.response_timeout = timeout;
+  call.idle_timeout = timeout;
+  client_thread_.RunAndWait([&] {
+    http_client client(client_thread_);
+    answer = client.Call(call);
+  });
+  return answer;
+}
+
+void deployment::Control(const std::string& process, const std::string& switches) {
+  (void)Call(process, {"PUT", "/control", {}, switches});
+}
+
+json::value deployment::Counters(const std::string& process) {
+  const auto answer = Call(process, {"GET", "/control", {}, {}});
+  if (!answer)
+    return {};
+  const auto parsed = ParseJson(answer.value().body);
+  return parsed ? parsed.value() : json::value();
+}
+
+bool deployment::WaitUntil(const std::function<bool()>& check, milliseconds duration) {
+  const time_point until = std::chrono::steady_clock::now() + duration;
+  while (!check()) {
+    if (std::chrono::steady_clock::now() >= until)
+      return false;
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return true;
+}
+
+std::vector<std::string> deployment::entries() const {
+  std::vector<std::string> names;
+  for (const process_plan& process : processes_) {
+    if (process.name.starts_with("entry-"))
+      names.push_back(process.name);
+  }
+  return names;
+}
+
+}  // namespace quincebank
