--- a/libs/agent/include/quincebank/agent/agent_node.h
+++ b/libs/agent/include/quincebank/agent/agent_node.h
@@ -42,7 +42,6 @@
   void OnConfig(const ref_ptr<const effective_config>& config);
 
   const agent_settings settings_;
-  fiber_thread& control_;
   fiber_thread traffic_{"traffic"};
   node_control node_;
   agent_service agent_;
--- a/libs/agent/src/agent_node.cc
+++ b/libs/agent/src/agent_node.cc
@@ -49,7 +49,6 @@
 
 agent_node::agent_node(const agent_settings& settings, fiber_thread& control, incarnation self)
     : settings_(settings),
-      control_(control),
       node_(control, settings.node, peer_role::kAgent),
       agent_(traffic_, self, Unconfigured(), settings.ledger) {
   agent_.SetDraining(true);
--- a/libs/daemon/src/options.cc
+++ b/libs/daemon/src/options.cc
@@ -36,6 +36,7 @@
                                 const std::vector<option_spec>& options,
                                 std::vector<std::string>* arguments) {
   std::vector<option> table;
+  table.reserve(options.size() + 3);
   int code = kFirstCode;
   for (const option_spec& spec : options) {
     table.push_back({spec.name.c_str(), spec.argument.empty() ? no_argument : required_argument,
--- a/libs/net/include/quincebank/net/endpoint.h
+++ b/libs/net/include/quincebank/net/endpoint.h
@@ -14,6 +14,7 @@
   std::string address;
   std::uint16_t port = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the defaulted operator.
   [[nodiscard]] auto operator<=>(const endpoint&) const = default;
 };
 
--- a/libs/net/src/fiber_thread.cc
+++ b/libs/net/src/fiber_thread.cc
@@ -14,7 +14,7 @@
 namespace {
 
 // Beast's parsers and the JSON codecs need more than the default of a few pages.
-constexpr std::size_t kFiberStackBytes = 128U * 1024U;
+constexpr std::size_t kFiberStackBytes = std::size_t{128} * 1024;
 
 }  // namespace
 
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -24,7 +24,7 @@
 using impl::io_outcome;
 
 constexpr std::size_t kIdlePerPeer = 64;
-constexpr std::size_t kReadBytes = 16U * 1024U;
+constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 
 struct connection {
   explicit connection(asio::io_context& io) : stream(io) {}
