--- /dev/null
+++ b/bench/routing/domain_change.cc
@@ -0,0 +1,4 @@
+#include "report.h"
+namespace quincebank {
+void RunDomainChange() {}
+}  // namespace quincebank
