--- a/bench/routing/engine.cc
+++ b/bench/routing/engine.cc
@@ -134,7 +134,8 @@
   return {.in_flight = running_,
           .queued = static_cast<std::uint32_t>(queue_.size()),
           .limit = Limit(now),
-          .cold = Cold(now)};
+          .cold = Cold(now),
+          .closed = !taking()};
 }
 
 cache_batch engine::TakeEvents() {
--- a/bench/routing/entry_model.cc
+++ b/bench/routing/entry_model.cc
@@ -11,6 +11,7 @@
     : table_(std::move(table)),
       views_(table_->size()),
       loads_(table_->size()),
+      correct_load_(config.correct_load),
       random_(seed),
       turn_(random_.Below(table_->size())) {
   if (config.feed.cache_events || config.feed.note_served)
@@ -40,7 +41,7 @@
   view.sent.erase(found);
   if (sent_at > view.taken) {
     --view.hint.sent_since;
-  } else if (view.hint.in_flight > 0) {
+  } else if (correct_load_ && view.hint.in_flight > 0) {
     --view.hint.in_flight;
   }
 }
@@ -57,6 +58,8 @@
                                sim_time now) {
   for (std::size_t i = 0; i < views_.size(); ++i) {
     loads_[i] = views_[i].hint;
+    if (!correct_load_)
+      loads_[i].sent_since = 0;
     loads_[i].age = std::chrono::duration_cast<milliseconds>(now - views_[i].taken);
   }
   prefix_hits hits;
--- a/bench/routing/entry_model.h
+++ b/bench/routing/entry_model.h
@@ -40,6 +40,7 @@
   std::vector<upstream_view> views_;
   std::vector<upstream_load> loads_;
   std::unique_ptr<prefix_index> index_;
+  bool correct_load_;
   random_source random_;
   std::uint64_t turn_;
 };
--- a/bench/routing/experiment.cc
+++ b/bench/routing/experiment.cc
@@ -17,6 +17,8 @@
   std::string_view policy;
   bool cache_events = false;
   bool note_served = false;
+  bool use_prefix = true;
+  bool correct_load = true;
 };
 
 constexpr sim_time kWarmUp{75'000'000};
@@ -41,11 +43,13 @@
           {"620 replicas, 400 entries, 2400 requests/s", many}};
 }
 
-constexpr std::array<variant, 6> kVariants{{
+constexpr std::array<variant, 8> kVariants{{
     {"round-robin", "round-robin"},
     {"least-loaded", "least-loaded"},
     {"two-random", "two-random"},
-    {"quincebank, no cache events", "quincebank"},
+    {"quincebank without prompts", "quincebank", false, false, false},
+    {"quincebank without load correction", "quincebank", false, false, true, false},
+    {"quincebank, rendezvous only", "quincebank"},
     {"quincebank, own prompts noted", "quincebank", false, true},
     {"quincebank, cache events", "quincebank", true, true},
 }};
@@ -65,6 +69,8 @@
       config.policy = one.policy;
       config.feed.cache_events = one.cache_events;
       config.feed.note_served = one.note_served;
+      config.use_prefix = one.use_prefix;
+      config.correct_load = one.correct_load;
       config.end = kEnd;
       config.phases = {{"measured", kWarmUp, kEnd}};
       const auto begin = std::chrono::steady_clock::now();
--- a/bench/routing/model.h
+++ b/bench/routing/model.h
@@ -68,6 +68,7 @@
 
 struct sim_config {
   std::string_view policy = kDefaultRoutePolicy;
+  std::string_view model_version = "m1";
   std::uint32_t replicas = 16;
   std::uint32_t entries = 8;
   std::uint32_t domains = 3;  ///< In all; they are split evenly between the regions.
@@ -78,8 +79,12 @@
   workload_model workload;
   feed_model feed;
   route_settings settings;
-  bool tell_entries = true;  ///< Entries learn of drains; otherwise only agents reject.
-  bool suspect = true;       ///< Entries avoid an upstream after a failed connection.
+  sim_time client_latency{0};  ///< One way between callers and entries.
+  bool correct_load = true;    ///< Entries add their own requests to the last hint.
+  bool use_prefix = true;      ///< Decisions see the prompt.
+  bool repeatable = true;      ///< Requests cut off by a lost upstream are run again.
+  bool tell_entries = true;    ///< Entries learn of drains; otherwise only agents reject.
+  bool suspect = true;         ///< Entries avoid an upstream after a failed connection.
   std::vector<domain_event> changes;
   std::vector<sim_phase> phases;
   sim_time end{150'000'000};
@@ -94,12 +99,15 @@
   std::uint64_t late = 0;       ///< Answered, but the first token missed the deadline.
   std::uint64_t hops = 0;       ///< "Not run" rejections by agents and failed connections.
   std::uint64_t reruns = 0;     ///< Answers cut off by a lost upstream and computed again.
+  std::uint64_t unknown = 0;    ///< Cut off and not repeatable: they may have run.
   std::uint64_t blocks = 0;
   std::uint64_t cached_blocks = 0;
   double imbalance = 0;  ///< Mean over time of the highest load over the mean load.
   double burst = 0;      ///< Mean over 0.5 s windows of the most arrivals over the mean arrivals.
   std::vector<std::uint32_t> first_token_us;
 
+  /// \brief Adds the sums of a run with another seed.
+  void Add(const phase_result& other);
   /// \returns The quantile of the time to the first token, in milliseconds.
   [[nodiscard]] double FirstTokenMs(double quantile) const;
 };
--- a/bench/routing/requests.cc
+++ b/bench/routing/requests.cc
@@ -60,12 +60,17 @@
   const conversation& talk = talks_[one.conversation];
   entry_model& entry = entries_[one.entry];
   const std::uint32_t domain = DomainOf(one.entry);
+  // The deadline is for the first token; a stream that has one is continued at any time.
+  const milliseconds deadline =
+      one.first_token.count() < 0
+          ? config_.workload.deadline - std::chrono::duration_cast<milliseconds>(now_ - one.arrived)
+          : kNoDeadline;
   const route_request wanted{
-      .prefix = talk.prompt,
+      .prefix = config_.use_prefix ? std::span<const std::uint64_t>(talk.prompt)
+                                   : std::span<const std::uint64_t>(),
       .priority = talk.priority,
-      .deadline =
-          config_.workload.deadline - std::chrono::duration_cast<milliseconds>(now_ - one.arrived),
-      .model_version = "m1",
+      .deadline = deadline,
+      .model_version = config_.model_version,
       .failure_domain = domain_names_[domain],
       .region = region_names_[RegionOf(domain)],
       .tried = std::span(one.tried).first(one.tries),
@@ -121,6 +126,18 @@
   Route(id);
 }
 
+void simulation::Silence(std::uint32_t id) {
+  Suspect(requests_[id]);
+  if (config_.repeatable) {
+    ++ResultOf(requests_[id]).reruns;
+    return Retry(id);
+  }
+  ++ResultOf(requests_[id]).unknown;
+  entries_[requests_[id].entry].Answered(requests_[id].engine, requests_[id].sent);
+  requests_[id].tokens = 0;
+  Release(id);
+}
+
 void simulation::Suspect(const request& one) {
   if (config_.suspect)
     entries_[one.entry].SetStates({one.engine}, upstream_state::kSuspected);
@@ -149,7 +166,8 @@
     entry.index()->NoteServed(entry.table().key(one.engine), talks_[one.conversation].prompt);
   }
   if (one.first_token.count() < 0)
-    one.first_token = now_ + Latency(DomainOf(one.entry), DomainOf(one.engine));
+    one.first_token =
+        now_ + Latency(DomainOf(one.entry), DomainOf(one.engine)) + 2 * config_.client_latency;
 }
 
 void simulation::Finish(std::uint32_t id) {
--- a/bench/routing/simulation.cc
+++ b/bench/routing/simulation.cc
@@ -31,6 +31,17 @@
   return sorted[rank] / 1e3;
 }
 
+void phase_result::Add(const phase_result& other) {
+  for (std::uint64_t phase_result::*const sum :
+       {&phase_result::requests, &phase_result::succeeded, &phase_result::rejected,
+        &phase_result::late, &phase_result::hops, &phase_result::reruns, &phase_result::unknown,
+        &phase_result::blocks, &phase_result::cached_blocks}) {
+    this->*sum += other.*sum;
+  }
+  first_token_us.insert(first_token_us.end(), other.first_token_us.begin(),
+                        other.first_token_us.end());
+}
+
 simulation::simulation(const sim_config& config)
     : config_(config),
       policy_(*FindRoutePolicy(config.policy)),
@@ -49,7 +60,7 @@
     upstreams.push_back({.id = "replica-" + std::to_string(i),
                          .failure_domain = domain_names_[DomainOf(i)],
                          .region = region_names_[RegionOf(DomainOf(i))],
-                         .model_version = "m1"});
+                         .model_version = std::string(config_.model_version)});
   }
   const auto table = routing_table::Build("drafts", std::move(upstreams)).value();
   for (std::uint32_t i = 0; i < config_.entries; ++i) {
@@ -126,9 +137,7 @@
       Suspect(requests_[one.a]);
       return Retry(one.a);
     case event_kind::kSilence:
-      ++ResultOf(requests_[one.a]).reruns;
-      Suspect(requests_[one.a]);
-      return Retry(one.a);
+      return Silence(one.a);
     case event_kind::kFirstToken:
       return FirstToken(one.a);
     case event_kind::kFinish:
--- a/bench/routing/simulation.h
+++ b/bench/routing/simulation.h
@@ -82,6 +82,7 @@
   void Reject(std::uint32_t id);
   void AtEngine(std::uint32_t id);
   void Retry(std::uint32_t id);
+  void Silence(std::uint32_t id);
   void Suspect(const request& one);
   void Pump(std::uint32_t engine);
   void FirstToken(std::uint32_t id);
--- a/libs/routing/include/quincebank/routing/decision.h
+++ b/libs/routing/include/quincebank/routing/decision.h
@@ -25,6 +25,7 @@
   kTried,     ///< Already tried for this request.
   kColdFull,  ///< In cold start and at its limit.
   kFull,      ///< Running and waiting requests exceed what this priority may add to.
+  kClosed,    ///< Its agent takes no new work.
   kDeadline,  ///< The estimated time to the first token exceeds the remaining deadline.
 };
 
--- a/libs/routing/include/quincebank/routing/prefix_index.h
+++ b/libs/routing/include/quincebank/routing/prefix_index.h
@@ -50,10 +50,10 @@
 
 /// \brief Remembers which upstreams hold which prompt blocks, from cache events.
 ///
-/// A gap in an upstream's sequence may hide evictions. Blocks learned before the gap are then no
-/// longer reported. A changed boot number has the same effect, and late events of the boot before
-/// it are ignored. Memory is bounded: the table has a fixed
-/// number of blocks and replaces the least recently stored. Not safe for use by several threads.
+/// A gap in an upstream's sequence may hide evictions. Blocks learned from events before the gap
+/// are then no longer reported. A changed boot number has the same effect, and late events of the
+/// boot before it are ignored. Memory is bounded: the table has a fixed number of blocks and
+/// replaces the least recently stored. Not safe for use by several threads.
 class prefix_index {
  public:
   /// Most upstreams remembered for one block; the latest are kept.
@@ -66,6 +66,8 @@
   /// \brief Notes that an upstream has computed these blocks for a request of this entry.
   ///
   /// It bridges the time until the cache event arrives, and serves where no events are received.
+  /// Such blocks outlive a gap: the entry knows of them by itself. A restart of the engine, an
+  /// event that evicts them, or `Forget` ends them.
   void NoteServed(upstream_key upstream, std::span<const std::uint64_t> blocks);
   /// \brief Drops all that is known about an upstream.
   void Forget(upstream_key upstream);
@@ -82,7 +84,8 @@
 
   struct holder {
     std::uint16_t slot = 0;
-    std::uint16_t epoch = 0;  // 0: none.
+    std::uint16_t epoch : 15 = 0;  // 0: none.
+    std::uint16_t own : 1 = 0;     // From NoteServed.
   };
   struct block {
     std::uint64_t hash = 0;
@@ -98,12 +101,15 @@
     std::uint64_t previous_boot = 0;
     std::uint64_t next = 0;
     bool has_events = false;
-    std::uint16_t epoch = 0;  // 0: never used.
+    std::uint16_t epoch = 0;      // Of blocks from events; 0: never used.
+    std::uint16_t own_epoch = 0;  // Of blocks from NoteServed.
   };
 
   source* SourceOf(upstream_key key);
   void Invalidate(source& from);
-  void Store(std::uint16_t slot, std::uint64_t hash);
+  void InvalidateAll(source& from);
+  void DropSlot(std::uint16_t slot);
+  void Store(std::uint16_t slot, std::uint64_t hash, bool own);
   void Remove(std::uint16_t slot, std::uint64_t hash);
   [[nodiscard]] const block* FindBlock(std::uint64_t hash) const noexcept;
   [[nodiscard]] bool Trusted(const holder& held) const noexcept;
--- a/libs/routing/include/quincebank/routing/settings.h
+++ b/libs/routing/include/quincebank/routing/settings.h
@@ -22,6 +22,9 @@
   microseconds domain_penalty{1'000};
   /// Penalty for an upstream outside the caller's region.
   microseconds region_penalty{60'000};
+  /// Penalty for an upstream in the failure domain of one that was already tried: a lost failure
+  /// domain must not cost one failed connection for each of its upstreams.
+  microseconds retry_domain_penalty{500'000};
   /// Blocks of a prompt that select the upstreams shared by a template.
   std::uint32_t template_blocks = 2;
   /// Blocks of a prompt that select the upstreams of one conversation.
--- a/libs/routing/src/failure.cc
+++ b/libs/routing/src/failure.cc
@@ -69,8 +69,8 @@
     return counts.at(static_cast<std::size_t>(excluded));
   };
   std::string parts;
-  for (const exclusion excluded :
-       {exclusion::kTried, exclusion::kColdFull, exclusion::kFull, exclusion::kDeadline}) {
+  for (const exclusion excluded : {exclusion::kTried, exclusion::kClosed, exclusion::kColdFull,
+                                   exclusion::kFull, exclusion::kDeadline}) {
     if (count(excluded) != 0)
       parts += (parts.empty() ? "" : ", ") + Counted(count(excluded), ToString(excluded));
   }
@@ -79,6 +79,8 @@
     code = error_code::kOverloaded;
   } else if (count(exclusion::kDeadline) != 0) {
     code = error_code::kTimeout;
+  } else if (count(exclusion::kClosed) != 0) {
+    code = error_code::kDraining;
   }
   return MakeError(code, "service '" + input.table->service() + "': none of " +
                              Counted(std::accumulate(counts.begin(), counts.end(), std::size_t{0}),
--- a/libs/routing/src/input_json.cc
+++ b/libs/routing/src/input_json.cc
@@ -23,12 +23,13 @@
   std::uint32_t route_settings::*member;
 };
 
-constexpr std::array<time_setting, 5> kTimes{{
+constexpr std::array<time_setting, 6> kTimes{{
     {"service_time_us", &route_settings::service_time},
     {"full_slowdown_us", &route_settings::full_slowdown},
     {"block_prefill_us", &route_settings::block_prefill},
     {"domain_penalty_us", &route_settings::domain_penalty},
     {"region_penalty_us", &route_settings::region_penalty},
+    {"retry_domain_penalty_us", &route_settings::retry_domain_penalty},
 }};
 constexpr std::array<count_setting, 4> kCounts{{
     {"template_blocks", &route_settings::template_blocks},
@@ -52,6 +53,16 @@
     {"sent_since", &upstream_load::sent_since},
 }};
 
+struct flag_column {
+  std::string_view key;
+  bool upstream_load::*member;
+};
+
+constexpr std::array<flag_column, 2> kFlagColumns{{
+    {"cold", &upstream_load::cold},
+    {"closed", &upstream_load::closed},
+}};
+
 /// Texts of a request.
 struct text_member {
   std::string_view key;
@@ -76,9 +87,11 @@
       values[i] = loads[i].*column.member;
     object[column.key] = PackColumn(values);
   }
-  for (std::size_t i = 0; i < loads.size(); ++i)
-    values[i] = loads[i].cold ? 1 : 0;
-  object["cold"] = PackColumn(values);
+  for (const flag_column& column : kFlagColumns) {
+    for (std::size_t i = 0; i < loads.size(); ++i)
+      values[i] = loads[i].*column.member ? 1 : 0;
+    object[column.key] = PackColumn(values);
+  }
   for (std::size_t i = 0; i < loads.size(); ++i)
     values[i] = loads[i].age.count();
   object["age_ms"] = PackColumn(values);
@@ -102,7 +115,10 @@
       load.*column.member = static_cast<std::uint32_t>(value);
     });
   }
-  read("cold", [](upstream_load& load, std::int64_t value) { load.cold = value != 0; });
+  for (const flag_column& column : kFlagColumns) {
+    read(column.key,
+         [&](upstream_load& load, std::int64_t value) { load.*column.member = value != 0; });
+  }
   read("age_ms", [](upstream_load& load, std::int64_t value) { load.age = milliseconds(value); });
   reader.Finish();
   return loads;
--- a/libs/routing/src/prefix_index.cc
+++ b/libs/routing/src/prefix_index.cc
@@ -7,6 +7,11 @@
 #include "quincebank/base/random.h"
 
 namespace quincebank {
+namespace {
+
+constexpr std::uint16_t kMaxEpoch = 0x7fff;  // 15 bits, see `holder`.
+
+}  // namespace
 
 prefix_index::prefix_index(std::size_t max_blocks)
     : sets_(std::bit_ceil(std::max<std::size_t>(max_blocks, kWays) / kWays)) {}
@@ -29,17 +34,32 @@
   source& fresh = sources_[position->second];
   fresh.key = key;
   fresh.epoch = std::max<std::uint16_t>(fresh.epoch, 1);
+  fresh.own_epoch = std::max<std::uint16_t>(fresh.own_epoch, 1);
   return &fresh;
 }
 
 void prefix_index::Invalidate(source& from) {
   ++invalidations_;
-  if (from.epoch < std::numeric_limits<std::uint16_t>::max()) {
+  if (from.epoch < kMaxEpoch) {
     ++from.epoch;
     return;
   }
   // The epoch wraps: holders with an old equal number must not come back to life.
-  const auto slot = static_cast<std::uint16_t>(&from - sources_.data());
+  DropSlot(static_cast<std::uint16_t>(&from - sources_.data()));
+  from.epoch = 1;
+}
+
+void prefix_index::InvalidateAll(source& from) {
+  Invalidate(from);
+  if (from.own_epoch < kMaxEpoch) {
+    ++from.own_epoch;
+    return;
+  }
+  DropSlot(static_cast<std::uint16_t>(&from - sources_.data()));
+  from.own_epoch = 1;
+}
+
+void prefix_index::DropSlot(std::uint16_t slot) {
   for (set& one : sets_) {
     for (block& entry : one.ways) {
       for (holder& held : entry.holders) {
@@ -48,7 +68,6 @@
       }
     }
   }
-  from.epoch = 1;
 }
 
 void prefix_index::Apply(const cache_event& event) {
@@ -64,7 +83,7 @@
   } else if (event.boot != from->boot) {
     if (event.boot == from->previous_boot)
       return;
-    Invalidate(*from);
+    InvalidateAll(*from);
     from->previous_boot = from->boot;
     from->boot = event.boot;
     from->next = event.sequence;
@@ -77,14 +96,16 @@
     }
     return;
   }
-  if (event.sequence > from->next || event.kind == cache_event_kind::kCleared)
+  if (event.sequence > from->next)
     Invalidate(*from);
   from->next = event.sequence + 1;
-  if (event.kind == cache_event_kind::kCleared)
+  if (event.kind == cache_event_kind::kCleared) {
+    InvalidateAll(*from);
     return;
+  }
   for (const std::uint64_t hash : event.blocks) {
     if (event.kind == cache_event_kind::kStored) {
-      Store(slot, hash);
+      Store(slot, hash, false);
     } else {
       Remove(slot, hash);
     }
@@ -97,7 +118,7 @@
     return;
   const auto slot = static_cast<std::uint16_t>(from - sources_.data());
   for (const std::uint64_t hash : blocks)
-    Store(slot, hash);
+    Store(slot, hash, true);
 }
 
 void prefix_index::Forget(upstream_key upstream) {
@@ -105,13 +126,13 @@
   if (position == slots_.end())
     return;
   source& from = sources_[position->second];
-  Invalidate(from);
-  // The epoch stays, so that the next user of the slot does not inherit the blocks.
-  from = source{.epoch = from.epoch};
+  InvalidateAll(from);
+  // The epochs stay, so that the next user of the slot does not inherit the blocks.
+  from = source{.epoch = from.epoch, .own_epoch = from.own_epoch};
   slots_.erase(position);
 }
 
-void prefix_index::Store(std::uint16_t slot, std::uint64_t hash) {
+void prefix_index::Store(std::uint16_t slot, std::uint64_t hash, bool own) {
   ++clock_;
   set& candidates = sets_[Mix64(hash) & (sets_.size() - 1)];
   block* target = &candidates.ways.front();
@@ -131,10 +152,16 @@
   auto position = std::find_if(holders.begin(), holders.end(), [&](const holder& held) {
     return held.epoch != 0 && held.slot == slot;
   });
-  if (position == holders.end())
+  if (position == holders.end()) {
     position = std::prev(holders.end());
+  } else if (position->own != 0 && position->epoch == sources_[slot].own_epoch) {
+    own = true;  // An event confirms what the entry knows by itself.
+  }
   std::move_backward(holders.begin(), position, std::next(position));
-  holders.front() = {slot, sources_[slot].epoch};
+  const source& from = sources_[slot];
+  const unsigned epoch = own ? from.own_epoch : from.epoch;
+  holders.front() = holder{.slot = slot, .epoch = static_cast<std::uint16_t>(epoch & kMaxEpoch)};
+  holders.front().own = own ? 1 : 0;
 }
 
 void prefix_index::Remove(std::uint16_t slot, std::uint64_t hash) {
@@ -158,7 +185,8 @@
 }
 
 bool prefix_index::Trusted(const holder& held) const noexcept {
-  return held.epoch != 0 && held.epoch == sources_[held.slot].epoch;
+  const source& from = sources_[held.slot];
+  return held.epoch != 0 && held.epoch == (held.own != 0 ? from.own_epoch : from.epoch);
 }
 
 void prefix_index::AddHolders(std::uint64_t hash,
--- a/libs/routing/src/weigh.cc
+++ b/libs/routing/src/weigh.cc
@@ -28,7 +28,24 @@
       region_(input.table->NumberOf(input.request.region)),
       failure_domain_(input.table->NumberOf(input.request.failure_domain)),
       queue_percent_(QueuePercent(input)),
-      deadline_us_(DeadlineUs(input.request.deadline)) {}
+      deadline_us_(DeadlineUs(input.request.deadline)) {
+  for (const upstream_key key : input.request.tried) {
+    const std::uint32_t index = input.table->IndexOf(key);
+    if (index == routing_table::kNone || tried_domains_ == tried_domain_.size())
+      continue;
+    if (input.table->failure_domain(index) != 0)
+      tried_domain_[tried_domains_++] = input.table->failure_domain(index);
+  }
+}
+
+bool weigher::SharesTriedDomain(std::uint32_t index) const noexcept {
+  const std::uint16_t domain = input_.table->failure_domain(index);
+  for (std::size_t i = 0; i < tried_domains_; ++i) {
+    if (tried_domain_[i] == domain)
+      return true;
+  }
+  return false;
+}
 
 route_candidate weigher::Weigh(std::uint32_t index,
                                std::uint32_t cached_blocks,
@@ -55,12 +72,16 @@
   } else if (failure_domain_ != 0 && input_.table->failure_domain(index) != failure_domain_) {
     candidate.score += settings.domain_penalty.count();
   }
+  if (SharesTriedDomain(index))
+    candidate.score += settings.retry_domain_penalty.count();
 
-  // An old or missing hint may be wrong, and the agent decides anyway; it must not cause a
+  // An old or missing hint on load may be wrong, and the agent decides anyway; it must not cause a
   // rejection here.
   const bool fresh = known && load.age <= settings.hint_lifetime;
   if (Tried(index)) {
     candidate.excluded = exclusion::kTried;
+  } else if (load.closed) {
+    candidate.excluded = exclusion::kClosed;
   } else if (known && load.cold && held >= limit) {
     candidate.excluded = exclusion::kColdFull;
   } else if (fresh && held * kPercent >= limit * (kPercent + queue_percent_)) {
--- a/libs/routing/src/weigh.h
+++ b/libs/routing/src/weigh.h
@@ -31,12 +31,19 @@
   [[nodiscard]] std::uint16_t region() const noexcept { return region_; }
 
  private:
+  /// Tried upstreams whose failure domains are remembered; retries are fewer than that.
+  static constexpr std::size_t kMaxTriedDomains = 4;
+
+  [[nodiscard]] bool SharesTriedDomain(std::uint32_t index) const noexcept;
+
   const route_input& input_;
   std::uint32_t prefix_blocks_;
   std::uint16_t region_;
   std::uint16_t failure_domain_;
   std::uint64_t queue_percent_;
   std::int64_t deadline_us_;
+  std::size_t tried_domains_ = 0;
+  std::array<std::uint16_t, kMaxTriedDomains> tried_domain_{};
 };
 
 /// \brief Adds a candidate unless the decision has it already; keeps the better estimate of the
@@ -53,7 +60,7 @@
 [[nodiscard]] error NoPoolError(const route_input& input);
 
 /// \brief Number of upstreams for each value of `exclusion`.
-using exclusion_counts = std::array<std::size_t, 5>;
+using exclusion_counts = std::array<std::size_t, 6>;
 /// \brief Says why no upstream of a pool can be chosen.
 [[nodiscard]] error ExcludedError(const route_input& input, const exclusion_counts& counts);
 /// \brief The error for a pool whose upstreams were all tried.
--- a/libs/routing/tests/replay_test.cc
+++ b/libs/routing/tests/replay_test.cc
@@ -27,6 +27,7 @@
                         .queued = static_cast<std::uint32_t>(i % 3),
                         .limit = static_cast<std::uint32_t>(i % 5 == 0 ? 0 : 6),
                         .cold = i % 11 == 0,
+                        .closed = i % 13 == 0,
                         .age = milliseconds(i * 90),
                         .sent_since = static_cast<std::uint32_t>(i % 4)};
   }
