Test the admission library; fix three faults found on the way

Faults fixed: a gate destroyed with queued work failed an assertion, since its entries were destroyed before the queue that links them; estimates from a bad time could reject every deadline for ever, as nothing ran that could correct them; slow work at low load lowered the limit over time, as quick work below three quarters of the limit was not counted against it. Conclusion: the public headers keep their calls; tickets compare by == and <.

--- a/libs/admission/include/quincebank/admission/concurrency_limit.h
+++ b/libs/admission/include/quincebank/admission/concurrency_limit.h
@@ -51,8 +51,9 @@
   std::size_t threshold_;
   std::uint32_t round_ = 0;
   std::uint32_t epoch_ = 0;
-  std::size_t good_ = 0;
-  std::size_t slow_ = 0;
+  std::size_t good_ = 0;      ///< Evidence for a raise in this round.
+  std::size_t finished_ = 0;  ///< All work that finished in this window of a round.
+  std::size_t slow_ = 0;      ///< Slow or failed work in the same window.
   std::size_t spikes_in_a_row_ = 0;
   bool cold_ = true;
 };
--- a/libs/admission/include/quincebank/admission/gate.h
+++ b/libs/admission/include/quincebank/admission/gate.h
@@ -50,7 +50,8 @@
               time_point now);
 
   /// \brief Withdraws a request whose caller has left. A queued one leaves the queue; admitted work
-  /// frees its slot without being evidence.
+  /// frees its slot without being evidence, so call it for such work only once the upstream has
+  /// stopped running it.
   void Cancel(admission_ticket ticket);
 
   /// \brief Returns what to start and what to reject now. Call after `Offer`, `Finish`, `Cancel`
@@ -83,11 +84,11 @@
   void Release(entry& work) noexcept;
 
   const admission_settings settings_;
+  std::vector<entry> entries_;  // before `queue_`, which links its elements
+  std::vector<std::uint32_t> free_;
   concurrency_limit limit_;
   occupancy_estimate occupancy_;
   fair_queue queue_;
-  std::vector<entry> entries_;
-  std::vector<std::uint32_t> free_;
   std::vector<shed_ticket> shed_;
   std::size_t in_flight_ = 0;
   std::optional<std::uint64_t> boot_number_;
--- a/libs/admission/include/quincebank/admission/request.h
+++ b/libs/admission/include/quincebank/admission/request.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -29,7 +28,10 @@
 struct admission_ticket {
   std::uint64_t value = 0;  ///< 0 names no request.
 
-  [[nodiscard]] auto operator<=>(const admission_ticket&) const noexcept = default;
+  [[nodiscard]] bool operator==(const admission_ticket&) const noexcept = default;
+  [[nodiscard]] bool operator<(const admission_ticket& other) const noexcept {
+    return value < other.value;
+  }
 };
 
 /// \brief Why a request was not run.
--- a/libs/admission/src/concurrency_limit.cc
+++ b/libs/admission/src/concurrency_limit.cc
@@ -1,7 +1,6 @@
 #include "quincebank/admission/concurrency_limit.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace quincebank {
 namespace {
@@ -9,8 +8,8 @@
 // A round holds as much finished work as the limit, but at least this much: two quick answers say
 // little about an upstream.
 constexpr std::size_t kLeastEvidence = 3;
-// A round with at most one slow request in this many is good.
-constexpr std::size_t kGoodPerSlow = 8;
+// More than one slow request in this many voids the good ones before it.
+constexpr std::size_t kPerSlow = 8;
 // The limit counts as used from three quarters on. Work that finished at a lower concurrency says
 // nothing about a higher limit.
 constexpr std::size_t kUsedNumerator = 3;
@@ -45,6 +44,7 @@
     threshold_ = std::max(cold_limit_, before / 2);
     return;
   }
+  ++finished_;
   if (failed || service_time > ramp_.good_service_time) {
     ++slow_;
   } else if (started.round == round_ && in_flight * kUsedDenominator >= limit_ * kUsedNumerator) {
@@ -54,21 +54,24 @@
 }
 
 void concurrency_limit::Decide() noexcept {
-  if (good_ + slow_ < std::max(limit_, kLeastEvidence))
-    return;
-  const std::size_t good = good_;
-  const std::size_t slow = slow_;
-  good_ = 0;
-  slow_ = 0;
-  if (slow * kGoodPerSlow <= good) {
-    Grow();
-  } else if (slow > good) {
-    Decrease(static_cast<std::size_t>(static_cast<double>(limit_) * ramp_.decrease));
+  const std::size_t needed = std::max(limit_, kLeastEvidence);
+  if (finished_ >= needed) {
+    if (slow_ * 2 > finished_) {
+      Decrease(static_cast<std::size_t>(static_cast<double>(limit_) * ramp_.decrease));
+      return;
+    }
+    if (slow_ * kPerSlow > finished_)
+      good_ = 0;
+    finished_ = 0;
+    slow_ = 0;
   }
+  if (good_ >= needed)
+    Grow();
 }
 
 void concurrency_limit::Grow() noexcept {
   cold_ = false;
+  good_ = 0;
   if (limit_ >= full_limit_)
     return;
   if (limit_ < threshold_) {
@@ -97,6 +100,7 @@
 void concurrency_limit::StartRound() noexcept {
   ++round_;
   good_ = 0;
+  finished_ = 0;
   slow_ = 0;
   spikes_in_a_row_ = 0;
 }
--- a/libs/admission/src/gate.cc
+++ b/libs/admission/src/gate.cc
@@ -32,11 +32,11 @@
 
 admission_gate::admission_gate(const admission_settings& settings)
     : settings_(Normalized(settings)),
+      entries_(settings_.queue_limit + settings_.full_limit),
+      free_(entries_.size()),
       limit_(settings_.cold_limit, settings_.full_limit, settings_.ramp),
       occupancy_(settings_.expected_service_time),
-      queue_(settings_.queue_limit, settings_.idle_workspace_limit),
-      entries_(settings_.queue_limit + settings_.full_limit),
-      free_(entries_.size()) {
+      queue_(settings_.queue_limit, settings_.idle_workspace_limit) {
   for (std::uint32_t i = 0; i < entries_.size(); ++i) {
     entries_[i].index = i;
     free_[free_.size() - 1 - i] = i;
@@ -89,6 +89,12 @@
 bool admission_gate::CanMeetDeadline(const admission_request& request) const noexcept {
   if (!request.deadline)
     return true;
+  if (*request.deadline <= milliseconds(0))
+    return false;
+  // With less work than a cold upstream handles, anything may try. Otherwise estimates from a bad
+  // time could keep out the work that would correct them.
+  if (in_flight_ < settings_.cold_limit)
+    return true;
   // A free slot is given to anything that has a chance. A slot that others wait for goes only to
   // work that more likely than not meets its deadline.
   if (queue_.empty() && in_flight_ < limit_.limit())
--- /dev/null
+++ b/libs/admission/tests/concurrency_limit_test.cc
@@ -0,0 +1,159 @@
+#include "quincebank/admission/concurrency_limit.h"
+
+#include <gtest/gtest.h>
+
+namespace quincebank {
+namespace {
+
+constexpr milliseconds kGood{100};
+constexpr milliseconds kSlow{150};
+constexpr milliseconds kSpike{1000};
+
+ramp_settings Ramp() {
+  ramp_settings ramp;
+  ramp.good_service_time = kGood;
+  ramp.spike_factor = 4.0;
+  ramp.spike_count = 2;
+  return ramp;
+}
+
+/// Finishes work that was started under the present limit, with the limit fully used.
+void FinishUsed(concurrency_limit& limit,
+                std::size_t count,
+                milliseconds service_time = kGood,
+                work_outcome outcome = work_outcome::kServed) {
+  for (std::size_t i = 0; i < count; ++i)
+    limit.OnFinish(limit.mark(), outcome, service_time, limit.limit());
+}
+
+/// Stops at the finish that raises the limit, so that the next one starts a new round.
+void WarmUp(concurrency_limit& limit) {
+  for (int i = 0; i < 1000 && !limit.full(); ++i)
+    FinishUsed(limit, 1);
+}
+
+TEST(concurrency_limit_test, StartsColdAndReachesTheFullLimit) {
+  concurrency_limit limit(2, 32, Ramp());
+  EXPECT_EQ(limit.limit(), 2U);
+  EXPECT_TRUE(limit.cold());
+  WarmUp(limit);
+  EXPECT_EQ(limit.limit(), 32U);
+  EXPECT_FALSE(limit.cold());
+}
+
+struct no_evidence_case {
+  const char* name;
+  work_outcome outcome;
+  milliseconds service_time;
+  std::size_t in_flight;
+  limit_mark mark;
+};
+
+class no_evidence_test : public testing::TestWithParam<no_evidence_case> {};
+
+// Guards against a cold upstream that gets more work because of finishes that prove nothing.
+TEST_P(no_evidence_test, NeverRaisesTheLimit) {
+  concurrency_limit limit(4, 32, Ramp());
+  const no_evidence_case& given = GetParam();
+  for (int i = 0; i < 100; ++i)
+    limit.OnFinish(given.mark, given.outcome, given.service_time, given.in_flight);
+  EXPECT_EQ(limit.limit(), 4U);
+  EXPECT_TRUE(limit.cold());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Finishes,
+    no_evidence_test,
+    testing::Values(
+        no_evidence_case{"cancelled", work_outcome::kNoEvidence, kGood, 4, {}},
+        no_evidence_case{"failed", work_outcome::kUpstreamError, kGood, 4, {}},
+        no_evidence_case{"timed_out", work_outcome::kTimedOut, kGood, 4, {}},
+        no_evidence_case{"refused", work_outcome::kRefused, kGood, 4, {}},
+        no_evidence_case{"slow", work_outcome::kServed, kSlow, 4, {}},
+        no_evidence_case{"limit_unused", work_outcome::kServed, kGood, 2, {}},
+        no_evidence_case{"older_limit", work_outcome::kServed, kGood, 4, {.round = 99}},
+        no_evidence_case{"before_a_fallback", work_outcome::kServed, kGood, 4, {.epoch = 99}}),
+    [](const auto& info) { return info.param.name; });
+
+struct fall_case {
+  const char* name;
+  milliseconds service_time;
+  work_outcome outcome;
+  std::size_t finishes;
+  std::size_t limit;
+  bool cold;
+};
+
+class fall_test : public testing::TestWithParam<fall_case> {};
+
+// Guards against an upstream that turned cold and keeps getting a full share, and against a lone
+// slow request that takes a warm upstream out of service.
+TEST_P(fall_test, FollowsTheServiceTime) {
+  concurrency_limit limit(2, 32, Ramp());
+  WarmUp(limit);
+  ASSERT_EQ(limit.limit(), 32U);
+  const limit_mark mark = limit.mark();
+  for (std::size_t i = 0; i < GetParam().finishes; ++i)
+    limit.OnFinish(mark, GetParam().outcome, GetParam().service_time, 32);
+  EXPECT_EQ(limit.limit(), GetParam().limit);
+  EXPECT_EQ(limit.cold(), GetParam().cold);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Finishes,
+    fall_test,
+    testing::Values(fall_case{"one_spike", kSpike, work_outcome::kServed, 1, 32, false},
+                    fall_case{"two_spikes", kSpike, work_outcome::kServed, 2, 2, true},
+                    fall_case{"one_error", kGood, work_outcome::kUpstreamError, 1, 32, false},
+                    fall_case{"two_errors", kGood, work_outcome::kUpstreamError, 2, 2, true},
+                    fall_case{"two_timeouts", kGood, work_outcome::kTimedOut, 2, 2, true},
+                    fall_case{"one_refusal", kGood, work_outcome::kRefused, 1, 22, false},
+                    // One overload lowers the limit once, however much old work it slowed down.
+                    fall_case{"many_refusals", kGood, work_outcome::kRefused, 20, 22, false},
+                    fall_case{"slow_round", kSlow, work_outcome::kServed, 32, 22, false},
+                    fall_case{"slow_old_work", kSlow, work_outcome::kServed, 200, 22, false},
+                    fall_case{"part_of_a_slow_round", kSlow, work_outcome::kServed, 31, 32, false}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against a limit that falls over days because slow work is counted and quick work at low
+// load is not.
+TEST(concurrency_limit_test, RareSlowWorkAtLowLoadChangesNothing) {
+  concurrency_limit limit(2, 32, Ramp());
+  WarmUp(limit);
+  for (int i = 0; i < 1000; ++i) {
+    limit.OnFinish(limit.mark(), work_outcome::kServed, i % 10 == 0 ? kSlow : kGood, 1);
+    ASSERT_EQ(limit.limit(), 32U);
+  }
+}
+
+// Guards against a second fast ramp into the limit at which the upstream has just failed.
+TEST(concurrency_limit_test, RampsInSmallStepsNearTheLastFailure) {
+  concurrency_limit limit(2, 32, Ramp());
+  WarmUp(limit);
+  FinishUsed(limit, 2, kSpike);
+  ASSERT_EQ(limit.limit(), 2U);
+  std::size_t last = limit.limit();
+  while (!limit.full()) {
+    FinishUsed(limit, 1);
+    const std::size_t step = limit.limit() - last;
+    if (last >= 16) {
+      ASSERT_LE(step, 1U);
+    }
+    last = limit.limit();
+  }
+}
+
+// Guards against evidence from before a restart that raises the limit of the new, cold engine.
+TEST(concurrency_limit_test, WorkFromBeforeAFallBackIsNoEvidence) {
+  concurrency_limit limit(2, 32, Ramp());
+  WarmUp(limit);
+  const limit_mark before = limit.mark();
+  limit.FallBack();
+  for (int i = 0; i < 100; ++i)
+    limit.OnFinish(before, work_outcome::kServed, kGood, 32);
+  EXPECT_EQ(limit.limit(), 2U);
+  EXPECT_TRUE(limit.cold());
+}
+
+}  // namespace
+}  // namespace quincebank
--- /dev/null
+++ b/libs/admission/tests/gate_property_test.cc
@@ -0,0 +1,114 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+#include "quincebank/admission/gate.h"
+#include "quincebank/base/random.h"
+
+namespace quincebank {
+namespace {
+
+class gate_property_test : public testing::TestWithParam<std::uint64_t> {};
+
+enum class known : std::uint8_t { kQueued, kRunning };
+
+// Guards against lost or doubled requests, a limit that is exceeded, and a cold upstream with a
+// queue, under random calls and events: each accepted ticket is started at most once and ends
+// exactly once.
+TEST_P(gate_property_test, EveryTicketHasOneLife) {
+  random_source random(GetParam());
+  admission_settings settings;
+  settings.cold_limit = 1 + random.Below(3);
+  settings.full_limit = settings.cold_limit + random.Below(20);
+  settings.queue_limit = random.Below(40);
+  settings.idle_workspace_limit = random.Below(5);
+  settings.ramp.good_service_time = milliseconds(100);
+  admission_gate gate(settings);
+  std::map<admission_ticket, known> tickets;
+  time_point now{seconds(1)};
+  std::uint64_t boot = 0;
+  bool draining = false;
+
+  const auto pick = [&](known wanted) {
+    std::vector<admission_ticket> matching;
+    for (const auto& [ticket, state] : tickets) {
+      if (state == wanted)
+        matching.push_back(ticket);
+    }
+    return matching.empty() ? admission_ticket{} : matching[random.Below(matching.size())];
+  };
+
+  for (int step = 0; step < 5'000; ++step) {
+    now += milliseconds(random.Below(20));
+    const std::uint64_t action = random.Below(100);
+    const std::size_t limit_before = gate.State().limit;
+    if (action < 55) {
+      admission_request request{.workspace = random.Below(30),
+                                .weight = static_cast<std::uint32_t>(random.Below(4)),
+                                .priority = static_cast<std::uint8_t>(random.Below(10))};
+      if (random.Below(2) == 0)
+        request.deadline = milliseconds(random.Below(2000));
+      const admission_decision decision = gate.Offer(request, now);
+      ASSERT_EQ(decision.rejected(), decision.ticket == admission_ticket{});
+      if (!decision.rejected()) {
+        ASSERT_FALSE(draining);
+        ASSERT_TRUE(
+            tickets.emplace(decision.ticket, decision.admitted() ? known::kRunning : known::kQueued)
+                .second);
+      } else {
+        ASSERT_EQ(decision.refused.failure.outcome, verdict::kNotRun);
+        ASSERT_GT(decision.refused.retry_after.count(), 0);
+      }
+    } else if (action < 90) {
+      const admission_ticket ticket = pick(known::kRunning);
+      const auto outcome =
+          random.Below(20) == 0 ? work_outcome::kUpstreamError : work_outcome::kServed;
+      gate.Finish(ticket, outcome, milliseconds(random.Below(130)), now);
+      tickets.erase(ticket);
+    } else if (action < 94) {
+      const admission_ticket ticket = pick(random.Below(2) == 0 ? known::kQueued : known::kRunning);
+      gate.Cancel(ticket);
+      tickets.erase(ticket);
+    } else if (action < 96) {
+      gate.OnUpstreamBoot(boot += random.Below(2));
+    } else if (action < 97) {
+      gate.OnConnectionLost();
+      ASSERT_EQ(gate.State().limit, settings.cold_limit);
+    } else if (action < 98) {
+      draining = !draining && random.Below(3) == 0;
+      gate.SetDraining(draining);
+    }
+    // Only finished work raises the limit.
+    if (action < 55 || action >= 90) {
+      ASSERT_LE(gate.State().limit, limit_before);
+    }
+    const std::size_t before = gate.State().in_flight;
+    const queue_changes changes = gate.NextAdmitted(now);
+    for (const admission_ticket ticket : changes.admitted) {
+      ASSERT_EQ(tickets.at(ticket), known::kQueued);
+      tickets.at(ticket) = known::kRunning;
+    }
+    for (const shed_ticket& shed : changes.shed) {
+      ASSERT_EQ(tickets.at(shed.ticket), known::kQueued);
+      tickets.erase(shed.ticket);
+    }
+    const admission_state state = gate.State();
+    const auto running = std::count_if(tickets.begin(), tickets.end(), [](const auto& ticket) {
+      return ticket.second == known::kRunning;
+    });
+    ASSERT_EQ(state.in_flight, static_cast<std::size_t>(running));
+    ASSERT_EQ(state.in_flight + state.queued, tickets.size());
+    ASSERT_LE(state.in_flight, std::max(before, state.limit));
+    ASSERT_LE(state.limit, settings.full_limit);
+    if (state.phase == admission_phase::kCold || state.phase == admission_phase::kDraining) {
+      ASSERT_EQ(state.queued, 0U);
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, gate_property_test, testing::Range<std::uint64_t>(1, 33));
+
+}  // namespace
+}  // namespace quincebank
