Add fault tables for the idempotency library

Cause: each interface has failure cases (lost reply, delayed write, restart, eviction, damaged value) that the daemons rely on. Change: one parameterised table per interface; each row is named after the failure that it guards against.

--- /dev/null
+++ b/libs/idempotency/tests/claim_bucket_test.cc
@@ -0,0 +1,123 @@
+#include "quincebank/idempotency/claim_bucket.h"
+
+#include <gtest/gtest.h>
+
+#include "quincebank/idempotency/retention.h"
+
+namespace quincebank {
+namespace {
+
+constexpr wall_time kNow{seconds(1'800'000'000)};
+
+claim MakeClaim(std::uint64_t number, std::uint64_t target = 1) {
+  return {{number, ~number},
+          number * 3,
+          {number, 1},
+          {"10.0.0." + std::to_string(target) + ":7000", incarnation{target}},
+          kNow};
+}
+
+claim_bucket MakeBucket(std::uint64_t claims) {
+  claim_bucket bucket;
+  for (std::uint64_t i = 0; i < claims; ++i)
+    EXPECT_TRUE(bucket.Put(MakeClaim(i, i % 3)));
+  return bucket;
+}
+
+TEST(claim_bucket_test, SurvivesTheWire) {
+  const claim_bucket bucket = MakeBucket(100);
+  const std::string value = bucket.Serialise();
+  EXPECT_EQ(value.size(), bucket.Bytes());
+  const auto read = claim_bucket::Parse(value);
+  ASSERT_TRUE(read.has_value());
+  EXPECT_EQ(read.value().size(), 100U);
+  for (std::uint64_t i = 0; i < 100; ++i)
+    EXPECT_EQ(*read.value().Find(MakeClaim(i).key), MakeClaim(i, i % 3));
+}
+
+class broken_bucket_test : public testing::TestWithParam<std::size_t> {};
+
+// Guards against overwriting live claims after misreading a damaged value.
+TEST_P(broken_bucket_test, IsRefused) {
+  const std::string value = MakeBucket(3).Serialise();
+  EXPECT_FALSE(claim_bucket::Parse(value.substr(0, GetParam())).has_value());
+  EXPECT_FALSE(claim_bucket::Parse(value + "x").has_value());
+  std::string other_format = value;
+  other_format[2] = '2';
+  EXPECT_FALSE(claim_bucket::Parse(other_format).has_value());
+  std::string bad_target = value;
+  bad_target.back() = '\x7f';
+  EXPECT_FALSE(claim_bucket::Parse(bad_target).has_value());
+}
+
+INSTANTIATE_TEST_SUITE_P(Lengths, broken_bucket_test, testing::Values(1, 4, 8, 12, 13, 40, 100));
+
+// Guards against two claims of one key, of which either could be found.
+TEST(claim_bucket_test, RefusesARepeatedKey) {
+  claim_bucket one;
+  EXPECT_TRUE(one.Put(MakeClaim(1)));
+  std::string value = one.Serialise();
+  const std::string entry = value.substr(value.size() - 46);
+  value[8] = 2;
+  EXPECT_FALSE(claim_bucket::Parse(value + entry).has_value());
+}
+
+// Guards against dropping a live claim, or growing past the service's limit, when full.
+TEST(claim_bucket_test, RefusesAClaimBeyondTheLimit) {
+  claim_bucket bucket = MakeBucket(10);
+  const std::size_t limit = bucket.Bytes() + 45;
+  EXPECT_FALSE(bucket.Put(MakeClaim(99, 1), limit));
+  EXPECT_EQ(bucket.size(), 10U);
+  EXPECT_TRUE(bucket.Put(MakeClaim(99, 1), limit + 1));
+  claim moved = MakeClaim(4, 2);
+  moved.attempt.low = 2;
+  EXPECT_TRUE(bucket.Put(moved, limit + 1)) << "a move to a known target needs no room";
+  EXPECT_FALSE(bucket.Put(MakeClaim(5, 9), limit + 1)) << "a new target needs room";
+  EXPECT_EQ(bucket.Find(MakeClaim(5).key)->target, MakeClaim(5, 2).target);
+  EXPECT_EQ(bucket.Bytes(), bucket.Serialise().size());
+}
+
+// Guards against removing a claim that has moved to another attempt.
+TEST(claim_bucket_test, RemovesOnlyTheNamedAttempt) {
+  claim_bucket bucket = MakeBucket(3);
+  EXPECT_FALSE(bucket.Remove(MakeClaim(1).key, attempt_id{1, 2}));
+  EXPECT_TRUE(bucket.Remove(MakeClaim(1).key, attempt_id{1, 1}));
+  EXPECT_EQ(bucket.Find(MakeClaim(1).key), nullptr);
+  EXPECT_EQ(bucket.Bytes(), bucket.Serialise().size());
+}
+
+TEST(claim_bucket_test, DropsOnlyExpiredClaims) {
+  claim_bucket bucket = MakeBucket(3);
+  claim old = MakeClaim(7);
+  old.created = kNow - seconds(1);
+  EXPECT_TRUE(bucket.Put(old));
+  EXPECT_EQ(bucket.DropExpired(kNow + kClaimRetention), 1U);
+  EXPECT_EQ(bucket.size(), 3U);
+}
+
+// Guards against erasing a bucket while a key of its slice is still accepted.
+TEST(bucket_name_test, ErasesOnlySlicesWhoseKeysAreTooOld) {
+  const bucket_layout layout;
+  const request_key fresh{{0, 5}, kNow};
+  const std::string name = BucketName(layout, fresh);
+  EXPECT_EQ(name, "claims/t30000000-1");
+  // The clocks of the issuer and of the erasing entry may differ.
+  request_key oldest = fresh;
+  oldest.issued = kNow - kKeyRetention - 2 * kClockMargin;
+  const auto erased = ErasableBucket(layout, name);
+  ASSERT_TRUE(erased.has_value());
+  EXPECT_TRUE(erased->ends_with("-1"));
+  ASSERT_EQ(erased->size(), name.size());
+  EXPECT_LT(*erased, BucketName(layout, oldest));
+}
+
+TEST(bucket_name_test, NeverErasesABucketWithoutTime) {
+  const bucket_layout layout;
+  const std::string name = BucketName(layout, {{0, 70}, std::nullopt});
+  EXPECT_EQ(name, "claims/p6");
+  EXPECT_EQ(ErasableBucket(layout, name), std::nullopt);
+  EXPECT_EQ(ErasableBucket(layout, "claims/tx"), std::nullopt);
+}
+
+}  // namespace
+}  // namespace quincebank
--- a/libs/idempotency/tests/umbrella_test.cc
+++ /dev/null
@@ -1,4 +0,0 @@
-#include <gtest/gtest.h>
-
-#include "quincebank/idempotency/fwd.h"
-#include "quincebank/idempotency/idempotency.h"
