--- a/libs/config/include/quincebank/config/apply_flow.h
+++ b/libs/config/include/quincebank/config/apply_flow.h
@@ -95,7 +95,7 @@
   milliseconds wait_;
   std::size_t plans_ = 0;
   std::string last_failure_;
-  std::optional<config_root> base_;
+  std::optional<config_base> base_;
   config_root current_;
   std::uint64_t current_index_ = 0;
   std::map<std::string, config_section> known_;  ///< Sections read so far, by digest.
--- a/libs/config/include/quincebank/config/document.h
+++ b/libs/config/include/quincebank/config/document.h
@@ -11,6 +11,7 @@
 
 #include "quincebank/base/error.h"
 #include "quincebank/base/time.h"
+#include "quincebank/config/root.h"
 
 namespace quincebank {
 
@@ -113,6 +114,7 @@
 /// \brief All sections, ordered by name.
 struct config_document {
   std::vector<config_section> sections;
+  std::optional<config_base> base;  ///< Member `$base`, which an export writes.
 
   [[nodiscard]] const config_section* Find(std::string_view name) const noexcept;
 };
@@ -141,7 +143,7 @@
 /// \brief Checks duplicates and references across all sections of a document.
 [[nodiscard]] result<void> CheckDocument(const config_document& document);
 
-/// \brief Writes a document back as JSON, an indented section each, for `quincebank export`.
+/// \brief Writes a document as JSON, with `$base` if it is set, for `quincebank export`.
 [[nodiscard]] std::string FormatDocument(const config_document& document);
 
 }  // namespace quincebank
--- a/libs/config/include/quincebank/config/plan.h
+++ b/libs/config/include/quincebank/config/plan.h
@@ -14,8 +14,9 @@
 /// \brief Change that an operator asks for.
 struct apply_request {
   config_document document;
-  /// Root that the document was edited from. Without it, the root in force at the start.
-  std::optional<config_root> base;
+  /// Takes the root in force at the start as the base if the document names none. Without this,
+  /// such a document may add sections but changes none: it may be older than what is in force.
+  bool replace = false;
   std::string author;    ///< Person or job, recorded in the root.
   std::string team;      ///< Compared with the owners of sections; `author` if empty.
   bool force = false;    ///< Changes sections of other owners. Never overrides a conflict.
@@ -43,7 +44,7 @@
 /// both sides changed differently is a conflict (`error_code::kConflict`); the error names section,
 /// owner and the author who was first. A change by a team that does not own the section
 /// is rejected unless forced, and so is a merged document with a fault.
-[[nodiscard]] result<apply_plan> PlanApply(const config_root& base,
+[[nodiscard]] result<apply_plan> PlanApply(const config_base& base,
                                            const config_snapshot& current,
                                            const apply_request& mine);
 
--- a/libs/config/include/quincebank/config/root.h
+++ b/libs/config/include/quincebank/config/root.h
@@ -45,6 +45,15 @@
   [[nodiscard]] bool operator==(const config_root&) const = default;
 };
 
+/// \brief Root that a document was edited from, as far as a three-way merge needs it.
+struct config_base {
+  std::uint64_t version = 0;  ///< 0 for a document that starts from nothing.
+  std::string digest;
+  std::map<std::string, std::string, std::less<>> sections;  ///< Digest by name.
+};
+
+[[nodiscard]] config_base BaseOf(const config_root& root);
+
 /// \brief Returns the canonical JSON, the bytes that are stored and hashed.
 [[nodiscard]] std::string Serialize(const config_root& root);
 /// \brief Returns the SHA-256 of the canonical JSON; empty for version 0.
--- a/libs/config/src/apply_flow.cc
+++ b/libs/config/src/apply_flow.cc
@@ -13,7 +13,7 @@
       deadline_(start + settings.time_limit),
       not_before_(start),
       wait_(settings.first_wait),
-      base_(request_.base) {
+      base_(request_.document.base) {
   for (const config_section& section : request_.document.sections)
     known_.emplace(section.digest, section);
 }
@@ -105,7 +105,7 @@
     current_index_ = value->index;
   }
   if (!base_)
-    base_ = current_;
+    base_ = request_.replace ? BaseOf(current_) : config_base();
   to_read_.clear();
   for (const auto& [name, ref] : current_.sections) {
     if (!known_.contains(ref.digest))
--- a/libs/config/src/document.cc
+++ b/libs/config/src/document.cc
@@ -18,6 +18,32 @@
     "failure_domains", "workspaces", "model_versions", "services", "upstreams", "objectives",
 };
 
+constexpr std::string_view kBaseKey = "$base";
+
+config_base ReadBase(const json::value& value, std::vector<error>& errors) {
+  json_reader reader(value, PointerTo("", kBaseKey), errors);
+  config_base base;
+  base.version = static_cast<std::uint64_t>(reader.Int("version", {}));
+  base.digest = reader.String("digest", "");
+  const json::object* const object = value.if_object();
+  const json::value* const sections = object ? object->if_contains("sections") : nullptr;
+  if (sections == nullptr || !sections->is_object()) {
+    reader.Fail("sections", "expected an object of digests");
+  } else {
+    json_reader digests(*sections, PointerTo(reader.path(), "sections"), errors);
+    for (const json::key_value_pair& member : sections->get_object())
+      base.sections.emplace(member.key(), digests.String(member.key()));
+  }
+  return base;
+}
+
+json::object ToJson(const config_base& base) {
+  json::object sections;
+  for (const auto& [name, digest] : base.sections)
+    sections[name] = digest;
+  return {{"version", base.version}, {"digest", base.digest}, {"sections", std::move(sections)}};
+}
+
 }  // namespace
 
 std::string_view ToString(section_kind kind) noexcept {
@@ -53,6 +79,10 @@
   std::vector<error> errors;
   document.sections.reserve(object->size());
   for (const json::key_value_pair& member : *object) {
+    if (member.key() == kBaseKey) {
+      document.base = ReadBase(member.value(), errors);
+      continue;
+    }
     document.sections.push_back(
         ReadSection(member.value(), member.key(), PointerTo("", member.key()), errors));
   }
@@ -86,6 +116,8 @@
 
 std::string FormatDocument(const config_document& document) {
   std::string text = "{";
+  if (document.base)
+    text += "\n  \"$base\": " + json::serialize(ToJson(*document.base));
   for (const config_section& section : document.sections) {
     const json::value value = json::parse(section.body);
     const std::string_view kind = ToString(section.kind());
--- a/libs/config/src/plan.cc
+++ b/libs/config/src/plan.cc
@@ -32,11 +32,16 @@
   return found == root.sections.end() ? std::string_view() : found->second.digest;
 }
 
+std::string_view DigestIn(const config_base& base, std::string_view name) {
+  const auto found = base.sections.find(name);
+  return found == base.sections.end() ? std::string_view() : found->second;
+}
+
 error Rejection(error_code code, std::string_view section, std::string message) {
   return error{code, std::move(message), verdict::kNotRun, PointerTo("", section)};
 }
 
-result<void> CheckBase(const config_root& base, const config_root& current) {
+result<void> CheckBase(const config_base& base, const config_root& current) {
   if (base.version > current.version) {
     return MakeError(error_code::kInvalidArgument,
                      "the document is based on version " + std::to_string(base.version) +
@@ -45,9 +50,7 @@
   const std::uint64_t behind = current.version - base.version;
   if (base.version == 0 || behind > current.previous.size())
     return outcome::success();
-  const std::string digest = Digest(base);
-  const bool known =
-      behind == 0 ? digest == Digest(current) : digest == current.previous[behind - 1];
+  const bool known = base.digest == (behind == 0 ? Digest(current) : current.previous[behind - 1]);
   if (known)
     return outcome::success();
   return MakeError(error_code::kInvalidArgument, "the document is based on a version " +
@@ -58,7 +61,7 @@
 /// Merges one request into one snapshot.
 class merge {
  public:
-  merge(const config_root& base, const config_snapshot& current, const apply_request& mine)
+  merge(const config_base& base, const config_snapshot& current, const apply_request& mine)
       : base_(base), current_(current), mine_(mine) {}
 
   result<apply_plan> Run();
@@ -73,7 +76,7 @@
   result<void> MergeSection(const std::string& name);
   void Finish();
 
-  const config_root& base_;
+  const config_base& base_;
   const config_snapshot& current_;
   const apply_request& mine_;
   apply_plan plan_;
@@ -101,6 +104,12 @@
                          std::to_string(current_.root.version) + " or one before, last author '" +
                          current_.root.author + "'");
   }
+  if (base_.version == 0) {
+    return Rejection(error_code::kConflict, name,
+                     "exists since version " + std::to_string(ref->second.version) + " by '" +
+                         ref->second.author + "' (owner '" + section->owner +
+                         "'), and the document names no $base; export it again or replace");
+  }
   return Rejection(error_code::kConflict, name,
                    "changed by '" + ref->second.author + "' in version " +
                        std::to_string(ref->second.version) + ", after version " +
@@ -167,7 +176,7 @@
 result<apply_plan> merge::Run() {
   BOOST_OUTCOME_TRYV(CheckBase(base_, current_.root));
   std::set<std::string> names;
-  for (const auto& [name, ref] : base_.sections)
+  for (const auto& [name, digest] : base_.sections)
     names.insert(name);
   for (const auto& [name, ref] : current_.root.sections)
     names.insert(name);
@@ -197,7 +206,7 @@
 
 }  // namespace
 
-result<apply_plan> PlanApply(const config_root& base,
+result<apply_plan> PlanApply(const config_base& base,
                              const config_snapshot& current,
                              const apply_request& mine) {
   return merge(base, current, mine).Run();
--- a/libs/config/src/root.cc
+++ b/libs/config/src/root.cc
@@ -49,6 +49,13 @@
   return root.version == 0 ? std::string() : Sha256Hex(Serialize(root));
 }
 
+config_base BaseOf(const config_root& root) {
+  config_base base{root.version, Digest(root), {}};
+  for (const auto& [name, ref] : root.sections)
+    base.sections.emplace(name, ref.digest);
+  return base;
+}
+
 result<config_root> ParseRoot(std::string_view text) {
   auto parsed = ParseJson(text);
   if (!parsed)
--- a/libs/config/tests/document_test.cc
+++ b/libs/config/tests/document_test.cc
@@ -116,12 +116,16 @@
 
 // Guards against an export that cannot be applied again or changes digests.
 TEST(document_test, FormattedDocumentParsesToTheSameSections) {
-  const auto parsed = ParseDocument(Document());
+  auto parsed = ParseDocument(Document());
   ASSERT_TRUE(parsed.has_value());
+  parsed.value().base = config_base{7, "d", {{"domains", "e"}}};
   const auto again = ParseDocument(FormatDocument(parsed.value()));
   ASSERT_TRUE(again.has_value()) << Describe(again.error());
   for (const config_section& section : parsed.value().sections)
     EXPECT_EQ(again.value().Find(section.name)->digest, section.digest);
+  ASSERT_TRUE(again.value().base.has_value());
+  EXPECT_EQ(again.value().base->version, 7U);
+  EXPECT_EQ(again.value().base->sections, parsed.value().base->sections);
 }
 
 // Guards against a body that the key-value service refuses after the checks have passed.
--- a/libs/config/tests/holder_test.cc
+++ b/libs/config/tests/holder_test.cc
@@ -22,7 +22,7 @@
       request.author = "ops";
       request.force = true;
       request.id = std::to_string(i);
-      const auto plan = PlanApply(current.root, current, request);
+      const auto plan = PlanApply(BaseOf(current.root), current, request);
       current = {plan.value().root, request.document};
       snapshots_.push_back(current);
     }
--- a/libs/config/tests/plan_test.cc
+++ b/libs/config/tests/plan_test.cc
@@ -29,7 +29,7 @@
 
 config_snapshot After(const config_snapshot& current, apply_request request) {
   request.force = true;
-  auto plan = PlanApply(current.root, current, request);
+  auto plan = PlanApply(BaseOf(current.root), current, request);
   EXPECT_TRUE(plan.has_value()) << Describe(plan.error());
   return {plan.value().root, request.document};
 }
@@ -63,7 +63,7 @@
   const config_snapshot current = After(base, Request(GetParam().theirs, "anna"));
   apply_request mine = Request(GetParam().mine, GetParam().author);
   mine.force = GetParam().force;
-  const auto plan = PlanApply(base.root, current, mine);
+  const auto plan = PlanApply(BaseOf(base.root), current, mine);
   ASSERT_EQ(plan.has_value(), GetParam().accepted)
       << (plan ? std::string() : Describe(plan.error()));
   if (plan) {
@@ -110,7 +110,7 @@
 TEST(plan_test, SameChangeOnBothSidesIsUnchanged) {
   const config_snapshot base = First();
   const config_snapshot current = After(base, Request(kWeight5, "anna"));
-  const auto plan = PlanApply(base.root, current, Request(kWeight5, "sales"));
+  const auto plan = PlanApply(BaseOf(base.root), current, Request(kWeight5, "sales"));
   ASSERT_TRUE(plan.has_value());
   EXPECT_TRUE(plan.value().unchanged);
   EXPECT_EQ(plan.value().root, current.root);
@@ -123,7 +123,7 @@
       R"({"workspaces-b": {"owner": "sales", "kind": "workspaces", "workspaces": [{"name": "w"}]}})",
       "sales");
   mine.partial = true;
-  const auto plan = PlanApply(current.root, current, mine);
+  const auto plan = PlanApply(BaseOf(current.root), current, mine);
   ASSERT_TRUE(plan.has_value()) << Describe(plan.error());
   EXPECT_EQ(plan.value().root.sections.size(), current.root.sections.size() + 1);
   ASSERT_EQ(plan.value().changed.size(), 1U);
@@ -138,11 +138,11 @@
   apply_request mine = Request(Document(), "sales");
   std::erase_if(mine.document.sections,
                 [](const config_section& section) { return section.name == "objectives"; });
-  const auto refused = PlanApply(current.root, current, mine);
+  const auto refused = PlanApply(BaseOf(current.root), current, mine);
   ASSERT_FALSE(refused.has_value());
   EXPECT_EQ(refused.error().path, "/objectives");
   mine.team = "ops";
-  const auto plan = PlanApply(current.root, current, mine);
+  const auto plan = PlanApply(BaseOf(current.root), current, mine);
   ASSERT_TRUE(plan.has_value()) << Describe(plan.error());
   EXPECT_FALSE(plan.value().root.sections.contains("objectives"));
 }
@@ -151,18 +151,30 @@
 TEST(plan_test, OwnershipIsGivenAwayByTheOldOwner) {
   const config_snapshot current = First();
   const std::string text = Replace(Document(), "\"owner\": \"sales\"", "\"owner\": \"web\"");
-  EXPECT_FALSE(PlanApply(current.root, current, Request(text, "web")).has_value());
-  EXPECT_TRUE(PlanApply(current.root, current, Request(text, "sales")).has_value());
+  EXPECT_FALSE(PlanApply(BaseOf(current.root), current, Request(text, "web")).has_value());
+  EXPECT_TRUE(PlanApply(BaseOf(current.root), current, Request(text, "sales")).has_value());
+}
+
+// Guards against a document of unknown age that undoes accepted changes.
+TEST(plan_test, WithoutABaseNothingInForceIsChanged) {
+  const config_snapshot current = First();
+  const auto refused = PlanApply({}, current, Request(kWeight5, "sales"));
+  ASSERT_FALSE(refused.has_value());
+  EXPECT_EQ(refused.error().path, "/workspaces-a");
+  EXPECT_NE(refused.error().message.find("names no $base"), std::string::npos);
+  const auto same = PlanApply({}, current, Request(Document(), "sales"));
+  ASSERT_TRUE(same.has_value());
+  EXPECT_TRUE(same.value().unchanged);
 }
 
 // Guards against a merge with a base that comes from another deployment or from the future.
 TEST(plan_test, RejectsAForeignBase) {
   const config_snapshot first = First();
   const config_snapshot second = After(first, Request(kWeight5, "anna"));
-  EXPECT_FALSE(PlanApply(second.root, first, Request(kWeight6, "sales")).has_value());
+  EXPECT_FALSE(PlanApply(BaseOf(second.root), first, Request(kWeight6, "sales")).has_value());
   config_root foreign = first.root;
   foreign.id = "another";
-  EXPECT_FALSE(PlanApply(foreign, second, Request(kTimeout, "ops")).has_value());
+  EXPECT_FALSE(PlanApply(BaseOf(foreign), second, Request(kTimeout, "ops")).has_value());
 }
 
 // Guards against a root whose history grows without bound or loses its order.
