--- a/libs/config/include/quincebank/config/holder.h
+++ b/libs/config/include/quincebank/config/holder.h
@@ -88,6 +88,11 @@
   /// \brief Returns the body of the held root or of one of its sections, for peers.
   [[nodiscard]] const std::string* Body(std::string_view digest) const noexcept;
   [[nodiscard]] root_announcement Announce(time_point now) const;
+  /// \brief Returns the answer to a peer that holds version `have`.
+  [[nodiscard]] root_answer Answer(std::uint64_t have, time_point now) const;
+  [[nodiscard]] holder_state State(time_point now) const noexcept;
+  /// \brief Returns the time since a node read the held root from the service, if known.
+  [[nodiscard]] std::optional<milliseconds> Age(time_point now) const noexcept;
   [[nodiscard]] holder_status Status(time_point now) const;
   /// \brief Returns the snapshot in force, or null if none was adopted.
   [[nodiscard]] const ref_ptr<const effective_config>& config() const noexcept { return config_; }
--- a/libs/config/include/quincebank/config/root.h
+++ b/libs/config/include/quincebank/config/root.h
@@ -68,6 +68,22 @@
   std::optional<milliseconds> age;
 };
 
+/// \brief Answer to `config.root {"have": N}`.
+///
+/// Besides the announcement it brings what the asker lacks, the root first, as far as it is small:
+/// a change then takes one call from node to node instead of three.
+struct root_answer {
+  root_announcement announcement;
+  std::vector<std::string> bodies;
+};
+
+/// \brief Largest sum of bodies in an answer; the rest is fetched by digest.
+inline constexpr std::size_t kMaxInlineBytes = 65'536;
+
+/// \brief Wire form of the announcement with `bodies`, which is left out if empty.
+[[nodiscard]] boost::json::object ToJson(const root_answer& answer);
+[[nodiscard]] result<root_answer> RootAnswerFromJson(const boost::json::value& value);
+
 /// \brief Wire form `{"version", "digest", "age_ms"}`; `age_ms` is -1 if unknown.
 [[nodiscard]] boost::json::object ToJson(const root_announcement& announcement);
 [[nodiscard]] result<root_announcement> AnnouncementFromJson(const boost::json::value& value);
--- a/libs/config/src/holder.cc
+++ b/libs/config/src/holder.cc
@@ -234,25 +234,51 @@
 }
 
 root_announcement config_holder::Announce(time_point now) const {
-  return {version_, digest_, Status(now).age};
+  return {version_, digest_, Age(now)};
+}
+
+root_answer config_holder::Answer(std::uint64_t have, time_point now) const {
+  root_answer answer{Announce(now), {}};
+  if (have >= version_)
+    return answer;
+  std::size_t bytes = 0;
+  const auto add = [&](std::string_view digest) {
+    const std::string* const body = Body(digest);
+    if (body == nullptr || bytes + body->size() > kMaxInlineBytes)
+      return;
+    bytes += body->size();
+    answer.bodies.push_back(*body);
+  };
+  add(digest_);
+  for (const auto& [name, ref] : root_->sections) {
+    if (ref.version > have)
+      add(ref.digest);
+  }
+  return answer;
+}
+
+std::optional<milliseconds> config_holder::Age(time_point now) const noexcept {
+  if (!confirmed_at_)
+    return std::nullopt;
+  return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(now - *confirmed_at_));
+}
+
+holder_state config_holder::State(time_point now) const noexcept {
+  if (version_ == 0)
+    return holder_state::kEmpty;
+  if (!ever_confirmed_)
+    return holder_state::kProvisional;
+  const auto age = Age(now);
+  return age && *age <= settings_.confirm_limit ? holder_state::kConfirmed
+                                                : holder_state::kUnconfirmed;
 }
 
 holder_status config_holder::Status(time_point now) const {
   holder_status status = counters_;
   status.version = version_;
   status.digest = digest_;
-  if (confirmed_at_) {
-    status.age =
-        std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(now - *confirmed_at_));
-  }
-  if (version_ == 0) {
-    status.state = holder_state::kEmpty;
-  } else if (!ever_confirmed_) {
-    status.state = holder_state::kProvisional;
-  } else {
-    const bool fresh = status.age && *status.age <= settings_.confirm_limit;
-    status.state = fresh ? holder_state::kConfirmed : holder_state::kUnconfirmed;
-  }
+  status.age = Age(now);
+  status.state = State(now);
   return status;
 }
 
--- a/libs/config/src/root.cc
+++ b/libs/config/src/root.cc
@@ -90,9 +90,16 @@
                       {"age_ms", announcement.age ? announcement.age->count() : -1}};
 }
 
-result<root_announcement> AnnouncementFromJson(const json::value& value) {
-  std::vector<error> errors;
-  json_reader reader(value, "", errors);
+json::object ToJson(const root_answer& answer) {
+  json::object object = ToJson(answer.announcement);
+  if (!answer.bodies.empty())
+    object["bodies"] = json::array(answer.bodies.begin(), answer.bodies.end());
+  return object;
+}
+
+namespace {
+
+root_announcement ReadAnnouncement(json_reader& reader) {
   root_announcement announcement;
   announcement.version = static_cast<std::uint64_t>(reader.Int("version", {}));
   announcement.digest = reader.String("digest", "");
@@ -101,10 +108,29 @@
     announcement.age = milliseconds(age);
   if (announcement.version > 0)
     CheckDigest(reader, "digest", announcement.digest);
+  return announcement;
+}
+
+}  // namespace
+
+result<root_announcement> AnnouncementFromJson(const json::value& value) {
+  std::vector<error> errors;
+  json_reader reader(value, "", errors);
+  root_announcement announcement = ReadAnnouncement(reader);
   reader.Finish();
   if (!errors.empty())
     return JoinErrors(errors);
   return announcement;
 }
 
+result<root_answer> RootAnswerFromJson(const json::value& value) {
+  std::vector<error> errors;
+  json_reader reader(value, "", errors);
+  root_answer answer{ReadAnnouncement(reader), reader.Strings("bodies")};
+  reader.Finish();
+  if (!errors.empty())
+    return JoinErrors(errors);
+  return answer;
+}
+
 }  // namespace quincebank
--- a/libs/config/tests/plan_test.cc
+++ b/libs/config/tests/plan_test.cc
@@ -198,7 +198,7 @@
   const auto heard = AnnouncementFromJson(ToJson(sent));
   ASSERT_TRUE(heard.has_value());
   EXPECT_EQ(heard.value().age, sent.age);
-  EXPECT_FALSE(AnnouncementFromJson(ToJson({1, "x", {}})).has_value());
+  EXPECT_FALSE(AnnouncementFromJson(ToJson(root_announcement{1, "x", {}})).has_value());
 }
 
 }  // namespace
--- a/libs/membership/include/quincebank/membership/config_exchange.h
+++ b/libs/membership/include/quincebank/membership/config_exchange.h
@@ -41,7 +41,7 @@
 };
 
 enum class exchange_step : std::uint8_t {
-  kAskPeer,           ///< `config.root` of `peer`; answer by `OnPeerRoot` or `OnPeerFailed`.
+  kAskPeer,           ///< `config.root {have}` of `peer`; answer by `OnPeerRoot` or `OnPeerFailed`.
   kFetchFromPeer,     ///< `config.section {digest}`; answer by `OnBody` or `OnFetchFailed`.
   kFetchFromService,  ///< Read `SectionKey(digest)`; answered as above.
   kReadRoot,          ///< Plain read of the root; answer by `OnServiceRoot` or `OnServiceFailed`.
@@ -53,7 +53,8 @@
   config_peer peer;
   std::string digest;
   std::uint64_t index = 0;
-  milliseconds wait{0};
+  std::uint64_t have = 0;  ///< Version held, for `config.root`.
+  milliseconds wait{0};    ///< Time limit of the call, or of the blocking watch.
 };
 
 /// \brief Decides which peers a node asks for the configuration and when it reads the service.
@@ -76,7 +77,7 @@
   [[nodiscard]] std::vector<exchange_action> Due(time_point now);
 
   void OnPeerRoot(std::string_view peer,
-                  const root_announcement& heard,
+                  const root_answer& heard,
                   time_point asked_at,
                   time_point now);
   void OnPeerFailed(std::string_view peer, time_point now);
--- a/libs/membership/src/config_exchange.cc
+++ b/libs/membership/src/config_exchange.cc
@@ -132,7 +132,12 @@
     if (now < used.next)
       continue;
     used.next = std::max(used.next + settings_.poll_interval, now);
-    due.push_back({exchange_step::kAskPeer, peers_[used.peer], {}, 0, settings_.call_timeout});
+    due.push_back({exchange_step::kAskPeer,
+                   peers_[used.peer],
+                   {},
+                   0,
+                   holder_.version(),
+                   settings_.call_timeout});
   }
 }
 
@@ -146,7 +151,7 @@
   // Stand-ins start a second apart, so that the first one's read can reach the others.
   const milliseconds patience =
       settings_.standby_age + seconds(1) * (*watch_rank_ - settings_.watchers);
-  const auto age = holder_.Status(now).age;
+  const auto age = holder_.Age(now);
   return age ? *age > patience : now - start_ > patience;
 }
 
@@ -154,23 +159,26 @@
   if (service_open_ || now < service_next_)
     return;
   if (IsWatcher(now)) {
-    due.push_back({exchange_step::kWatchRoot, {}, {}, service_index_, settings_.watch_wait});
+    due.push_back({exchange_step::kWatchRoot, {}, {}, service_index_, 0, settings_.watch_wait});
     service_open_ = true;
     return;
   }
-  const holder_state state = holder_.Status(now).state;
+  const holder_state state = holder_.State(now);
   if (state != holder_state::kEmpty && state != holder_state::kProvisional)
     return;
-  due.push_back({exchange_step::kReadRoot, {}, {}, 0, settings_.call_timeout});
+  due.push_back({exchange_step::kReadRoot, {}, {}, 0, 0, settings_.call_timeout});
   service_open_ = true;
 }
 
 std::vector<std::uint32_t> config_exchange::Sources() const {
   std::vector<std::uint32_t> sources;
-  for (std::uint32_t i = 0; i < peers_.size() && !notes_.empty(); ++i) {
-    const auto note = notes_.find(peers_[i].name);
-    if (note != notes_.end() && note->second.version > holder_.version())
-      sources.push_back(i);
+  for (const auto& [name, note] : notes_) {
+    if (note.version <= holder_.version())
+      continue;
+    const auto found = std::find_if(peers_.begin(), peers_.end(),
+                                    [&name = name](const auto& peer) { return peer.name == name; });
+    if (found != peers_.end())
+      sources.push_back(static_cast<std::uint32_t>(found - peers_.begin()));
   }
   std::stable_sort(sources.begin(), sources.end(), [this](std::uint32_t a, std::uint32_t b) {
     return notes_.find(peers_[a].name)->second.version >
@@ -203,23 +211,24 @@
       entry.first_seen = entry.next = now;
     if (entry.open || now < entry.next || open >= settings_.parallel_fetches)
       continue;
-    // Watchers begin at the service, all others at their peers.
-    const bool turn = entry.tries % 2 == (IsWatcher(now) ? 0U : 1U);
-    const bool from_service = MayReadService(entry, now) && (turn || sources.empty());
-    if (from_service && holder_.IsRoot(digest)) {
+    // Peers come first: they spare the service, and they answer while it is down.
+    const bool from_service =
+        MayReadService(entry, now) && (entry.tries % 2 == 1 || sources.empty());
+    if (from_service && holder_.IsRoot(digest) && (sources.empty() || !service_open_)) {
+      // The root is not stored under its digest. A watch that is open brings it anyway.
       if (service_open_)
         continue;
       service_open_ = true;
       entry.next = now + settings_.call_timeout;
       ++entry.tries;
-      due.push_back({exchange_step::kReadRoot, {}, {}, 0, settings_.call_timeout});
+      due.push_back({exchange_step::kReadRoot, {}, {}, 0, 0, settings_.call_timeout});
       continue;
     }
-    if (from_service) {
-      due.push_back({exchange_step::kFetchFromService, {}, digest, 0, settings_.call_timeout});
+    if (from_service && !holder_.IsRoot(digest)) {
+      due.push_back({exchange_step::kFetchFromService, {}, digest, 0, 0, settings_.call_timeout});
     } else if (!sources.empty()) {
       const config_peer& source = peers_[sources[entry.tries % sources.size()]];
-      due.push_back({exchange_step::kFetchFromPeer, source, digest, 0, settings_.call_timeout});
+      due.push_back({exchange_step::kFetchFromPeer, source, digest, 0, 0, settings_.call_timeout});
     } else {
       continue;
     }
@@ -229,7 +238,7 @@
 }
 
 void config_exchange::OnPeerRoot(std::string_view peer,
-                                 const root_announcement& heard,
+                                 const root_answer& heard,
                                  time_point asked_at,
                                  time_point now) {
   for (slot& used : slots_) {
@@ -237,10 +246,13 @@
       used.failures = 0;
   }
   peer_note& note = notes_[std::string(peer)];
-  note.version = std::max(note.version, heard.version);
+  note.version = std::max(note.version, heard.announcement.version);
   note.rest_until = {};
-  if (heard.version > 0)
-    holder_.Hear(heard, root_source::kPeer, asked_at, now);
+  if (heard.announcement.version == 0)
+    return;
+  holder_.Hear(heard.announcement, root_source::kPeer, asked_at, now);
+  for (const std::string& body : heard.bodies)
+    (void)holder_.Store(Sha256Hex(body), body, now);
 }
 
 void config_exchange::OnPeerFailed(std::string_view peer, time_point now) {
