--- a/cmake/quincebank.cmake
+++ b/cmake/quincebank.cmake
@@ -25,7 +25,7 @@
   if(tests)
     add_executable(${target}_test ${tests})
     target_link_libraries(${target}_test PRIVATE ${target} GTest::gtest GTest::gtest_main)
-    gtest_discover_tests(${target}_test TEST_PREFIX ${name}/ DISCOVERY_TIMEOUT 30)
+    gtest_discover_tests(${target}_test TEST_PREFIX ${name}/ NO_PRETTY_VALUES DISCOVERY_TIMEOUT 30)
   endif()
 endfunction()
 
--- a/libs/agent/include/quincebank/agent/agent_service.h
+++ b/libs/agent/include/quincebank/agent/agent_service.h
@@ -21,7 +21,8 @@
   milliseconds connect_timeout{500};
   milliseconds first_byte_timeout{10'000};
   milliseconds silence_timeout{60'000};  ///< Between two reads of the upstream's answer.
-  milliseconds probe_interval{500};
+  /// Short against the shortest restart of an upstream, so that one between two requests is seen.
+  milliseconds probe_interval{100};
 
   [[nodiscard]] bool SameAdmission(const upstream_settings& other) const noexcept {
     return admission.cold_limit == other.admission.cold_limit &&
--- a/libs/agent/src/agent_node.cc
+++ b/libs/agent/src/agent_node.cc
@@ -75,8 +75,8 @@
 void agent_node::OnConfig(const ref_ptr<const effective_config>& config) {
   agent_.SetDirectory(MakeDirectory(config));
   const auto upstream = UpstreamSettingsOf(*config, settings_.upstream);
-  known_ = upstream.has_value();
   if (!upstream) {
+    known_ = false;
     kLog.Warning("the configuration has no upstream named ", settings_.upstream);
     agent_.SetDraining(true);
     return;
@@ -84,6 +84,7 @@
   agent_.SetUpstream(*upstream);
   agent_.SetDraining(config->IsDomainDrained(settings_.node.failure_domain) ||
                      config->IsDrained(*config->FindUpstream(settings_.upstream)));
+  known_ = true;
 }
 
 void agent_node::Handle(http_exchange& exchange) {
--- a/libs/cli/include/quincebank/cli/tool.h
+++ b/libs/cli/include/quincebank/cli/tool.h
@@ -26,6 +26,7 @@
   std::string policy;
   bool force = false;
   bool partial = false;
+  bool replace = false;
   bool json = false;
   std::vector<std::string> arguments;  ///< After the command's name.
 };
--- a/libs/cli/src/config_commands.cc
+++ b/libs/cli/src/config_commands.cc
@@ -11,6 +11,7 @@
 #include "quincebank/membership/offer_plan.h"
 #include "quincebank/node/node_settings.h"
 #include "quincebank/platform/consul_kv.h"
+#include "quincebank/routing/choose.h"
 
 namespace quincebank {
 namespace {
@@ -21,10 +22,32 @@
   return std::chrono::steady_clock::now();
 }
 
+/// The configuration library does not know the routing policies, so their names are checked here.
+result<void> CheckPolicies(const config_document& document) {
+  for (const config_section& section : document.sections) {
+    if (section.kind() != section_kind::kServices)
+      continue;
+    for (const service_config& service : std::get<std::vector<service_config>>(section.content)) {
+      if (service.policy == "default" || FindRoutePolicy(service.policy) != nullptr)
+        continue;
+      return error{error_code::kInvalidArgument, "unknown policy '" + service.policy + "'",
+                   verdict::kNotRun, "/" + section.name + "/services/" + service.name + "/policy"};
+    }
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 result<config_document> ReadDocument(const tool_options& options) {
   BOOST_OUTCOME_TRY(const std::string path, OnlyArgument(options, "FILE"));
   BOOST_OUTCOME_TRY(const std::string text, ReadFile(path));
-  return options.partial ? ParsePartialDocument(text) : ParseDocument(text);
+  auto document = options.partial ? ParsePartialDocument(text) : ParseDocument(text);
+  if (!document) {
+    error failure = document.error();
+    failure.path = path + ":" + failure.path;
+    return failure;
+  }
+  BOOST_OUTCOME_TRY(CheckPolicies(document.value()));
+  return document;
 }
 
 void Perform(apply_flow& flow, kv_store& kv, const apply_action& action) {
@@ -118,6 +141,7 @@
   request.team = options.team;
   request.force = options.force;
   request.partial = options.partial;
+  request.replace = options.replace;
   request.id = ToString(NewAttemptId(random));
   request.at = std::chrono::system_clock::now();
   apply_flow flow(std::move(request), {}, Now());
@@ -145,6 +169,7 @@
     return MakeError(error_code::kNotFound, "no configuration is in force");
   BOOST_OUTCOME_TRY(const config_root root, ParseRoot(stored->value));
   config_document document;
+  document.base = BaseOf(root);
   for (const auto& [name, reference] : root.sections) {
     BOOST_OUTCOME_TRY(const std::optional<kv_entry> body, kv.Get(SectionKey(reference.digest)));
     if (!body)
@@ -161,6 +186,7 @@
   const auto kv = MakeConsulKv(context.http, service, kCallTimeout);
   BOOST_OUTCOME_TRY(const config_document in_force, ReadInForce(*kv));
   BOOST_OUTCOME_TRY(config_document change, WithDomainState(in_force, domain, in_service));
+  change.base = in_force.base;
   options.partial = true;
   return Apply(context, options, std::move(change));
 }
--- a/libs/cli/src/tool.cc
+++ b/libs/cli/src/tool.cc
@@ -37,7 +37,7 @@
 const std::vector<tool_command>& ToolCommands() {
   static const std::vector<tool_command> kCommands{
       {"check", "FILE", "checks a configuration document", RunCheck},
-      {"apply", "--kv --author [--team --hosts --force --partial] FILE",
+      {"apply", "--kv --author [--team --hosts --force --partial --replace] FILE",
        "puts a document in force or says why not", RunApply},
       {"drain", "--kv --author [--team --hosts] DOMAIN", "takes a failure domain out of service",
        RunDrain},
@@ -99,6 +99,8 @@
        TextOption("policy", "NAME", "replay: another routing policy", options.policy),
        FlagOption("force", "apply: also changes sections of other owners", options.force),
        FlagOption("partial", "apply: keeps sections that the document lacks", options.partial),
+       FlagOption("replace", "apply: overwrites what is in force if the document names no base",
+                  options.replace),
        FlagOption("json", "prints JSON", options.json)},
       &options.arguments);
   if (exit_code)
--- a/libs/entry/include/quincebank/entry/entry_service.h
+++ b/libs/entry/include/quincebank/entry/entry_service.h
@@ -45,7 +45,7 @@
   upstream_directory* directory = nullptr;
   claim_service* claims = nullptr;
   record_log* records = nullptr;
-  retry_budget retries;
+  retry_budget retries{{.ratio = 0.1, .burst = 20, .initial = 20}};
   std::uint64_t seed = 0;                   ///< Random for this process.
   std::atomic<std::uint64_t> requests{0};   ///< Requests begun.
   std::atomic<std::uint64_t> decisions{0};  ///< Routing decisions made.
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -29,6 +29,20 @@
   exchange.Respond({status, {{"Content-Type", "application/json"}}, boost::json::serialize(body)});
 }
 
+boost::json::object CountUsable(const entry_snapshot& snapshot) {
+  boost::json::object services;
+  for (const service_view& view : snapshot.services) {
+    if (!view.table)
+      continue;
+    std::size_t usable = 0;
+    for (const upstream& known : view.table->upstreams())
+      usable += known.state == upstream_state::kUsable ? 1 : 0;
+    services[view.table->service()] =
+        boost::json::object{{"upstreams", view.table->size()}, {"usable", usable}};
+  }
+  return services;
+}
+
 }  // namespace
 
 result<entry_settings> ParseEntrySettings(std::string_view text) {
@@ -185,12 +199,15 @@
 
 void entry_service::Ready(http_exchange& exchange) {
   const auto status = RunOn(control_, [&] { return node_.StatusHere(); });
-  const bool ready = shared_.snapshots.Get() != nullptr && !leaving_;
-  ReplyJson(exchange, ready ? 200 : 503,
-            boost::json::object{{"ready", ready},
-                                {"leaving", leaving_.load()},
-                                {"config_state", ToString(status.state)},
-                                {"config_version", status.version}});
+  const auto snapshot = shared_.snapshots.Get();
+  const bool ready = snapshot != nullptr && !leaving_;
+  ReplyJson(
+      exchange, ready ? 200 : 503,
+      boost::json::object{{"ready", ready},
+                          {"leaving", leaving_.load()},
+                          {"config_state", ToString(status.state)},
+                          {"config_version", status.version},
+                          {"services", snapshot ? CountUsable(*snapshot) : boost::json::object()}});
 }
 
 void entry_service::TellOtherEntries() {
--- a/libs/entry/src/request_flow.cc
+++ b/libs/entry/src/request_flow.cc
@@ -18,6 +18,8 @@
 constexpr milliseconds kStatusTimeout{1'000};
 // Told to callers when nothing better is known, such as during an outage of the key-value service.
 constexpr milliseconds kDefaultRetryAfter{2'000};
+// While the key-value service is out, a caller learns within this time that its order has not run.
+constexpr milliseconds kClaimTimeout{3'000};
 // Larger bodies are not parsed for their prompt; their first blocks decide.
 constexpr std::size_t kMaxParsedBody = 1'000'000;
 
@@ -328,7 +330,7 @@
   request.value = action.value;
   request.expected = action.expected;
   request.look = action.kind == action_kind::kLook;
-  request.deadline = deadline_;
+  request.deadline = std::min(deadline_, Now() + kClaimTimeout);
   return shared_.claims->Decide(spec_.key, request);
 }
 
--- a/libs/node/src/node_control.cc
+++ b/libs/node/src/node_control.cc
@@ -100,12 +100,12 @@
 void node_control::AskPeer(const exchange_action& action) {
   const time_point asked_at = Now();
   const auto answer =
-      rpc_.Call(AddressOf(action.peer), "config.root", {}, exchange_settings{}.call_timeout);
+      rpc_.Call(AddressOf(action.peer), "config.root", {{"have", action.have}}, action.wait);
   if (!answer) {
     exchange_.OnPeerFailed(action.peer.name, Now());
     return;
   }
-  const auto heard = AnnouncementFromJson(answer.value());
+  const auto heard = RootAnswerFromJson(answer.value());
   if (!heard) {
     exchange_.OnPeerFailed(action.peer.name, Now());
     return;
@@ -114,8 +114,8 @@
 }
 
 void node_control::FetchFromPeer(const exchange_action& action) {
-  const auto answer = rpc_.Call(AddressOf(action.peer), "config.section",
-                                {{"digest", action.digest}}, exchange_settings{}.call_timeout);
+  const auto answer =
+      rpc_.Call(AddressOf(action.peer), "config.section", {{"digest", action.digest}}, action.wait);
   const boost::json::object* const object = answer ? answer.value().if_object() : nullptr;
   const boost::json::value* const body = object ? object->if_contains("body") : nullptr;
   if (body == nullptr || !body->is_string()) {
@@ -222,9 +222,14 @@
 }
 
 void node_control::AddMethods(rpc_server& rpc) {
-  rpc.Add("config.root", [this](const boost::json::object&) {
+  rpc.Add("config.root", [this](const boost::json::object& params) {
     return RunOn(control_, [&]() -> result<boost::json::value> {
-      return boost::json::value(ToJson(holder_.Announce(Now())));
+      boost::system::error_code ec;
+      const boost::json::value* const have = params.if_contains("have");
+      const auto version = have == nullptr ? 0 : have->to_number<std::uint64_t>(ec);
+      if (ec)
+        return MakeError(error_code::kInvalidArgument, "have: expected a version");
+      return boost::json::value(ToJson(holder_.Answer(version, Now())));
     });
   });
   rpc.Add("config.section", [this](const boost::json::object& params) {
--- a/libs/testing/src/deployment.cc
+++ b/libs/testing/src/deployment.cc
@@ -56,6 +56,21 @@
   return {{"owner", owner}, {"kind", kind}, {kind, std::move(list)}};
 }
 
+/// Whether the entry that answered `/readyz` may use all upstreams.
+bool AllUsable(const std::string& ready) {
+  const auto parsed = ParseJson(ready);
+  const json::object* const object = parsed ? parsed.value().if_object() : nullptr;
+  const json::value* const services = object ? object->if_contains("services") : nullptr;
+  if (services == nullptr || !services->is_object())
+    return false;
+  for (const json::key_value_pair& service : services->get_object()) {
+    const json::object& counts = service.value().as_object();
+    if (counts.at("usable") != counts.at("upstreams"))
+      return false;
+  }
+  return true;
+}
+
 }  // namespace
 
 deployment::deployment(const deployment_plan& plan)
@@ -226,6 +241,8 @@
     const auto ready = Call(process.name, {"GET", "/readyz", {}, {}});
     if (!ready || ready.value().status != 200)
       return false;
+    if (process.name.starts_with("entry-") && !AllUsable(ready.value().body))
+      return false;
   }
   return true;
 }
