Add metrics, burn report and operator tests; keep refusals of oversized bodies

Cause: operators need /metrics and the report on service-level burn; bad input needs an error that arrives. Change: entries and agents export metrics, entries count against the objectives in force, quincebank burn merges them. After a refusal the server discards the rest of the body: closing at once reset the connection and the caller lost the 413.

--- a/libs/agent/include/quincebank/agent/agent_service.h
+++ b/libs/agent/include/quincebank/agent/agent_service.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <memory>
+#include <string>
 
 #include "quincebank/admission/settings.h"
 #include "quincebank/base/ids.h"
@@ -74,6 +75,8 @@
   [[nodiscard]] agent_load Load();
   /// \brief Like `Load`, for fibers of the traffic thread.
   [[nodiscard]] agent_load LoadHere() const;
+  /// \brief Text exposition of the agent's metrics, for fibers of the traffic thread.
+  [[nodiscard]] std::string MetricsHere();
 
  private:
   class impl;
--- a/libs/agent/src/agent_impl.cc
+++ b/libs/agent/src/agent_impl.cc
@@ -183,9 +183,12 @@
   const result<void> copied = CopyAnswer(request, started, first_byte);
   const time_point now = Now();
   if (copied) {
+    served_.Add();
+    service_times_.Record(first_byte);
     gate_->Finish(ticket, work_outcome::kServed, first_byte, now);
   } else {
     kLog.Warning("attempt ", ToString(request.attempt), " failed: ", copied.error().message);
+    failed_.Add();
     ledger_.Fail(request.attempt, copied.error().outcome, now);
     const bool timeout = copied.error().code == error_code::kTimeout;
     gate_->Finish(ticket, timeout ? work_outcome::kTimedOut : work_outcome::kUpstreamError,
@@ -341,6 +344,7 @@
 }
 
 attempt_failure agent_service::impl::Refusal(const rejection& refused) const {
+  refused_.Add();
   attempt_failure failure;
   failure.failure = refused.failure;
   failure.retry_after = refused.retry_after;
@@ -400,6 +404,22 @@
   ApplyQueue();
 }
 
+std::string agent_service::impl::Metrics() {
+  const agent_load load = Load();
+  metrics_.AddGauge({"quincebank_agent_in_flight", "Attempts at the upstream.", {}})
+      .Set(load.in_flight);
+  metrics_.AddGauge({"quincebank_agent_queued", "Attempts in the queue.", {}}).Set(load.queued);
+  metrics_.AddGauge({"quincebank_agent_limit", "Limit of attempts at the upstream.", {}})
+      .Set(load.limit);
+  metrics_.AddGauge({"quincebank_agent_cold", "1 while the upstream is in cold start.", {}})
+      .Set(load.cold ? 1 : 0);
+  metrics_.AddGauge({"quincebank_agent_held_bytes", "Bytes of held answers.", {}})
+      .Set(static_cast<std::int64_t>(ledger_.held_bytes()));
+  metrics_.AddGauge({"quincebank_agent_known_attempts", "Attempts in the ledger.", {}})
+      .Set(static_cast<std::int64_t>(ledger_.records()));
+  return ToPrometheusText(metrics_.Snapshot());
+}
+
 agent_load agent_service::impl::Load() const {
   const admission_state state = gate_->State();
   agent_load load;
--- a/libs/agent/src/agent_impl.h
+++ b/libs/agent/src/agent_impl.h
@@ -17,6 +17,7 @@
 #include "quincebank/net/http_client.h"
 #include "quincebank/net/http_server.h"
 #include "quincebank/platform/upstream_probe.h"
+#include "quincebank/telemetry/metrics.h"
 
 namespace quincebank {
 
@@ -40,6 +41,7 @@
   void SetDraining(bool draining);
   void SetLeaving();
   [[nodiscard]] agent_load Load() const;
+  [[nodiscard]] std::string Metrics();
 
   stop_signal stop;
   fiber_thread& traffic;
@@ -86,6 +88,15 @@
   std::uint64_t boot_ = 0;
   bool draining_ = false;
   bool leaving_ = false;
+  metrics_registry metrics_;
+  latency_histogram& service_times_ = metrics_.AddHistogram(
+      {"quincebank_agent_first_byte_seconds", "Time to the upstream's first byte.", {}});
+  counter& served_ = metrics_.AddCounter(
+      {"quincebank_agent_attempts_total", "Attempts that ended.", {{"outcome", "served"}}});
+  counter& failed_ = metrics_.AddCounter(
+      {"quincebank_agent_attempts_total", "Attempts that ended.", {{"outcome", "failed"}}});
+  counter& refused_ =
+      metrics_.AddCounter({"quincebank_agent_refusals_total", "Attempts refused as not run.", {}});
   std::unordered_map<std::uint64_t, admission_wait*> waiting_;  // By ticket.
   std::unordered_map<attempt_id, ref_ptr<attempt_signal>> running_;
 };
--- a/libs/agent/src/agent_service.cc
+++ b/libs/agent/src/agent_service.cc
@@ -69,4 +69,8 @@
   return impl_->Load();
 }
 
+std::string agent_service::MetricsHere() {
+  return impl_->Metrics();
+}
+
 }  // namespace quincebank
--- a/libs/cli/src/commands.h
+++ b/libs/cli/src/commands.h
@@ -15,6 +15,7 @@
 [[nodiscard]] result<void> RunStatus(tool_context& context, const tool_options& options);
 [[nodiscard]] result<void> RunLookup(tool_context& context, const tool_options& options);
 [[nodiscard]] result<void> RunExplain(tool_context& context, const tool_options& options);
+[[nodiscard]] result<void> RunBurn(tool_context& context, const tool_options& options);
 [[nodiscard]] result<void> RunReplay(tool_context& context, const tool_options& options);
 
 /// \brief Returns a required option or an error that names it.
@@ -22,6 +23,13 @@
                                         std::string_view name);
 /// \brief Returns the only argument or an error that names it.
 [[nodiscard]] result<std::string> OnlyArgument(const tool_options& options, std::string_view name);
+/// \brief Reads the sections in force from the key-value service, with their root as the base.
+[[nodiscard]] result<config_document> ReadInForce(tool_context& context,
+                                                  const tool_options& options);
+/// \brief `GET target` of a process; any status but 200 is an error.
+[[nodiscard]] result<boost::json::value> GetJson(tool_context& context,
+                                                 const endpoint& peer,
+                                                 const std::string& target);
 /// \brief Reads the host list that the options name.
 [[nodiscard]] result<std::vector<host_entry>> ReadHosts(tool_context& context,
                                                         const tool_options& options);
--- a/libs/cli/src/config_commands.cc
+++ b/libs/cli/src/config_commands.cc
@@ -162,16 +162,28 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-/// Reads the sections in force.
-result<config_document> ReadInForce(kv_store& kv) {
-  BOOST_OUTCOME_TRY(const std::optional<kv_entry> stored, kv.Get(kRootKey));
+result<void> SetDomain(tool_context& context, tool_options options, bool in_service) {
+  BOOST_OUTCOME_TRY(const std::string domain, OnlyArgument(options, "DOMAIN"));
+  BOOST_OUTCOME_TRY(const config_document in_force, ReadInForce(context, options));
+  BOOST_OUTCOME_TRY(config_document change, WithDomainState(in_force, domain, in_service));
+  change.base = in_force.base;
+  options.partial = true;
+  return Apply(context, options, std::move(change));
+}
+
+}  // namespace
+
+result<config_document> ReadInForce(tool_context& context, const tool_options& options) {
+  BOOST_OUTCOME_TRY(const endpoint service, Required(options.key_value, "kv"));
+  const auto kv = MakeConsulKv(context.http, service, kCallTimeout);
+  BOOST_OUTCOME_TRY(const std::optional<kv_entry> stored, kv->Get(kRootKey));
   if (!stored)
     return MakeError(error_code::kNotFound, "no configuration is in force");
   BOOST_OUTCOME_TRY(const config_root root, ParseRoot(stored->value));
   config_document document;
   document.base = BaseOf(root);
   for (const auto& [name, reference] : root.sections) {
-    BOOST_OUTCOME_TRY(const std::optional<kv_entry> body, kv.Get(SectionKey(reference.digest)));
+    BOOST_OUTCOME_TRY(const std::optional<kv_entry> body, kv->Get(SectionKey(reference.digest)));
     if (!body)
       return MakeError(error_code::kNotFound, "section " + name + " is missing in the service");
     BOOST_OUTCOME_TRY(config_section section, ParseSection(name, body->value));
@@ -180,19 +192,6 @@
   return document;
 }
 
-result<void> SetDomain(tool_context& context, tool_options options, bool in_service) {
-  BOOST_OUTCOME_TRY(const std::string domain, OnlyArgument(options, "DOMAIN"));
-  BOOST_OUTCOME_TRY(const endpoint service, Required(options.key_value, "kv"));
-  const auto kv = MakeConsulKv(context.http, service, kCallTimeout);
-  BOOST_OUTCOME_TRY(const config_document in_force, ReadInForce(*kv));
-  BOOST_OUTCOME_TRY(config_document change, WithDomainState(in_force, domain, in_service));
-  change.base = in_force.base;
-  options.partial = true;
-  return Apply(context, options, std::move(change));
-}
-
-}  // namespace
-
 result<void> RunCheck(tool_context& context, const tool_options& options) {
   BOOST_OUTCOME_TRY(const config_document document, ReadDocument(options));
   context.out << options.arguments.front() << ": valid, " << document.sections.size()
@@ -214,9 +213,7 @@
 }
 
 result<void> RunExport(tool_context& context, const tool_options& options) {
-  BOOST_OUTCOME_TRY(const endpoint service, Required(options.key_value, "kv"));
-  const auto kv = MakeConsulKv(context.http, service, kCallTimeout);
-  BOOST_OUTCOME_TRY(const config_document document, ReadInForce(*kv));
+  BOOST_OUTCOME_TRY(const config_document document, ReadInForce(context, options));
   context.out << FormatDocument(document) << "\n";
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/libs/cli/src/node_commands.cc
+++ b/libs/cli/src/node_commands.cc
@@ -16,20 +16,6 @@
 constexpr milliseconds kCallTimeout{2'000};
 constexpr std::size_t kParallelCalls = 64;
 
-result<boost::json::value> GetJson(tool_context& context,
-                                   const endpoint& peer,
-                                   const std::string& target) {
-  http_call call{peer, {"GET", target, {}, {}}};
-  call.response_timeout = kCallTimeout;
-  BOOST_OUTCOME_TRY(const http_response response, context.http.Call(call));
-  if (response.status != 200) {
-    return MakeError(
-        error_code::kUnavailable,
-        ToString(peer) + " answered " + std::to_string(response.status) + ": " + response.body);
-  }
-  return ParseJson(response.body);
-}
-
 std::string Text(const boost::json::value& object, std::string_view key) {
   const boost::json::value* const value =
       object.is_object() ? object.get_object().if_contains(key) : nullptr;
@@ -52,6 +38,20 @@
 
 }  // namespace
 
+result<boost::json::value> GetJson(tool_context& context,
+                                   const endpoint& peer,
+                                   const std::string& target) {
+  http_call call{peer, {"GET", target, {}, {}}};
+  call.response_timeout = kCallTimeout;
+  BOOST_OUTCOME_TRY(const http_response response, context.http.Call(call));
+  if (response.status != 200) {
+    return MakeError(
+        error_code::kUnavailable,
+        ToString(peer) + " answered " + std::to_string(response.status) + ": " + response.body);
+  }
+  return ParseJson(response.body);
+}
+
 result<void> RunStatus(tool_context& context, const tool_options& options) {
   BOOST_OUTCOME_TRY(const std::vector<host_entry> hosts, ReadHosts(context, options));
   std::vector<std::string> lines(hosts.size());
--- a/libs/cli/src/tool.cc
+++ b/libs/cli/src/tool.cc
@@ -45,6 +45,7 @@
        RunReturn},
       {"export", "--kv", "prints the document in force", RunExport},
       {"status", "--hosts", "shows the state of every process", RunStatus},
+      {"burn", "--hosts --kv [--json]", "reports service-level burn over all entries", RunBurn},
       {"lookup", "--entry SERVICE", "shows the addresses that callers get", RunLookup},
       {"explain", "--entry REQUEST", "shows and recomputes the decisions of a request", RunExplain},
       {"replay", "[--policy] FILE", "recomputes recorded decisions, a record a line", RunReplay},
--- /dev/null
+++ b/libs/entry/include/quincebank/entry/entry_metrics.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "quincebank/base/ref_counted.h"
+#include "quincebank/base/time.h"
+#include "quincebank/base/verdict.h"
+#include "quincebank/config/effective_config.h"
+#include "quincebank/telemetry/metrics.h"
+#include "quincebank/telemetry/objective_table.h"
+
+namespace quincebank {
+
+/// \brief How one forwarded request ended, as metrics and objectives count it.
+struct request_outcome {
+  std::string_view service;
+  std::string_view workspace;
+  verdict outcome = verdict::kNotRun;
+  bool answered = false;
+  bool caller_fault = false;  ///< Such as an unknown route; no objective counts it.
+  nanoseconds first_byte{0};
+  nanoseconds total{0};
+};
+
+/// \brief Metrics of an entry.
+class entry_metrics {
+ public:
+  /// \brief Counts the request for the metrics and for the objectives in force.
+  void Record(const request_outcome& request, const objective_table* objectives, time_point now);
+  void CountRetry() { retries_.Add(); }
+  void CountDecision() { decisions_.Add(); }
+
+  /// \brief Returns the text exposition with the present configuration version.
+  [[nodiscard]] std::string Text(std::uint64_t config_version);
+
+ private:
+  metrics_registry registry_;
+  counter& retries_ = registry_.AddCounter(
+      {"quincebank_retries_total", "Attempts after the first one of a request.", {}});
+  counter& decisions_ =
+      registry_.AddCounter({"quincebank_routing_decisions_total", "Routing decisions.", {}});
+  gauge& config_version_ = registry_.AddGauge(
+      {"quincebank_config_version", "Version of the configuration in force.", {}});
+};
+
+/// \brief Returns the objectives of a configuration in the form that burn rates use.
+[[nodiscard]] std::vector<objective> ObjectivesOf(const effective_config& config);
+
+}  // namespace quincebank
--- a/libs/entry/include/quincebank/entry/entry_service.h
+++ b/libs/entry/include/quincebank/entry/entry_service.h
@@ -9,6 +9,7 @@
 #include "quincebank/admission/retry_budget.h"
 #include "quincebank/base/record.h"
 #include "quincebank/entry/claim_service.h"
+#include "quincebank/entry/entry_metrics.h"
 #include "quincebank/entry/entry_snapshot.h"
 #include "quincebank/entry/upstream_directory.h"
 #include "quincebank/net/fiber_thread.h"
@@ -45,6 +46,7 @@
   upstream_directory* directory = nullptr;
   claim_service* claims = nullptr;
   record_log* records = nullptr;
+  entry_metrics metrics;
   retry_budget retries{{.ratio = 0.1, .burst = 20, .initial = 20}};
   std::uint64_t seed = 0;                   ///< Random for this process.
   std::atomic<std::uint64_t> requests{0};   ///< Requests begun.
@@ -72,6 +74,8 @@
   void Lookup(http_exchange& exchange, const parsed_target& target);
   void Records(http_exchange& exchange, const parsed_target& target);
   void Ready(http_exchange& exchange);
+  void Metrics(http_exchange& exchange);
+  void Burn(http_exchange& exchange);
   void TellOtherEntries();
 
   const entry_settings settings_;
--- a/libs/entry/include/quincebank/entry/entry_snapshot.h
+++ b/libs/entry/include/quincebank/entry/entry_snapshot.h
@@ -9,6 +9,7 @@
 #include "quincebank/entry/upstream_slot.h"
 #include "quincebank/routing/entries.h"
 #include "quincebank/routing/table.h"
+#include "quincebank/telemetry/objective_table.h"
 
 namespace quincebank {
 
@@ -23,6 +24,7 @@
   ref_ptr<const effective_config> config;
   std::vector<service_view> services;  ///< In the order of `config->services()`.
   std::vector<entry_address> entries;  ///< For look-ups.
+  ref_ptr<const objective_table> objectives;
 };
 
 /// \brief Hands the newest snapshot from the control thread to the traffic threads.
--- a/libs/entry/include/quincebank/entry/upstream_directory.h
+++ b/libs/entry/include/quincebank/entry/upstream_directory.h
@@ -43,6 +43,7 @@
   rpc_client rpc_;
   host_view view_;
   ref_ptr<const effective_config> config_;
+  ref_ptr<const objective_table> objectives_;
   std::vector<host_entry> hosts_;
   std::map<std::string, ref_ptr<upstream_slot>, std::less<>> slots_;
   std::map<std::string, time_point, std::less<>> taken_;  ///< Hints already given to the view.
--- a/libs/entry/src/caller_answer.cc
+++ b/libs/entry/src/caller_answer.cc
@@ -24,6 +24,8 @@
 }
 
 bool caller_answer::Body(std::string_view bytes) {
+  if (taken_ == 0)
+    first_byte_at_ = std::chrono::steady_clock::now();
   taken_ += bytes.size();
   if (!streaming_)
     return Keep(exchange_.Write(bytes));
--- a/libs/entry/src/caller_answer.h
+++ b/libs/entry/src/caller_answer.h
@@ -34,6 +34,8 @@
   /// \brief Bytes of the upstream's body that were taken from the agent.
   [[nodiscard]] std::uint64_t taken() const noexcept { return taken_; }
   [[nodiscard]] int status() const noexcept { return status_; }
+  /// \brief When the first byte of the body went to the caller; the epoch if none has.
+  [[nodiscard]] time_point first_byte_at() const noexcept { return first_byte_at_; }
 
  private:
   bool Keep(bool written) {
@@ -47,6 +49,7 @@
   sse_splitter events_;
   std::uint64_t taken_ = 0;
   int status_ = 0;
+  time_point first_byte_at_;
   bool started_ = false;
   bool streaming_ = false;  ///< The body is a stream of server-sent events.
   bool gone_ = false;
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -145,6 +145,10 @@
     ReplyJson(exchange, 200, boost::json::object{{"ok", true}});
   } else if (target->path == "/readyz") {
     Ready(exchange);
+  } else if (target->path == "/metrics") {
+    Metrics(exchange);
+  } else if (target->path == "/burn") {
+    Burn(exchange);
   } else {
     Refuse(exchange, MakeError(error_code::kNotFound, "no such path: " + target->path), "");
   }
@@ -210,6 +214,24 @@
                           {"services", snapshot ? CountUsable(*snapshot) : boost::json::object()}});
 }
 
+void entry_service::Metrics(http_exchange& exchange) {
+  const auto snapshot = shared_.snapshots.Get();
+  exchange.Respond({200,
+                    {{"Content-Type", "text/plain; version=0.0.4"}},
+                    shared_.metrics.Text(snapshot ? snapshot->config->version() : 0)});
+}
+
+void entry_service::Burn(http_exchange& exchange) {
+  const auto snapshot = shared_.snapshots.Get();
+  if (!snapshot) {
+    Refuse(exchange, MakeError(error_code::kUnavailable, "no configuration is in force yet"), "");
+    return;
+  }
+  ReplyJson(
+      exchange, 200,
+      ToJson(snapshot->objectives->Counts(settings_.node.host, std::chrono::steady_clock::now())));
+}
+
 void entry_service::TellOtherEntries() {
   const auto snapshot = shared_.snapshots.Get();
   if (!snapshot)
--- a/libs/entry/src/request_flow.cc
+++ b/libs/entry/src/request_flow.cc
@@ -185,8 +185,12 @@
       return machine.OnState(action.step, AskAgent(action, "agent.attempt_status"), Now());
     case action_kind::kBlock:
       return machine.OnState(action.step, AskAgent(action, "agent.block_attempt"), Now());
-    case action_kind::kAskRetry:
-      return machine.OnPermission(action.step, shared_.retries.TryRepeat(), Now());
+    case action_kind::kAskRetry: {
+      const bool granted = shared_.retries.TryRepeat();
+      if (granted)
+        shared_.metrics.CountRetry();
+      return machine.OnPermission(action.step, granted, Now());
+    }
     case action_kind::kWait:
       boost::this_fiber::sleep_until(action.wake);
       return machine.OnWake(action.step, Now());
@@ -226,6 +230,7 @@
     input.request.seed = random_.Next();
     input.request.turn = ++shared_.decisions;
     const result<route_decision> decision = Choose(*policy, input);
+    shared_.metrics.CountDecision();
     shared_.records->Append(MakeRouteRecord(id_, WallNow(), *policy, input, decision));
     if (!decision) {
       refused_as_ = decision.error().code;
@@ -351,6 +356,7 @@
   if (end.release)
     shared_.claims->Release(spec_.key, *end.release);
   RecordEnd(end);
+  CountEnd(end);
   // Once the caller has a part of the answer, only a cut connection says that it is not whole.
   if (end.answered || answer_.started())
     return;
@@ -363,6 +369,19 @@
          retry ? std::max(retry_after_, kDefaultRetryAfter) : milliseconds(0));
 }
 
+void request_flow::CountEnd(const request_end& end) {
+  const time_point now = Now();
+  request_outcome outcome;
+  outcome.service = service_->name;
+  outcome.workspace = workspace_;
+  outcome.outcome = end.outcome;
+  outcome.answered = end.answered;
+  outcome.caller_fault = !end.answered && end.failure.code == error_code::kInvalidArgument;
+  outcome.first_byte = (answer_.taken() > 0 ? answer_.first_byte_at() : now) - started_;
+  outcome.total = now - started_;
+  shared_.metrics.Record(outcome, snapshot_->objectives.get(), now);
+}
+
 void request_flow::RecordClaim(const request_action& action, const claim_decision& decision) {
   static constexpr std::array<std::string_view, 4> kOutcomes{"owned", "held", "absent", "not-run"};
   decision_record record;
--- a/libs/entry/src/request_flow.h
+++ b/libs/entry/src/request_flow.h
@@ -45,6 +45,7 @@
   void ReportContact(const std::string& agent, const copy_report& report);
   void Finish(const request_end& end);
   void RecordEnd(const request_end& end);
+  void CountEnd(const request_end& end);
   void RecordClaim(const request_action& action, const claim_decision& decision);
 
   entry_shared& shared_;
--- a/libs/entry/src/upstream_directory.cc
+++ b/libs/entry/src/upstream_directory.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "quincebank/base/log.h"
+#include "quincebank/entry/entry_metrics.h"
 
 namespace quincebank {
 namespace {
@@ -100,6 +101,7 @@
 
 void upstream_directory::OnConfig(const ref_ptr<const effective_config>& config) {
   config_ = config;
+  objectives_ = new objective_table(ObjectivesOf(*config), {}, Now(), objectives_.get());
   view_.OnConfig(config, Now());
   std::map<std::string, ref_ptr<upstream_slot>, std::less<>> kept;
   for (const upstream_config& upstream : config->upstreams())
@@ -203,6 +205,7 @@
   ref_ptr<entry_snapshot> snapshot(new entry_snapshot);
   snapshot->config = config_;
   snapshot->entries = ListEntries();
+  snapshot->objectives = objectives_;
   for (std::uint32_t service = 0; service < config_->services().size(); ++service)
     snapshot->services.push_back(ViewOf(service));
   published_.clear();
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -274,6 +274,7 @@
       if (read.ec.category() == http::make_error_code(http::error::body_limit).category() &&
           read.ec != http::error::partial_message) {
         exchange.Respond(RefuseParse(read.ec));
+        DiscardRest(peer);
       }
       return false;
     }
@@ -281,6 +282,22 @@
     return exchange.finished() && keep_alive;
   }
 
+  // Closing while the peer still sends resets the connection, and the peer loses the refusal.
+  static void DiscardRest(connection& peer) {
+    boost::system::error_code ignored;
+    peer.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    peer.stream.expires_after(kDiscardLimit);
+    io_outcome read;
+    while (!read.ec) {
+      peer.buffer.clear();
+      read = Await([&](auto handler) {
+        peer.stream.async_read_some(peer.buffer.prepare(kDiscardBytes), std::move(handler));
+      });
+    }
+  }
+
+  static constexpr milliseconds kDiscardLimit{2'000};
+  static constexpr std::size_t kDiscardBytes = std::size_t{64} * 1024;
   static constexpr std::size_t kReadBytes = 4096;
 
   http_server& server_;
--- /dev/null
+++ b/tests/process/operators_test.cc
@@ -0,0 +1,175 @@
+// What operators and callers see: refusals, races on the document, metrics, burn report, replay.
+
+#include <csignal>
+#include <fstream>
+
+#include "process_test.h"
+
+namespace quincebank {
+namespace {
+
+class operators_process_test : public process_test {
+ protected:
+  int Tool(std::vector<std::string> arguments) {
+    arguments.push_back("--kv=" + ToString(system().AddressOf("kv")));
+    arguments.push_back("--hosts=" + ToString(system().AddressOf("hosts")));
+    return system().RunTool(arguments, &output_);
+  }
+  std::string WriteDocument(const std::string& name, const std::string& text) {
+    const std::string path = system().folder() + "/" + name;
+    std::ofstream(path) << text;
+    return path;
+  }
+  std::string output_;
+};
+
+struct bad_request {
+  const char* name;
+  http_request request;
+  int status;
+};
+
+class bad_request_process_test : public operators_process_test {};
+
+// Guards against bad input that crashes an entry, gets no verdict, or reaches an upstream.
+TEST_F(bad_request_process_test, GetsAnErrorWithItsVerdict) {
+  StartSystem();
+  const std::string workspace(kWorkspaceField);
+  const std::vector<bad_request> cases{
+      {"unknown service", {"POST", "/services/none/orders", {{workspace, "cafe-nord"}}, "{}"}, 404},
+      {"unknown route", {"PUT", "/services/order-desk/x", {{workspace, "cafe-nord"}}, "{}"}, 404},
+      {"unknown workspace", {"POST", "/services/order-desk/orders", {{workspace, "no"}}, ""}, 400},
+      {"no workspace", {"POST", "/services/order-desk/orders", {}, ""}, 400},
+      {"bad priority",
+       {"POST",
+        "/services/order-desk/orders",
+        {{workspace, "cafe-nord"}, {std::string(kPriorityField), "11"}},
+        ""},
+       400},
+      {"bad deadline",
+       {"POST",
+        "/services/order-desk/orders",
+        {{workspace, "cafe-nord"}, {std::string(kDeadlineField), "soon"}},
+        ""},
+       400},
+      {"empty key",
+       {"POST",
+        "/services/order-desk/orders",
+        {{workspace, "cafe-nord"}, {std::string(kIdempotencyKeyField), ""}},
+        ""},
+       400},
+      {"bad locator",
+       {"POST",
+        "/services/quince-drafts/v1/completions",
+        {{workspace, "cafe-nord"}, {std::string(kLastEventIdField), "17"}},
+        ""},
+       400},
+      {"unknown path", {"GET", "/nothing", {}, ""}, 404},
+      {"unknown look-up", {"GET", "/lookup?service=none", {}, ""}, 404},
+      {"oversized body",
+       {"POST", "/services/order-desk/orders", {}, std::string(9'000'000, 'x')},
+       413},
+  };
+  for (const bad_request& wrong : cases) {
+    const auto answer = system().Call("entry-0", wrong.request, kPatience);
+    ASSERT_TRUE(answer.has_value()) << wrong.name << ": " << answer.error().message;
+    EXPECT_EQ(answer.value().status, wrong.status) << wrong.name << answer.value().body;
+    EXPECT_EQ(VerdictOf(answer), "not-run") << wrong.name;
+    EXPECT_NE(answer.value().body.find("\"verdict\""), std::string::npos) << wrong.name;
+  }
+  // The entry still serves.
+  EXPECT_EQ(system().Call("entry-0", OrderRequest("o1", "k1")).value().status, 201);
+}
+
+// Guards against a lost update when two operators change the same section, and against a refusal
+// of changes that do not touch each other.
+TEST_F(operators_process_test, RacingOperators) {
+  StartSystem();
+  ASSERT_EQ(Tool({"export"}), 0);
+  const std::string exported = output_;
+  std::string first = exported;
+  first.replace(first.find("cafe-nord"), 9, "cafe-vert");
+  std::string second = exported;
+  second.replace(second.find("diner-sud"), 9, "diner-est");
+  std::string third = exported;
+  third.replace(third.find("\"availability\""), 14, "\"latency_percent\": 90, \"availability\"");
+  const std::string one = WriteDocument("first.json", first);
+  const std::string two = WriteDocument("second.json", second);
+  EXPECT_EQ(Tool({"apply", "--author=ana", "--team=accounts", one}), 0) << output_;
+  // The same section from the same base: the later change is refused, with the first author's name.
+  EXPECT_EQ(Tool({"apply", "--author=bo", "--team=accounts", two}), 1) << output_;
+  EXPECT_NE(output_.find("ana"), std::string::npos) << output_;
+  // A section of another team is refused as well.
+  ASSERT_EQ(Tool({"export"}), 0);
+  std::string foreign = output_;
+  foreign.replace(foreign.find("diner-sud"), 9, "diner-est");
+  EXPECT_NE(Tool({"apply", "--author=cy", "--team=models", WriteDocument("cy.json", foreign)}), 0);
+  ASSERT_EQ(Tool({"export"}), 0);
+  EXPECT_NE(output_.find("cafe-vert"), std::string::npos);
+  EXPECT_NE(output_.find("diner-sud"), std::string::npos);
+}
+
+// Guards against a node that goes back to an older version when it restarts.
+TEST_F(operators_process_test, RestartedNodesComeBackToTheNewestVersion) {
+  StartSystem();
+  ASSERT_EQ(Tool({"drain", "--author=ops", "--team=platform", "qc-east-b"}), 0) << output_;
+  for (const char* node : {"entry-0", "agent-drafts-1", "agent-orders-0"})
+    system().Restart(node);
+  EXPECT_TRUE(deployment::WaitUntil(
+      [&] {
+        return Tool({"status"}) == 0 && output_.find("unreachable") == std::string::npos &&
+               output_.find("config 0") == std::string::npos;
+      },
+      kPatience))
+      << output_;
+  EXPECT_EQ(output_.find("config 1 "), std::string::npos) << output_;
+}
+
+// Guards against settings errors without their path, and against a daemon that starts all the same.
+TEST_F(operators_process_test, WrongDocumentIsRefusedWithItsPath) {
+  StartSystem();
+  const std::string path = WriteDocument("wrong.json", R"({
+    "domains": {"owner": "platform", "kind": "failure_domains",
+                "failure_domains": [{"name": "a", "region": "r", "state": "away"}]}})");
+  EXPECT_EQ(Tool({"check", path}), 2);
+  EXPECT_NE(output_.find("/domains/failure_domains/0/state"), std::string::npos) << output_;
+}
+
+TEST_F(operators_process_test, MetricsAndBurnReportCountRequests) {
+  StartSystem();
+  for (int i = 0; i < 5; ++i)
+    ASSERT_EQ(system().Call("entry-0", DraftRequest("p", 2, false)).value().status, 200);
+  const auto metrics = system().Call("entry-0", {"GET", "/metrics", {}, {}});
+  ASSERT_TRUE(metrics.has_value());
+  EXPECT_NE(metrics.value().body.find("quincebank_requests_total{service=\"quince-drafts\","
+                                      "verdict=\"ran\",answered=\"yes\"} 5"),
+            std::string::npos)
+      << metrics.value().body;
+  const auto agent = system().Call("agent-drafts-0", {"GET", "/metrics", {}, {}});
+  ASSERT_TRUE(agent.has_value());
+  EXPECT_NE(agent.value().body.find("quincebank_agent_limit"), std::string::npos);
+  EXPECT_EQ(Tool({"burn"}), 0) << output_;
+  EXPECT_NE(output_.find("quince-drafts"), std::string::npos) << output_;
+}
+
+// Guards against a record from which a decision can't be computed again.
+TEST_F(operators_process_test, RecordedDecisionsAreReproduced) {
+  StartSystem();
+  for (int i = 0; i < 20; ++i)
+    (void)system().Call("entry-0", DraftRequest("p" + std::to_string(i), 2, false));
+  const auto records = system().Call("entry-0", {"GET", "/records?since=0", {}, {}});
+  ASSERT_TRUE(records.has_value());
+  const auto parsed = ParseJson(records.value().body);
+  ASSERT_TRUE(parsed.has_value());
+  std::string lines;
+  for (const auto& record : parsed.value().as_object().at("records").as_array()) {
+    std::ostringstream line;
+    line << record;
+    lines += line.str() + "\n";
+  }
+  EXPECT_EQ(Tool({"replay", WriteDocument("records.jsonl", lines)}), 0) << output_;
+  EXPECT_NE(output_.find("20 decisions the same, 0 different"), std::string::npos) << output_;
+}
+
+}  // namespace
+}  // namespace quincebank
