--- a/libs/agent/include/quincebank/agent/agent_service.h
+++ b/libs/agent/include/quincebank/agent/agent_service.h
@@ -76,7 +76,7 @@
   /// \brief Like `Load`, for fibers of the traffic thread.
   [[nodiscard]] agent_load LoadHere() const;
   /// \brief Text exposition of the agent's metrics, for fibers of the traffic thread.
-  [[nodiscard]] std::string MetricsHere();
+  [[nodiscard]] std::string MetricsHere(std::uint64_t control_bytes);
 
  private:
   class impl;
--- a/libs/entry/include/quincebank/entry/entry_metrics.h
+++ b/libs/entry/include/quincebank/entry/entry_metrics.h
@@ -31,8 +31,8 @@
   void CountRetry() { retries_.Add(); }
   void CountDecision() { decisions_.Add(); }
 
-  /// \brief Returns the text exposition with the present configuration version.
-  [[nodiscard]] std::string Text(std::uint64_t config_version);
+  /// \brief Returns the text exposition with the present values of the node's gauges.
+  [[nodiscard]] std::string Text(std::uint64_t config_version, std::uint64_t control_bytes);
 
  private:
   metrics_registry registry_;
@@ -40,6 +40,8 @@
       {"quincebank_retries_total", "Attempts after the first one of a request.", {}});
   counter& decisions_ =
       registry_.AddCounter({"quincebank_routing_decisions_total", "Routing decisions.", {}});
+  gauge& control_bytes_ = registry_.AddGauge(
+      {"quincebank_control_bytes", "Control bytes exchanged as a client since the start.", {}});
   gauge& config_version_ = registry_.AddGauge(
       {"quincebank_config_version", "Version of the configuration in force.", {}});
 };
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -216,9 +216,10 @@
 
 void entry_service::Metrics(http_exchange& exchange) {
   const auto snapshot = shared_.snapshots.Get();
-  exchange.Respond({200,
-                    {{"Content-Type", "text/plain; version=0.0.4"}},
-                    shared_.metrics.Text(snapshot ? snapshot->config->version() : 0)});
+  exchange.Respond(
+      {200,
+       {{"Content-Type", "text/plain; version=0.0.4"}},
+       shared_.metrics.Text(snapshot ? snapshot->config->version() : 0, node_.control_bytes())});
 }
 
 void entry_service::Burn(http_exchange& exchange) {
--- a/libs/net/include/quincebank/net/http_client.h
+++ b/libs/net/include/quincebank/net/http_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -51,6 +52,9 @@
   /// \brief Sends the request and reads the whole answer.
   [[nodiscard]] result<http_response> Call(const http_call& call);
 
+  /// \brief Bytes sent and received so far, headers included. May be called from any thread.
+  [[nodiscard]] std::uint64_t bytes_moved() const noexcept;
+
  private:
   class impl;
   std::shared_ptr<impl> impl_;
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -83,8 +84,12 @@
       idle.push_back(std::move(finished));
   }
 
+  void CountBytes(std::size_t bytes) noexcept { bytes_moved_ += bytes; }
+  [[nodiscard]] std::uint64_t bytes_moved() const noexcept { return bytes_moved_; }
+
  private:
   fiber_thread& thread_;
+  std::atomic<std::uint64_t> bytes_moved_{0};
   std::map<endpoint, std::vector<std::unique_ptr<connection>>> idle_;
 };
 
@@ -110,6 +115,7 @@
       http::async_read_header(connection_->stream, connection_->buffer, parser_,
                               std::move(handler));
     });
+    pool_->CountBytes(read.bytes);
     if (read.ec) {
       connection_.reset();
       return ToError(read.ec, "no answer from " + ToString(peer_), verdict::kMayHaveRun);
@@ -140,6 +146,7 @@
         http::async_read_some(connection_->stream, connection_->buffer, parser_,
                               std::move(handler));
       });
+      pool_->CountBytes(read.bytes);
       bytes.resize(bytes.size() - parser_.get().body().size);
       if (read.ec && read.ec != http::error::need_buffer) {
         connection_.reset();
@@ -197,6 +204,7 @@
     connected->stream.expires_after(call.response_timeout);
     http::async_write(connected->stream, message, std::move(handler));
   });
+  impl_->CountBytes(written.bytes);
   if (written.ec)
     return ToError(written.ec, "send to " + ToString(call.peer), verdict::kMayHaveRun);
   auto stream = std::make_unique<beast_stream<impl>>(impl_, call.peer, std::move(connected),
@@ -205,6 +213,10 @@
   return std::unique_ptr<http_stream>(std::move(stream));
 }
 
+std::uint64_t http_client::bytes_moved() const noexcept {
+  return impl_->bytes_moved();
+}
+
 result<http_response> http_client::Call(const http_call& call) {
   BOOST_OUTCOME_TRY(const std::unique_ptr<http_stream> stream, Open(call));
   http_response response{stream->status(), stream->headers(), {}};
--- a/libs/node/include/quincebank/node/node_control.h
+++ b/libs/node/include/quincebank/node/node_control.h
@@ -47,6 +47,9 @@
   /// \brief Returns the configuration in force, or null. May be called from any thread.
   [[nodiscard]] ref_ptr<const effective_config> config() const;
 
+  /// \brief Bytes of control messages that this node has exchanged as a client.
+  [[nodiscard]] std::uint64_t control_bytes() const noexcept { return http_.bytes_moved(); }
+
   // For code on the control thread.
   /// \brief Whether a configuration is in force and known to be recent.
   [[nodiscard]] holder_status StatusHere() const;
