Add a relay stand-in; prove resumption over silent and cut connections

Cause: connections that go silent for good while new ones work were only tested by a paused process. Before: no such test.

--- a/libs/testing/include/quincebank/testing/deployment.h
+++ b/libs/testing/include/quincebank/testing/deployment.h
@@ -24,6 +24,7 @@
   int full_limit = 16;
   int queue_limit = 64;
   int lookup_ttl_ms = 300;
+  bool relays = false;  ///< Entries reach each agent through a relay named `relay-` and its name.
   std::vector<std::string> engine_options;  ///< For the engine stand-ins.
   std::vector<std::string> orders_options;  ///< For the plain service stand-ins.
 };
@@ -56,7 +57,7 @@
   [[nodiscard]] result<http_response> Call(const std::string& process,
                                            const http_request& request,
                                            milliseconds timeout = milliseconds(20'000));
-  /// \brief `PUT /control` of a stand-in.
+  /// \brief `PUT /control` of a stand-in, relays included.
   void Control(const std::string& process, const std::string& switches);
   /// \brief `GET /control` of a stand-in.
   [[nodiscard]] boost::json::value Counters(const std::string& process);
--- a/libs/testing/src/deployment.cc
+++ b/libs/testing/src/deployment.cc
@@ -139,6 +139,11 @@
   AddProcess(name, index, std::move(arguments));
   AddNode(QUINCEBANK_AGENT_PROGRAM, "agent-" + name, index,
           R"("upstream": ")" + name + R"(", "shutdown_linger_ms": 200)");
+  if (plan_.relays) {
+    AddProcess("relay-agent-" + name, index,
+               {QUINCEBANK_STANDIN_PROGRAM, "--role=relay",
+                "--target=" + ToString(AddressOf("agent-" + name))});
+  }
 }
 
 std::string deployment::Document() const {
@@ -150,7 +155,8 @@
     const bool drafts = process.name.starts_with("drafts-");
     if (!drafts && !process.name.starts_with("orders-"))
       continue;
-    const endpoint agent = AddressOf("agent-" + process.name);
+    const endpoint agent =
+        AddressOf((plan_.relays ? "relay-agent-" : "agent-") + process.name);
     upstreams.push_back(json::object{{"name", process.name},
                                      {"host", "agent-" + process.name},
                                      {"failure_domain", process.failure_domain},
@@ -308,7 +314,11 @@
 }
 
 void deployment::Control(const std::string& process, const std::string& switches) {
-  (void)Call(process, {"PUT", "/control", {}, switches});
+  endpoint peer = AddressOf(process);
+  if (process.starts_with("relay-"))
+    ++peer.port;
+  http_call call{peer, {"PUT", "/control", {}, switches}};
+  client_thread_.RunAndWait([&] { (void)http_client(client_thread_).Call(call); });
 }
 
 json::value deployment::Counters(const std::string& process) {
--- a/programs/standin/main.cc
+++ b/programs/standin/main.cc
@@ -6,6 +6,7 @@
 #include "quincebank/daemon/options.h"
 #include "quincebank/daemon/signals.h"
 #include "quincebank/net/net.h"
+#include "quincebank/standins/relay.h"
 #include "quincebank/standins/standin.h"
 
 namespace quincebank {
@@ -18,6 +19,7 @@
 struct standin_options {
   std::string role;
   std::string listen = "127.0.0.1:0";
+  std::string target;
   long long seed = 1;
   long long first_token_ms = 20;
   long long token_ms = 5;
@@ -31,7 +33,9 @@
 
 std::vector<option_spec> Options(standin_options& options) {
   return {
-      TextOption("role", "NAME", "kv, hosts, engine or orders", options.role),
+      TextOption("role", "NAME", "kv, hosts, engine, orders or relay", options.role),
+      TextOption("target", "IP:PORT", "relay: where connections go; control is at the next port",
+                 options.target),
       TextOption("listen", "IP:PORT", "address to listen on", options.listen),
       NumberOption("seed", "seed of boot numbers and ids", 0, kMostRequests, options.seed),
       NumberOption("first-token-ms", "engine: time to the first token", 0, kLongestMs,
@@ -65,18 +69,29 @@
   return settings;
 }
 
+result<std::unique_ptr<standin>> Make(const standin_options& options,
+                                      const endpoint& listen,
+                                      fiber_thread& thread) {
+  if (options.role != "relay")
+    return MakeStandin(options.role, ToSettings(options));
+  BOOST_OUTCOME_TRY(const endpoint target, ParseEndpoint(options.target));
+  return MakeRelay(thread, listen, target);
+}
+
 int Run(const standin_options& options) {
-  const auto made = MakeStandin(options.role, ToSettings(options));
-  if (!made) {
-    std::cerr << "quincebank-standin: --role: " << made.error().message << "\n";
-    return kExitUsage;
-  }
-  const auto address = ParseEndpoint(options.listen);
+  auto address = ParseEndpoint(options.listen);
   if (!address) {
     std::cerr << "quincebank-standin: --listen: " << address.error().message << "\n";
     return kExitUsage;
   }
   fiber_thread thread("standin");
+  const auto made = Make(options, address.value(), thread);
+  if (!made) {
+    std::cerr << "quincebank-standin: " << made.error().message << "\n";
+    return kExitUsage;
+  }
+  if (options.role == "relay")
+    ++address.value().port;
   const auto server = http_server::Listen(
       {&thread}, address.value(), [&](http_exchange& exchange) { made.value()->Handle(exchange); });
   if (!server) {
--- a/tests/process/streams_test.cc
+++ b/tests/process/streams_test.cc
@@ -13,6 +13,7 @@
  protected:
   void SetUp() override {
     deployment_plan plan;
+    plan.relays = true;
     plan.orders = 1;
     plan.engine_options = {"--token-ms=25"};
     StartSystem(plan);
@@ -65,6 +66,32 @@
   ExpectWhole(pending.get());
 }
 
+struct network_fault {
+  const char* name;
+  const char* switches;
+};
+
+class network_process_test : public streams_process_test,
+                             public testing::WithParamInterface<network_fault> {};
+
+// Guards against a stream that hangs, is cut, or is run again when something between entry and
+// agent forgets or closes the connection while new ones work.
+TEST_P(network_process_test, StreamIsResumedOnANewConnection) {
+  auto pending = StartStream("entry-0");
+  const std::string agent = BusyAgent();
+  const std::string engine = agent.substr(std::string("agent-").size());
+  const std::int64_t before = Counter(system(), engine, "completions");
+  system().Control("relay-" + agent, GetParam().switches);
+  ExpectWhole(pending.get());
+  EXPECT_EQ(Counter(system(), engine, "completions"), before);
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults,
+                         network_process_test,
+                         testing::Values(network_fault{"silence", R"({"silence": true})"},
+                                         network_fault{"cut", R"({"cut": true})"}),
+                         [](const auto& info) { return info.param.name; });
+
 // Guards against losing the rest of a stream with the entry: the caller goes on at another one.
 TEST_F(streams_process_test, CallerResumesAtAnotherEntry) {
   const auto whole = system().Call("entry-0", DraftRequest("p", kTokens, true), kPatience);
