Prove silent connections for orders and paused entries at a drain

Cause: two promises had no proof on the running system. Change: two process tests. Before: none. After: both pass; the order ran once, the drained domain got no work.

--- a/tests/process/domains_test.cc
+++ b/tests/process/domains_test.cc
@@ -77,6 +77,23 @@
   EXPECT_EQ(Completions("drafts-0"), before);
 }
 
+// Guards against new work through an entry that was paused while its failure domains changed: the
+// agents refuse it.
+TEST_F(domains_process_test, PausedEntryBringsNoWorkToADrainedDomain) {
+  StartSystem();
+  SendDrafts(6);
+  system().Process("entry-0").Signal(SIGSTOP);
+  ASSERT_EQ(Tool("drain", "qc-east-a", true), 0) << output_;
+  const std::int64_t before = Completions("drafts-0");
+  system().Process("entry-0").Signal(SIGCONT);
+  for (int i = 0; i < 12; ++i) {
+    const auto answer = system().Call("entry-0", DraftRequest("q" + std::to_string(i), 2, false));
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer.value().status, 200) << answer.value().body;
+  }
+  EXPECT_EQ(Completions("drafts-0"), before);
+}
+
 // Guards against an unknown failure domain that is taken for a success.
 TEST_F(domains_process_test, UnknownDomainIsRefused) {
   StartSystem();
--- a/tests/process/orders_test.cc
+++ b/tests/process/orders_test.cc
@@ -143,6 +143,25 @@
                                                      R"({"late_writes": 1, "late_ms": 1500})"}),
                          [](const auto& info) { return info.param.name; });
 
+// Guards against running an order again, or losing its answer, when the connection to the agent
+// goes silent while the order runs.
+TEST_F(orders_process_test, SilentConnectionDoesNotRepeatTheOrder) {
+  deployment_plan plan;
+  plan.drafts = 1;
+  plan.orders = 1;
+  plan.relays = true;
+  plan.orders_options = {"--service-ms=1500"};
+  StartSystem(plan);
+  auto pending = CallLater(system(), "entry-0", OrderRequest("o1", "k1"));
+  ASSERT_TRUE(
+      deployment::WaitUntil([&] { return Counter(system(), "orders-0", "peak") > 0; }, kPatience));
+  system().Control("relay-agent-orders-0", R"({"silence": true})");
+  const auto answer = pending.get();
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer.value().status, 201) << answer.value().body;
+  EXPECT_EQ(RunsOf(system(), 1, "o1"), 1);
+}
+
 // Guards against two entries that both claim the same key at the same moment.
 TEST_F(orders_process_test, SimultaneousRetriesRunOnce) {
   StartSystem();
