--- a/libs/routing/src/by_score.cc
+++ b/libs/routing/src/by_score.cc
@@ -13,8 +13,9 @@
 
 constexpr std::size_t kTemplatePreferred = 4;
 constexpr std::size_t kConversationPreferred = 2;
+/// More samples let all entries pick the same few upstreams from the same late reports.
 constexpr std::uint32_t kSamples = 2;
-/// Further upstreams weighed when every candidate is excluded or has a queue.
+/// Further upstreams weighed in a retry, and when every candidate is excluded or has a queue.
 constexpr std::uint32_t kWideSamples = 12;
 /// The same for each other region.
 constexpr std::uint32_t kForeignSamples = 4;
@@ -60,7 +61,8 @@
     }
     KeepPreferred();
     KeepSamples(home_, kSamples);
-    if (!PickLowest(decision_) || Waits())
+    // A retry needs candidates in other failure domains, which two samples may not contain.
+    if (!PickLowest(decision_) || Waits() || !input_.request.tried.empty())
       Widen();
     if (decision_.index == routing_table::kNone) {
       const exclusion_counts counts = Scan();
--- a/libs/routing/src/weigh.cc
+++ b/libs/routing/src/weigh.cc
@@ -57,7 +57,9 @@
   route_candidate candidate;
   candidate.index = index;
   candidate.load = CorrectedLoad(load);
-  candidate.cached_blocks = std::min(cached_blocks, prefix_blocks_);
+  const bool assumed =
+      source == candidate_source::kConversation || source == candidate_source::kTemplate;
+  candidate.cached_blocks = assumed && load.cold ? 0 : std::min(cached_blocks, prefix_blocks_);
   candidate.source = source;
 
   const std::int64_t held = candidate.load;
