--- a/bench/routing/decision_time.cc
+++ b/bench/routing/decision_time.cc
@@ -57,6 +57,7 @@
 }
 
 struct timing {
+  double p10_ns = 0;  // Least disturbed by other programs.
   double p50_ns = 0;
   double p99_ns = 0;
   double allocations = 0;
@@ -92,6 +93,7 @@
   if (sum == 0 && base.priority > kMaxPriority)
     std::puts("no decision");
   std::sort(batches.begin(), batches.end());
+  result.p10_ns = batches[batches.size() / 10];
   result.p50_ns = batches[batches.size() / 2];
   result.p99_ns = batches[batches.size() * 99 / 100];
   return result;
@@ -170,20 +172,21 @@
       {"all at their limit", 110, 1, true, {}},
       {"all full, rejected", 500, 1, true, {}},
   }};
-  text_table table({"policy and case", "replicas", "p50 ns", "p99 ns", "allocations"});
+  text_table table({"policy and case", "replicas", "p10 ns", "p50 ns", "p99 ns", "allocations"});
   for (const load_case& one : cases) {
     for (const std::size_t replicas : {16U, 128U, 620U, 2500U}) {
       const scene made = MakeScene(replicas, one.held, one.regions, one.weights);
       const timing took = Time(*FindRoutePolicy(kDefaultRoutePolicy), made, one.request, one.index);
       table.Row({"quincebank, " + std::string(one.name), std::to_string(replicas),
-                 Fixed(took.p50_ns, 0), Fixed(took.p99_ns, 0), Fixed(took.allocations, 2)});
+                 Fixed(took.p10_ns, 0), Fixed(took.p50_ns, 0), Fixed(took.p99_ns, 0),
+                 Fixed(took.allocations, 2)});
     }
   }
   for (const route_policy& policy : RoutePolicies().subspan(1)) {
     const scene made = MakeScene(620, 50, 1, 1);
     const timing took = Time(policy, made, {}, false);
-    table.Row({std::string(policy.name), "620", Fixed(took.p50_ns, 0), Fixed(took.p99_ns, 0),
-               Fixed(took.allocations, 2)});
+    table.Row({std::string(policy.name), "620", Fixed(took.p10_ns, 0), Fixed(took.p50_ns, 0),
+               Fixed(took.p99_ns, 0), Fixed(took.allocations, 2)});
   }
   table.Print();
   for (const std::size_t replicas : {16U, 620U}) {
