Penalise failure domains of which several upstreams are suspected

Conclusion: second and later upstreams of a lost domain are avoided before each of them has failed a connection.

--- a/bench/routing/domain_change.cc
+++ b/bench/routing/domain_change.cc
@@ -23,16 +23,18 @@
   bool suspect = true;
   bool tell_entries = true;
   bool retry_elsewhere = true;  ///< Retries prefer another failure domain.
+  bool suspect_domain = true;   ///< Several suspected upstreams penalise their failure domain.
 };
 
-constexpr std::array<variant, 8> kVariants{{
+constexpr std::array<variant, 9> kVariants{{
     {"round-robin", "round-robin"},
     {"least-loaded", "least-loaded"},
     {"two-random", "two-random"},
-    {"quincebank, agents alone", "quincebank", false, false, false},
-    {"quincebank + entries told", "quincebank", false, true, false},
-    {"quincebank + suspicion", "quincebank", true, false, false},
-    {"quincebank + retry elsewhere", "quincebank", false, false, true},
+    {"quincebank, agents alone", "quincebank", false, false, false, false},
+    {"quincebank + entries told", "quincebank", false, true, false, false},
+    {"quincebank + suspicion", "quincebank", true, false, false, false},
+    {"quincebank + retry elsewhere", "quincebank", false, false, true, false},
+    {"quincebank - domain suspicion", "quincebank", true, true, true, false},
     {"quincebank", "quincebank"},
 }};
 
@@ -89,6 +91,8 @@
   config.tell_entries = one.tell_entries;
   if (!one.retry_elsewhere)
     config.settings.retry_domain_penalty = sim_time(0);
+  if (!one.suspect_domain)
+    config.settings.lost_domain_penalty = sim_time(0);
   config.end = kEnd + kLongestAnswer;
   config.phases = {{"before", kBefore, kOut},
                    {"out", kOut, kSettled},
--- a/libs/routing/include/quincebank/routing/prefix_index.h
+++ b/libs/routing/include/quincebank/routing/prefix_index.h
@@ -66,8 +66,8 @@
   /// \brief Notes that an upstream has computed these blocks for a request of this entry.
   ///
   /// It bridges the time until the cache event arrives, and serves where no events are received.
-  /// Such blocks outlive a gap: the entry knows of them by itself. A restart of the engine, an
-  /// event that evicts them, or `Forget` ends them.
+  /// Such blocks stay valid after a gap: the entry knows of them by itself. A restart of the
+  /// engine, an event that evicts them, or `Forget` ends them.
   void NoteServed(upstream_key upstream, std::span<const std::uint64_t> blocks);
   /// \brief Drops all that is known about an upstream.
   void Forget(upstream_key upstream);
--- a/libs/routing/include/quincebank/routing/settings.h
+++ b/libs/routing/include/quincebank/routing/settings.h
@@ -25,6 +25,9 @@
   /// Penalty for an upstream in the failure domain of one that was already tried: a lost failure
   /// domain must not cost one failed connection for each of its upstreams.
   microseconds retry_domain_penalty{500'000};
+  /// Penalty for an upstream in a failure domain whose upstreams are all suspected; scaled by
+  /// `routing_table::SuspectedShare`.
+  microseconds lost_domain_penalty{2'000'000};
   /// Blocks of a prompt that select the upstreams shared by a template.
   std::uint32_t template_blocks = 2;
   /// Blocks of a prompt that select the upstreams of one conversation.
--- a/libs/routing/include/quincebank/routing/table.h
+++ b/libs/routing/include/quincebank/routing/table.h
@@ -70,6 +70,7 @@
   static constexpr std::uint32_t kMaxWeight = 10000;
   /// Stretch of the members with the highest weight.
   static constexpr std::uint32_t kStretchOne = 256;
+  static constexpr std::uint32_t kShareOne = 1024;
 
   /// \brief Members of a pool that are in one region.
   struct region_range {
@@ -116,6 +117,13 @@
   [[nodiscard]] std::uint16_t failure_domain(std::uint32_t index) const {
     return failure_domains_.at(index);
   }
+  /// \brief Share of the upstream's failure domain that is suspected, from 0 to `kShareOne`.
+  ///
+  /// The first suspected upstream of a domain does not count: one failed host is no evidence
+  /// against the others.
+  [[nodiscard]] std::uint32_t SuspectedShare(std::uint32_t index) const {
+    return suspected_shares_.at(failure_domains_.at(index));
+  }
 
  private:
   routing_table() = default;
@@ -123,6 +131,7 @@
   void AddToPools(std::uint32_t index);
   void AddToPool(std::string_view model_version, std::string_view adapter, std::uint32_t index);
   void BuildKeySlots();
+  void BuildSuspectedShares();
   [[nodiscard]] std::uint16_t Number(const std::string& name);
 
   std::string service_;
@@ -130,10 +139,11 @@
   std::vector<upstream_key> keys_;
   std::vector<std::uint16_t> regions_;
   std::vector<std::uint16_t> failure_domains_;
-  std::vector<std::string> names_;        // Number n is names_[n - 1].
-  std::vector<pool> pools_;               // Sorted by the hash of version and adapter.
-  std::vector<std::uint64_t> pool_keys_;  // Hashes of pools_, same order.
-  std::vector<std::uint32_t> key_slots_;  // Open-addressed; a power of two.
+  std::vector<std::uint32_t> suspected_shares_;  // By the number of the failure domain's name.
+  std::vector<std::string> names_;               // Number n is names_[n - 1].
+  std::vector<pool> pools_;                      // Sorted by the hash of version and adapter.
+  std::vector<std::uint64_t> pool_keys_;         // Hashes of pools_, same order.
+  std::vector<std::uint32_t> key_slots_;         // Open-addressed; a power of two.
 };
 
 }  // namespace quincebank
--- a/libs/routing/src/input_json.cc
+++ b/libs/routing/src/input_json.cc
@@ -23,13 +23,14 @@
   std::uint32_t route_settings::*member;
 };
 
-constexpr std::array<time_setting, 6> kTimes{{
+constexpr std::array<time_setting, 7> kTimes{{
     {"service_time_us", &route_settings::service_time},
     {"full_slowdown_us", &route_settings::full_slowdown},
     {"block_prefill_us", &route_settings::block_prefill},
     {"domain_penalty_us", &route_settings::domain_penalty},
     {"region_penalty_us", &route_settings::region_penalty},
     {"retry_domain_penalty_us", &route_settings::retry_domain_penalty},
+    {"lost_domain_penalty_us", &route_settings::lost_domain_penalty},
 }};
 constexpr std::array<count_setting, 4> kCounts{{
     {"template_blocks", &route_settings::template_blocks},
--- a/libs/routing/src/prefix_index.cc
+++ b/libs/routing/src/prefix_index.cc
@@ -44,7 +44,7 @@
     ++from.epoch;
     return;
   }
-  // The epoch wraps: holders with an old equal number must not come back to life.
+  // The epoch wraps: holders with an old equal number must not become valid again.
   DropSlot(static_cast<std::uint16_t>(&from - sources_.data()));
   from.epoch = 1;
 }
--- a/libs/routing/src/table.cc
+++ b/libs/routing/src/table.cc
@@ -74,6 +74,7 @@
     table->failure_domains_.push_back(table->Number(one.failure_domain));
   }
   table->BuildKeySlots();
+  table->BuildSuspectedShares();
   for (std::uint32_t i = 0; i < table->size(); ++i) {
     if (table->IndexOf(table->keys_[i]) != i)
       return UpstreamError(i, "id", "repeats the id of another upstream");
@@ -146,6 +147,22 @@
   }
 }
 
+void routing_table::BuildSuspectedShares() {
+  std::vector<std::uint32_t> members(names_.size() + 1);
+  std::vector<std::uint32_t> suspected(names_.size() + 1);
+  for (std::size_t i = 0; i < size(); ++i) {
+    ++members[failure_domains_[i]];
+    if (upstreams_[i].state == upstream_state::kSuspected)
+      ++suspected[failure_domains_[i]];
+  }
+  suspected_shares_.assign(names_.size() + 1, 0);
+  // Number 0 stands for upstreams without a failure domain, which share nothing.
+  for (std::size_t number = 1; number < suspected_shares_.size(); ++number) {
+    if (suspected[number] > 1)
+      suspected_shares_[number] = kShareOne * (suspected[number] - 1) / members[number];
+  }
+}
+
 std::uint16_t routing_table::Number(const std::string& name) {
   const std::uint16_t known = NumberOf(name);
   if (known != 0 || name.empty())
--- a/libs/routing/src/weigh.cc
+++ b/libs/routing/src/weigh.cc
@@ -74,8 +74,12 @@
   } else if (failure_domain_ != 0 && input_.table->failure_domain(index) != failure_domain_) {
     candidate.score += settings.domain_penalty.count();
   }
-  if (SharesTriedDomain(index))
+  if (SharesTriedDomain(index)) {
     candidate.score += settings.retry_domain_penalty.count();
+  } else {
+    candidate.score += settings.lost_domain_penalty.count() * input_.table->SuspectedShare(index) /
+                       routing_table::kShareOne;
+  }
 
   // An old or missing hint on load may be wrong, and the agent decides anyway; it must not cause a
   // rejection here.
--- a/libs/routing/tests/choose_test.cc
+++ b/libs/routing/tests/choose_test.cc
@@ -262,6 +262,34 @@
        f.loads[1].in_flight = 12;
      },
      "u0"},
+    {"OneSuspectedHostDoesNotPenaliseItsDomain",
+     [](auto& f) {
+       f.Add(1);
+       f.upstreams[2].failure_domain = "east-a";
+       f.upstreams[2].state = upstream_state::kSuspected;
+       f.loads[1].in_flight = 1;
+     },
+     "u0"},
+    {"SeveralSuspectedHostsPenaliseTheirDomain",
+     [](auto& f) {
+       f.Add(2);
+       for (std::size_t i = 2; i < 4; ++i) {
+         f.upstreams[i].failure_domain = "east-a";
+         f.upstreams[i].state = upstream_state::kSuspected;
+       }
+       f.loads[1].in_flight = 7;
+     },
+     "u1"},
+    {"UnnamedDomainsShareNothing",
+     [](auto& f) {
+       f.Add(2);
+       for (upstream& one : f.upstreams)
+         one.failure_domain.clear();
+       f.upstreams[2].state = f.upstreams[3].state = upstream_state::kSuspected;
+       f.tried = {KeyOf("u2")};
+       f.loads[1].in_flight = 1;
+     },
+     "u0"},
     {"RetryInAnotherFailureDomain",
      [](auto& f) {
        f.Add(2);  // u2 in east-c, u3 in east-a like u0.
--- a/libs/routing/tests/prefix_index_test.cc
+++ b/libs/routing/tests/prefix_index_test.cc
@@ -107,7 +107,7 @@
 }
 
 // Guards against own knowledge that a lost event erases, and against its survival of a restart.
-TEST(prefix_index_test, OwnNotesOutliveGapsButNotRestarts) {
+TEST(prefix_index_test, OwnNotesSurviveGapsButNotRestarts) {
   prefix_index index(64);
   const std::vector<std::uint64_t> prompt{1, 2};
   index.Apply({.upstream = kOne, .boot = 1, .sequence = 1});
@@ -121,8 +121,8 @@
   EXPECT_EQ(index.Find(prompt).count, 0U);
 }
 
-// Guards against blocks of a forgotten upstream that come back with its next life or with another
-// upstream that takes its place in the index.
+// Guards against blocks of a forgotten upstream that are reported again after its return or for
+// another upstream that takes its place in the index.
 TEST(prefix_index_test, ForgottenBlocksStayForgotten) {
   prefix_index index(64);
   const std::vector<std::uint64_t> prompt{1, 2};
@@ -139,7 +139,7 @@
 }
 
 // Guards against epochs that wrap and make old blocks valid again.
-TEST(prefix_index_test, ManyGapsReviveNothing) {
+TEST(prefix_index_test, OldBlocksStayInvalidWhenEpochsWrap) {
   prefix_index index(64);
   const std::vector<std::uint64_t> prompt{1};
   index.Apply({.upstream = kOne, .sequence = 1, .blocks = prompt});
--- a/libs/routing/tests/table_test.cc
+++ b/libs/routing/tests/table_test.cc
@@ -104,7 +104,7 @@
 }
 
 // Guards against a key that finds the wrong upstream after the list has changed.
-TEST(table_test, KeysOutliveTheSnapshot) {
+TEST(table_test, KeysStayValidInLaterSnapshots) {
   const auto before = routing_table::Build("s", {{.id = "a"}, {.id = "b"}}).value();
   const auto after = routing_table::Build("s", {{.id = "b"}, {.id = "c"}}).value();
   EXPECT_EQ(after->IndexOf(before->key(1)), 0U);
