Hold goodput past saturation; serve small workspaces from a short queue

Work waited as long as its deadline permitted and was then started with too little time left. Change: a slot that others wait for goes only to work with time for the 90th percentile of the occupancy (was: the median when offered, the 10th when started). The default queue is as long as the full limit (was eight times). A full queue gives up the request that would be served last, so recent use counts and not only the queue length. The estimated position follows the virtual times. Timed-out work is judged by its service time so far, so that impatient callers don't lower the limit.

--- a/libs/admission/include/quincebank/admission/fair_queue.h
+++ b/libs/admission/include/quincebank/admission/fair_queue.h
@@ -40,21 +40,21 @@
 };
 
 struct tag_hook;
-struct excess_hook;
+struct tail_hook;
 struct idle_hook;
 struct table_hook;
 
 /// \brief Queue and recent use of one workspace.
 struct workspace_flow
     : boost::intrusive::set_base_hook<boost::intrusive::tag<tag_hook>>,
-      boost::intrusive::set_base_hook<boost::intrusive::tag<excess_hook>>,
+      boost::intrusive::set_base_hook<boost::intrusive::tag<tail_hook>>,
       boost::intrusive::list_base_hook<boost::intrusive::tag<idle_hook>>,
       boost::intrusive::unordered_set_base_hook<boost::intrusive::tag<table_hook>> {
   std::uint64_t workspace = 0;
   std::uint64_t start = 0;   ///< Virtual start time of the next request while queued.
   std::uint64_t finish = 0;  ///< Virtual finish time of the last request served.
   std::uint64_t sequence = 0;
-  std::uint64_t excess = 0;  ///< Queued requests divided by the weight.
+  std::uint64_t tail = 0;  ///< Virtual time at which the last queued request is finished.
   std::uint32_t weight = 1;
   std::array<std::uint32_t, kHighestPriority + 1> by_priority{};
   boost::intrusive::set<admission_entry, boost::intrusive::compare<entry_order>> queued;
@@ -85,11 +85,12 @@
 
   /// \brief Estimates how many queued requests would be served before this one, in constant time.
   [[nodiscard]] std::size_t Ahead(const admission_request& request) const;
-  /// \brief Returns the entry to give up so that the request can be queued, or null if the request
-  /// itself is the one to reject.
+  /// \brief Returns the entry to give up so that the request can be queued: the one that would be
+  /// served last, if the request would be served before it.
+  /// \returns Null if the request itself is the one to reject.
   [[nodiscard]] admission_entry* Victim(const admission_request& request);
-  /// \brief Returns the last entry of the workspace that holds most of the queue; null if empty.
-  [[nodiscard]] admission_entry* Longest();
+  /// \brief Returns the entry that would be served last; null if empty.
+  [[nodiscard]] admission_entry* Last();
 
   /// \brief Calls `visit` for each queued entry. `visit` may not change the queue.
   template <typename Visitor>
@@ -106,9 +107,9 @@
       return a.start != b.start ? a.start < b.start : a.sequence < b.sequence;
     }
   };
-  struct excess_order {
+  struct tail_order {
     [[nodiscard]] bool operator()(const workspace_flow& a, const workspace_flow& b) const noexcept {
-      return a.excess != b.excess ? a.excess > b.excess : a.sequence > b.sequence;
+      return a.tail != b.tail ? a.tail > b.tail : a.sequence > b.sequence;
     }
   };
   struct workspace_key {
@@ -133,7 +134,7 @@
   [[nodiscard]] workspace_flow& FlowOf(const admission_request& request);
   void Detach(admission_entry& entry);
   void SetWeight(workspace_flow& flow, std::uint32_t weight);
-  void UpdateExcess(workspace_flow& flow);
+  void UpdateTail(workspace_flow& flow);
   void Forget(workspace_flow& flow);
   void TrimIdle();
 
@@ -148,9 +149,9 @@
       backlogged_;
   boost::intrusive::set<workspace_flow,
                         boost::intrusive::base_hook<
-                            boost::intrusive::set_base_hook<boost::intrusive::tag<excess_hook>>>,
-                        boost::intrusive::compare<excess_order>>
-      by_excess_;
+                            boost::intrusive::set_base_hook<boost::intrusive::tag<tail_hook>>>,
+                        boost::intrusive::compare<tail_order>>
+      by_tail_;
   idle_list idle_;
   idle_list unused_;
   std::size_t size_ = 0;
--- a/libs/admission/include/quincebank/admission/occupancy.h
+++ b/libs/admission/include/quincebank/admission/occupancy.h
@@ -15,14 +15,15 @@
   [[nodiscard]] nanoseconds mean() const noexcept;
   /// \brief Time that nine in ten requests exceed.
   [[nodiscard]] nanoseconds low() const noexcept;
-  [[nodiscard]] nanoseconds median() const noexcept;
+  /// \brief Time that one in ten requests exceeds.
+  [[nodiscard]] nanoseconds high() const noexcept;
   /// \brief Expected wait behind `ahead` requests that are served `limit` at a time.
   [[nodiscard]] nanoseconds Wait(std::size_t ahead, std::size_t limit) const noexcept;
 
  private:
   double mean_;
   double low_;
-  double median_;
+  double high_;
 };
 
 }  // namespace quincebank
--- a/libs/admission/include/quincebank/admission/request.h
+++ b/libs/admission/include/quincebank/admission/request.h
@@ -88,7 +88,7 @@
 enum class work_outcome : std::uint8_t {
   kServed,         ///< The upstream answered in full.
   kUpstreamError,  ///< The upstream failed or the connection to it broke.
-  kTimedOut,       ///< The upstream did not answer in time.
+  kTimedOut,       ///< Given up before the answer was complete; judged by the service time so far.
   kRefused,        ///< The upstream itself refused the work as too much.
   kNoEvidence,     ///< The caller left, or the request itself was wrong.
 };
--- a/libs/admission/include/quincebank/admission/settings.h
+++ b/libs/admission/include/quincebank/admission/settings.h
@@ -27,9 +27,11 @@
 
 /// \brief Settings of one `admission_gate`.
 struct admission_settings {
-  std::size_t cold_limit = 2;     ///< Requests that a cold upstream handles at once.
-  std::size_t full_limit = 32;    ///< Upper bound of the concurrency limit.
-  std::size_t queue_limit = 256;  ///< Queued requests at the full limit.
+  std::size_t cold_limit = 2;   ///< Requests that a cold upstream handles at once.
+  std::size_t full_limit = 32;  ///< Upper bound of the concurrency limit.
+  /// Queued requests at the full limit. A queue as long as the full limit is a wait of about one
+  /// service time. A longer one raises nothing but the wait, and work then starts too late.
+  std::size_t queue_limit = 32;
   /// Workspaces without queued work whose recent use is remembered.
   std::size_t idle_workspace_limit = 1024;
   milliseconds expected_service_time{1000};  ///< Estimate until work has finished.
--- a/libs/admission/src/concurrency_limit.cc
+++ b/libs/admission/src/concurrency_limit.cc
@@ -32,8 +32,11 @@
     Decrease(static_cast<std::size_t>(static_cast<double>(limit_) * ramp_.decrease));
     return;
   }
+  // A caller that gave up early says nothing; one that waited longer than good work takes does.
+  if (outcome == work_outcome::kTimedOut && service_time <= ramp_.good_service_time)
+    return;
   const double good_ms = static_cast<double>(ramp_.good_service_time.count());
-  const bool failed = outcome != work_outcome::kServed;
+  const bool failed = outcome == work_outcome::kUpstreamError;
   const bool spike =
       failed || static_cast<double>(service_time.count()) > good_ms * ramp_.spike_factor;
   spikes_in_a_row_ = spike ? spikes_in_a_row_ + 1 : 0;
--- a/libs/admission/src/fair_queue.cc
+++ b/libs/admission/src/fair_queue.cc
@@ -74,7 +74,7 @@
     active_weight_ += std::uint64_t{weight} - flow.weight;
   flow.weight = weight;
   if (!flow.queued.empty())
-    UpdateExcess(flow);
+    UpdateTail(flow);
 }
 
 void fair_queue::Forget(workspace_flow& flow) {
@@ -90,10 +90,10 @@
     Forget(idle_.front());
 }
 
-void fair_queue::UpdateExcess(workspace_flow& flow) {
-  by_excess_.erase(by_excess_.iterator_to(flow));
-  flow.excess = flow.queued.size() * kUnit / flow.weight;
-  by_excess_.insert(flow);
+void fair_queue::UpdateTail(workspace_flow& flow) {
+  by_tail_.erase(by_tail_.iterator_to(flow));
+  flow.tail = flow.start + flow.queued.size() * kUnit / flow.weight;
+  by_tail_.insert(flow);
 }
 
 void fair_queue::Push(admission_entry& entry, const admission_request& request) {
@@ -110,12 +110,12 @@
     idle_.erase(idle_.iterator_to(flow));
     flow.start = std::max(virtual_time_, flow.finish);
     flow.sequence = sequence_;
-    flow.excess = kUnit / flow.weight;
+    flow.tail = flow.start + kUnit / flow.weight;
     active_weight_ += flow.weight;
     backlogged_.insert(flow);
-    by_excess_.insert(flow);
+    by_tail_.insert(flow);
   } else {
-    UpdateExcess(flow);
+    UpdateTail(flow);
   }
 }
 
@@ -126,11 +126,11 @@
   --size_;
   entry.flow = nullptr;
   if (!flow.queued.empty()) {
-    UpdateExcess(flow);
+    UpdateTail(flow);
     return;
   }
   backlogged_.erase(backlogged_.iterator_to(flow));
-  by_excess_.erase(by_excess_.iterator_to(flow));
+  by_tail_.erase(by_tail_.iterator_to(flow));
   active_weight_ -= flow.weight;
   idle_.push_back(flow);
   TrimIdle();
@@ -168,44 +168,46 @@
 }
 
 std::size_t fair_queue::Ahead(const admission_request& request) const {
-  const workspace_flow* flow = FindFlow(request.workspace);
-  std::size_t own = 0;
-  std::uint64_t weight = WeightOf(request);
-  std::uint64_t active = active_weight_;
+  const workspace_flow* const flow = FindFlow(request.workspace);
+  // Virtual time until the request starts.
+  std::uint64_t until = 0;
   if (flow != nullptr && !flow->queued.empty()) {
+    std::size_t own = 0;
     for (std::size_t p = PriorityOf(request); p < flow->by_priority.size(); ++p)
       own += flow->by_priority.at(p);
-    weight = flow->weight;
-  } else {
-    active += weight;
+    until = flow->start - std::min(flow->start, virtual_time_) + own * kUnit / flow->weight;
+  } else if (flow != nullptr) {
+    until = flow->finish - std::min(flow->finish, virtual_time_);
   }
-  // While one request of this workspace is served, the others are served in proportion to their
-  // weights. The requests that are queued are an upper bound.
-  return std::min<std::size_t>(size_, (own + 1) * active / weight - 1);
+  // In one unit of virtual time each workspace is served by its weight. Of those whose start times
+  // equal that of the request, half are ahead on average.
+  const std::uint64_t ahead = until * active_weight_ / kUnit + backlogged_.size() / 2;
+  return std::min<std::size_t>(size_, ahead);
 }
 
 admission_entry* fair_queue::Victim(const admission_request& request) {
-  if (by_excess_.empty())
+  if (by_tail_.empty())
     return nullptr;
-  workspace_flow& longest = *by_excess_.begin();
-  const workspace_flow* own = FindFlow(request.workspace);
-  if (own == &longest) {
-    admission_entry& last = *longest.queued.rbegin();
-    return last.priority < PriorityOf(request) ? &last : nullptr;
+  workspace_flow& furthest = *by_tail_.begin();
+  admission_entry& last = *furthest.queued.rbegin();
+  workspace_flow* const own = FindFlow(request.workspace);
+  const bool waiting = own != nullptr && !own->queued.empty();
+  if (own != &furthest) {
+    const std::uint64_t used =
+        own == nullptr ? virtual_time_ : std::max(virtual_time_, own->finish);
+    const std::uint64_t before = waiting ? own->tail : used;
+    if (before + kUnit / WeightOf(request) < furthest.tail)
+      return &last;
   }
-  const bool known = own != nullptr && !own->queued.empty();
-  const std::size_t queued = known ? own->queued.size() : 0;
-  const std::uint64_t weight = known ? own->weight : WeightOf(request);
-  if ((queued + 1) * kUnit / weight < longest.excess)
-    return &*longest.queued.rbegin();
-  // At its share, a workspace may still replace its own work of a lower priority.
-  if (known && own->queued.rbegin()->priority < PriorityOf(request))
-    return const_cast<admission_entry*>(&*own->queued.rbegin());
-  return nullptr;
-}
-
-admission_entry* fair_queue::Longest() {
-  return by_excess_.empty() ? nullptr : &*by_excess_.begin()->queued.rbegin();
+  // A workspace may replace its own work of a lower priority.
+  if (!waiting)
+    return nullptr;
+  admission_entry& own_last = *own->queued.rbegin();
+  return own_last.priority < PriorityOf(request) ? &own_last : nullptr;
+}
+
+admission_entry* fair_queue::Last() {
+  return by_tail_.empty() ? nullptr : &*by_tail_.begin()->queued.rbegin();
 }
 
 }  // namespace quincebank
--- a/libs/admission/src/gate.cc
+++ b/libs/admission/src/gate.cc
@@ -96,13 +96,13 @@
   if (in_flight_ < settings_.cold_limit)
     return true;
   // A free slot is given to anything that has a chance. A slot that others wait for goes only to
-  // work that more likely than not meets its deadline.
+  // work that almost certainly meets its deadline: started work that misses it wastes the slot.
   if (queue_.empty() && in_flight_ < limit_.limit())
     return occupancy_.low() <= *request.deadline;
-  if (occupancy_.median() > *request.deadline)
+  if (occupancy_.high() > *request.deadline)
     return false;
   const nanoseconds wait = occupancy_.Wait(queue_.Ahead(request), limit_.limit());
-  return wait + occupancy_.median() <= *request.deadline;
+  return wait + occupancy_.high() <= *request.deadline;
 }
 
 admission_decision admission_gate::Offer(const admission_request& request, time_point now) {
@@ -202,12 +202,13 @@
   queue_changes changes;
   const std::size_t queue_limit = QueueLimit();
   while (queue_.size() > queue_limit)
-    Shed(*queue_.Longest(), draining_ ? shed_reason::kDraining : shed_reason::kFallback);
+    Shed(*queue_.Last(), draining_ ? shed_reason::kDraining : shed_reason::kFallback);
   ShedExpired(now);
   while (!queue_.empty() && in_flight_ < limit_.limit()) {
     entry& work = *queue_.Pop();
     const admission_ticket ticket{std::uint64_t{work.generation} << kGenerationShift | work.index};
-    if (work.deadline != time_point::max() && work.deadline - now < occupancy_.low()) {
+    const nanoseconds needed = queue_.empty() ? occupancy_.low() : occupancy_.high();
+    if (work.deadline != time_point::max() && work.deadline - now < needed) {
       shed_.push_back({ticket, Refuse(shed_reason::kDeadline)});
       Release(work);
       continue;
--- a/libs/admission/src/occupancy.cc
+++ b/libs/admission/src/occupancy.cc
@@ -10,7 +10,7 @@
 // A quantile moves by at most this share of itself per request.
 constexpr double kQuantileStep = 0.05;
 constexpr double kLow = 0.1;
-constexpr double kMedian = 0.5;
+constexpr double kHigh = 0.9;
 constexpr double kShortest = 1e3;  // nanoseconds; keeps the multiplicative steps away from 0
 
 void Follow(double& estimate, double value, double quantile) noexcept {
@@ -25,15 +25,13 @@
 }  // namespace
 
 occupancy_estimate::occupancy_estimate(milliseconds initial) noexcept
-    : mean_(static_cast<double>(nanoseconds(initial).count())),
-      low_(mean_ * kLow),
-      median_(mean_) {}
+    : mean_(static_cast<double>(nanoseconds(initial).count())), low_(mean_ * kLow), high_(mean_) {}
 
 void occupancy_estimate::Observe(nanoseconds occupied) noexcept {
   const double value = std::max(kShortest, static_cast<double>(occupied.count()));
   mean_ += (value - mean_) * kMeanStep;
   Follow(low_, value, kLow);
-  Follow(median_, value, kMedian);
+  Follow(high_, value, kHigh);
 }
 
 nanoseconds occupancy_estimate::mean() const noexcept {
@@ -44,8 +42,8 @@
   return FromDouble(low_);
 }
 
-nanoseconds occupancy_estimate::median() const noexcept {
-  return FromDouble(median_);
+nanoseconds occupancy_estimate::high() const noexcept {
+  return FromDouble(high_);
 }
 
 nanoseconds occupancy_estimate::Wait(std::size_t ahead, std::size_t limit) const noexcept {
--- a/libs/admission/tests/deadline_test.cc
+++ b/libs/admission/tests/deadline_test.cc
@@ -58,6 +58,25 @@
   EXPECT_EQ(changes.shed.front().refused.reason, shed_reason::kDeadline);
 }
 
+// Guards against slots wasted on work that will probably miss its deadline while other work waits
+// that would meet it. One request in five takes 300 ms instead of 100 ms.
+TEST_F(expiry_test, AContendedSlotGoesToWorkThatMeetsItsDeadline) {
+  for (int i = 0; i < 100; ++i) {
+    while (gate_.State().in_flight < gate_.State().limit)
+      (void)Offer();
+    (void)FinishAll(work_outcome::kServed, i % 5 == 0 ? milliseconds(300) : kServiceTime);
+  }
+  ASSERT_GE(gate_.State().limit, 2U);
+  const auto tight = FillAndQueue(1, {.workspace = 1, .deadline = milliseconds(600)});
+  const auto relaxed = FillAndQueue(1, {.workspace = 1, .deadline = seconds(60)});
+  now_ += milliseconds(250);
+  const queue_changes changes = FinishAll(work_outcome::kServed, milliseconds(200));
+  ASSERT_EQ(changes.shed.size(), 1U);
+  EXPECT_EQ(changes.shed.front().ticket, tight.front());
+  ASSERT_EQ(changes.admitted.size(), 1U);
+  EXPECT_EQ(changes.admitted.front(), relaxed.front());
+}
+
 // Guards against expired work that holds queue room while the upstream is stuck.
 TEST_F(expiry_test, ExpiredWorkLeavesTheQueueWithoutAFinish) {
   WarmUp();
