Lower the limit on the progress of running work

Cause: with an engine that turns cold without a new boot number, the gate noticed only when the first slow work finished, and lowered a limit that was far above the work in flight. Two failed requests in a row sent the limit back to cold, so a caller whose requests always fail could have kept a sound upstream cold. Change: admission_gate::Progress reports the service time of running work, which only lowers the limit; a decrease starts from the work in flight; slow work is judged over a window of at least 8; no raise while the present window is slow.

--- a/bench/admission/simulation.cc
+++ b/bench/admission/simulation.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr double kTickSeconds = 0.05;
+constexpr double kReportSeconds = 0.25;
 // Work lengths are a constant part and an exponential one, with a mean of 1 s.
 constexpr double kLeastWork = 0.25;
 constexpr double kRandomWork = 0.75;
@@ -52,8 +53,11 @@
   policy_->OnBoot(upstream_.boot_number());
   Schedule(0, event_kind::kArrival);
   Schedule(0, event_kind::kTick);
+  Schedule(kReportSeconds, event_kind::kReport);
   if (settings_.crash_at)
     Schedule(*settings_.crash_at, event_kind::kCrash);
+  if (settings_.turn_cold_at)
+    Schedule(*settings_.turn_cold_at, event_kind::kTurnCold);
   while (now_ < settings_.duration) {
     const auto done = upstream_.Next();
     if (done && done->at <= events_.top().at) {
@@ -87,9 +91,16 @@
       Apply(step);
       Schedule(now_ + kTickSeconds, event_kind::kTick);
       break;
+    case event_kind::kReport:
+      Report();
+      Schedule(now_ + kReportSeconds, event_kind::kReport);
+      break;
     case event_kind::kCrash:
       Fail(upstream_.Crash(now_));
       break;
+    case event_kind::kTurnCold:
+      upstream_.TurnCold(now_);
+      break;
     case event_kind::kBooted:
       policy_->OnBoot(upstream_.boot_number());
       break;
@@ -196,6 +207,22 @@
   Apply(step);
 }
 
+void simulation::Report() {
+  const double attained = upstream_.Attained(now_);
+  const double stretch = (now_ - reported_at_) / std::max(attained - reported_attained_, 1e-6);
+  std::vector<std::uint64_t> running;
+  for (const auto& [id, one] : attempts_) {
+    if (one.running && one.begun <= reported_at_)
+      running.push_back(id);
+  }
+  // Hash order differs between libraries; the results must not.
+  std::sort(running.begin(), running.end());
+  for (const std::uint64_t id : running)
+    policy_->Progress(id, stretch);
+  reported_at_ = now_;
+  reported_attained_ = attained;
+}
+
 void simulation::Complete(const batching_upstream::completion& done) {
   upstream_.Finish(done);
   const attempt finished = attempts_.at(done.id);
--- a/bench/admission/simulation.h
+++ b/bench/admission/simulation.h
@@ -31,6 +31,7 @@
   std::function<std::uint64_t(random_source&)> workspace = [](random_source&) { return 0; };
   bool cold = false;
   std::optional<double> crash_at;
+  std::optional<double> turn_cold_at;  ///< Without a new boot number.
   int max_attempts = 1;
   bool budget = false;
   /// Entries that follow rejections with `backoff_after`; 0 for none.
@@ -68,7 +69,16 @@
   [[nodiscard]] run_result Run();
 
  private:
-  enum class event_kind : std::uint8_t { kArrival, kAttempt, kTimeout, kTick, kCrash, kBooted };
+  enum class event_kind : std::uint8_t {
+    kArrival,
+    kAttempt,
+    kTimeout,
+    kTick,
+    kReport,
+    kCrash,
+    kTurnCold,
+    kBooted
+  };
   struct event {
     double at = 0;
     std::uint64_t order = 0;
@@ -99,6 +109,8 @@
   void Arrive();
   void BeginAttempt(std::uint64_t request_id);
   void TimeOut(std::uint64_t attempt_id);
+  /// Reports the progress of all running attempts, as an agent does that sees tokens arrive.
+  void Report();
   void Complete(const batching_upstream::completion& done);
   void Fail(const std::vector<std::uint64_t>& attempt_ids);
   void Apply(const policy_step& step);
@@ -119,6 +131,8 @@
   std::uint64_t next_attempt_ = 0;
   std::uint64_t next_order_ = 0;
   double now_ = 0;
+  double reported_at_ = 0;
+  double reported_attained_ = 0;
   run_result result_;
 };
 
--- a/bench/admission/upstream.cc
+++ b/bench/admission/upstream.cc
@@ -24,6 +24,11 @@
   last_ = now;
 }
 
+double batching_upstream::Attained(double now) noexcept {
+  Advance(now);
+  return attained_;
+}
+
 bool batching_upstream::Start(std::uint64_t id, double work, double now) {
   if (down(now))
     return false;
@@ -76,6 +81,12 @@
   return failed;
 }
 
+void batching_upstream::TurnCold(double now) {
+  Advance(now);
+  cold_ = true;
+  warmth_ = 0;
+}
+
 std::vector<std::uint64_t> batching_upstream::CrashIfOverloaded(double now) {
   const bool warm = Knee() >= kWarmKnee;
   if (warm || static_cast<double>(running_.size()) <= kCrashFactor * Knee())
--- a/bench/admission/upstream.h
+++ b/bench/admission/upstream.h
@@ -40,9 +40,14 @@
   void Finish(const completion& done);
   /// \brief Crashes at once. \returns The work that failed.
   std::vector<std::uint64_t> Crash(double now);
+  /// \brief Turns cold without a restart, as when the engine loses its caches.
+  void TurnCold(double now);
   /// \brief Crashes if the engine is cold and holds too much.
   std::vector<std::uint64_t> CrashIfOverloaded(double now);
 
+  /// \brief Returns the seconds of full speed that work running all along has received by now.
+  [[nodiscard]] double Attained(double now) noexcept;
+
   [[nodiscard]] bool down(double now) const noexcept { return now < down_until_; }
   [[nodiscard]] std::uint64_t boot_number() const noexcept { return boot_; }
   [[nodiscard]] std::size_t crashes() const noexcept { return boot_ - 1; }
--- a/libs/admission/include/quincebank/admission/concurrency_limit.h
+++ b/libs/admission/include/quincebank/admission/concurrency_limit.h
@@ -34,14 +34,21 @@
                 work_outcome outcome,
                 milliseconds service_time,
                 std::size_t in_flight) noexcept;
+  /// \brief Judges work that still runs. Slow work counts as in `OnFinish`; good work is no
+  /// evidence for a raise.
+  void OnProgress(limit_mark started, milliseconds service_time, std::size_t in_flight) noexcept;
   /// \brief Returns to the cold limit.
   void FallBack() noexcept;
 
  private:
+  /// Counts slow work and spikes.
+  /// \returns False if the limit fell back, after which nothing more is to be counted.
+  [[nodiscard]] bool Judge(milliseconds service_time) noexcept;
   void Grow() noexcept;
   void Decrease(std::size_t limit) noexcept;
   void StartRound() noexcept;
-  void Decide() noexcept;
+  void Decide(std::size_t in_flight) noexcept;
+  void LowerFrom(std::size_t in_flight) noexcept;
 
   const std::size_t cold_limit_;
   const std::size_t full_limit_;
--- a/libs/admission/include/quincebank/admission/gate.h
+++ b/libs/admission/include/quincebank/admission/gate.h
@@ -49,6 +49,11 @@
               milliseconds service_time,
               time_point now);
 
+  /// \brief Reports the service time of running work, measured over the last moments (such as the
+  /// time per token), on the scale of `Finish`. It only ever lowers the limit. Without it, an
+  /// upstream that turns cold unannounced is noticed when the first slow work finishes.
+  void Progress(admission_ticket ticket, milliseconds service_time);
+
   /// \brief Withdraws a request whose caller has left. A queued one leaves the queue; admitted work
   /// frees its slot without being evidence, so call it for such work only once the upstream has
   /// stopped running it.
@@ -60,7 +65,8 @@
 
   /// \brief Reports the engine's boot number. A changed number sends the limit back to cold.
   void OnUpstreamBoot(std::uint64_t boot_number);
-  /// \brief Sends the limit back to cold.
+  /// \brief Reports that the upstream can no longer be reached, or dropped its connections. Sends
+  /// the limit back to cold. One failed request is `Finish` with `work_outcome::kUpstreamError`.
   void OnConnectionLost();
   /// \brief While draining, new and queued work is rejected and running work goes on. The end of a
   /// drain starts cold.
--- a/libs/admission/include/quincebank/admission/request.h
+++ b/libs/admission/include/quincebank/admission/request.h
@@ -87,7 +87,7 @@
 /// \brief How admitted work ended.
 enum class work_outcome : std::uint8_t {
   kServed,         ///< The upstream answered in full.
-  kUpstreamError,  ///< The upstream failed or the connection to it broke.
+  kUpstreamError,  ///< The upstream failed the request; counts like slow work.
   kTimedOut,       ///< Given up before the answer was complete; judged by the service time so far.
   kRefused,        ///< The upstream itself refused the work as too much.
   kNoEvidence,     ///< The caller left, or the request itself was wrong.
--- a/libs/admission/src/concurrency_limit.cc
+++ b/libs/admission/src/concurrency_limit.cc
@@ -5,9 +5,12 @@
 namespace quincebank {
 namespace {
 
-// A round holds as much finished work as the limit, but at least this much: two quick answers say
+// A raise needs as much good work as the limit, but at least this much: two quick answers say
 // little about an upstream.
-constexpr std::size_t kLeastEvidence = 3;
+constexpr std::size_t kLeastGood = 3;
+// Slow work is judged over a window as large as the work in flight, but at least this large: at low
+// load a few slow requests in a row are chance.
+constexpr std::size_t kLeastWindow = 8;
 // More than one slow request in this many voids the good ones before it.
 constexpr std::size_t kPerSlow = 8;
 // The limit counts as used from three quarters on. Work that finished at a lower concurrency says
@@ -29,38 +32,54 @@
   if (outcome == work_outcome::kNoEvidence || started.epoch != epoch_)
     return;
   if (outcome == work_outcome::kRefused) {
-    Decrease(static_cast<std::size_t>(static_cast<double>(limit_) * ramp_.decrease));
+    LowerFrom(in_flight);
     return;
   }
   // A caller that gave up early says nothing; one that waited longer than good work takes does.
   if (outcome == work_outcome::kTimedOut && service_time <= ramp_.good_service_time)
     return;
+  if (outcome == work_outcome::kUpstreamError) {
+    // Failures alone are no spike: requests that always fail would keep a sound upstream cold.
+    ++finished_;
+    ++slow_;
+  } else {
+    if (!Judge(service_time))
+      return;
+    const bool used = in_flight * kUsedDenominator >= limit_ * kUsedNumerator;
+    if (service_time <= ramp_.good_service_time && started.round == round_ && used)
+      ++good_;
+  }
+  Decide(in_flight);
+}
+
+void concurrency_limit::OnProgress(limit_mark started,
+                                   milliseconds service_time,
+                                   std::size_t in_flight) noexcept {
+  if (started.epoch == epoch_ && Judge(service_time))
+    Decide(in_flight);
+}
+
+bool concurrency_limit::Judge(milliseconds service_time) noexcept {
   const double good_ms = static_cast<double>(ramp_.good_service_time.count());
-  const bool failed = outcome == work_outcome::kUpstreamError;
-  const bool spike =
-      failed || static_cast<double>(service_time.count()) > good_ms * ramp_.spike_factor;
+  const bool spike = static_cast<double>(service_time.count()) > good_ms * ramp_.spike_factor;
   spikes_in_a_row_ = spike ? spikes_in_a_row_ + 1 : 0;
   if (spikes_in_a_row_ >= ramp_.spike_count) {
     const std::size_t before = limit_;
     FallBack();
     // The fast part of the next ramp stops below the limit at which the upstream failed.
     threshold_ = std::max(cold_limit_, before / 2);
-    return;
+    return false;
   }
   ++finished_;
-  if (failed || service_time > ramp_.good_service_time) {
+  if (service_time > ramp_.good_service_time)
     ++slow_;
-  } else if (started.round == round_ && in_flight * kUsedDenominator >= limit_ * kUsedNumerator) {
-    ++good_;
-  }
-  Decide();
+  return true;
 }
 
-void concurrency_limit::Decide() noexcept {
-  const std::size_t needed = std::max(limit_, kLeastEvidence);
-  if (finished_ >= needed) {
+void concurrency_limit::Decide(std::size_t in_flight) noexcept {
+  if (finished_ >= std::max(std::min(limit_, in_flight), kLeastWindow)) {
     if (slow_ * 2 > finished_) {
-      Decrease(static_cast<std::size_t>(static_cast<double>(limit_) * ramp_.decrease));
+      LowerFrom(in_flight);
       return;
     }
     if (slow_ * kPerSlow > finished_)
@@ -68,10 +87,16 @@
     finished_ = 0;
     slow_ = 0;
   }
-  if (good_ >= needed)
+  if (good_ >= std::max(limit_, kLeastGood) && slow_ * kPerSlow <= finished_)
     Grow();
 }
 
+void concurrency_limit::LowerFrom(std::size_t in_flight) noexcept {
+  // An upstream that is slow with less work than the limit permits needs a limit below that work.
+  const std::size_t used = std::min(limit_, in_flight);
+  Decrease(static_cast<std::size_t>(static_cast<double>(used) * ramp_.decrease));
+}
+
 void concurrency_limit::Grow() noexcept {
   cold_ = false;
   good_ = 0;
--- a/libs/admission/src/gate.cc
+++ b/libs/admission/src/gate.cc
@@ -165,6 +165,12 @@
   Release(*work);
 }
 
+void admission_gate::Progress(admission_ticket ticket, milliseconds service_time) {
+  const entry* const work = Find(ticket);
+  if (work != nullptr && work->where == entry::place::kInFlight)
+    limit_.OnProgress(work->mark, service_time, in_flight_);
+}
+
 void admission_gate::Cancel(admission_ticket ticket) {
   entry* const work = Find(ticket);
   if (work == nullptr)
--- a/libs/admission/tests/gate_test.cc
+++ b/libs/admission/tests/gate_test.cc
@@ -78,6 +78,17 @@
                       2}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against slots that are given out while running work shows that the upstream is slow.
+TEST_F(gate_test, SlowRunningWorkStopsNewWork) {
+  WarmUp();
+  (void)FillAndQueue(4, {.workspace = 1});
+  gate_.Progress(running_[0], seconds(10));
+  gate_.Progress(running_[1], seconds(10));
+  EXPECT_EQ(gate_.State().phase, admission_phase::kCold);
+  EXPECT_EQ(gate_.State().limit, 2U);
+  EXPECT_EQ(Next().shed.size(), 4U);
+}
+
 // Guards against finishes from before a restart that free slots twice or warm up the new engine.
 TEST_F(gate_test, WorkFromBeforeARestartOnlyFreesItsSlot) {
   gate_.OnUpstreamBoot(1);
@@ -153,6 +164,15 @@
                                                        gate.Cancel(queued);
                                                      },
                                                      8, 0},
+                                         ticket_case{"progress_of_queued_and_unknown",
+                                                     [](auto& gate, auto, auto queued, auto) {
+                                                       for (int i = 0; i < 100; ++i) {
+                                                         gate.Progress(queued,
+                                                                       std::chrono::hours(1));
+                                                         gate.Progress({}, std::chrono::hours(1));
+                                                       }
+                                                     },
+                                                     8, 1},
                                          ticket_case{"unknown",
                                                      [](auto& gate, auto, auto, auto now) {
                                                        gate.Finish({}, kServed, kTook, now);
