--- a/libs/idempotency/include/quincebank/idempotency/claim_writer.h
+++ b/libs/idempotency/include/quincebank/idempotency/claim_writer.h
@@ -66,6 +66,9 @@
   milliseconds reply_timeout{1000};
   milliseconds retry_delay{50};  ///< After a reply `kUnknown`; doubled up to the maximum.
   milliseconds max_retry_delay{800};
+  /// \brief Time that released claims wait for a write. A claim that stays behind makes later calls
+  /// with its key ask an agent that may be gone.
+  milliseconds release_delay{200};
   std::size_t max_pending = 4096;
   std::size_t max_bytes = kMaxBucketBytes;
   bucket_layout layout;
@@ -84,9 +87,9 @@
 
   /// \returns A ticket that identifies the decision.
   std::uint64_t Add(claim_request request, time_point now);
-  /// \brief Lets a later write remove the claim, if it still names this attempt.
+  /// \brief Removes the claim soon, if it still names this attempt. Call `Poll` afterwards.
   ///
-  /// Only for attempts that provably never run.
+  /// Only for attempts that provably never run. The removal is not guaranteed.
   void Release(const claim_key& key, attempt_id attempt);
 
   /// \brief Returns the calls that are due now. Call after every event.
@@ -101,7 +104,9 @@
   [[nodiscard]] const std::string& bucket() const noexcept { return bucket_; }
   [[nodiscard]] std::size_t pending() const noexcept { return pending_.size(); }
   /// \brief True if the writer holds nothing that a new writer of the bucket would need.
-  [[nodiscard]] bool Idle() const noexcept { return pending_.empty() && operation_ == 0; }
+  [[nodiscard]] bool Idle() const noexcept {
+    return pending_.empty() && released_.empty() && operation_ == 0;
+  }
 
  private:
   struct pending_claim {
@@ -119,6 +124,7 @@
   void Refuse(const pending_claim& entry, error failure);
   void ExpirePending(time_point now);
   void Resolve();
+  [[nodiscard]] bool Movable(const pending_claim& entry, const claim& holder) const;
   [[nodiscard]] std::optional<store_action> NextCall(time_point now, wall_time wall);
   [[nodiscard]] bool ApplyPending(wall_time wall);
   void OnRead(const store_reply& reply, time_point now);
@@ -145,6 +151,7 @@
   bool swapping_ = false;
   time_point call_deadline_;
   time_point batch_at_;
+  std::optional<time_point> release_at_;
   time_point retry_at_;
   milliseconds retry_delay_{0};
 };
--- a/libs/idempotency/include/quincebank/idempotency/keyed_request.h
+++ b/libs/idempotency/include/quincebank/idempotency/keyed_request.h
@@ -108,6 +108,7 @@
   bool own_ = false;       ///< `attempt_` was created by this request.
   bool any_sent_ = false;  ///< This request has sent a copy of some attempt.
   bool resent_ = false;
+  bool restarted_ = false;  ///< The agent of `attempt_` rejected it as another incarnation.
   bool grace_over_ = false;
   bool foreign_ = false;                ///< Another request's claim may still run the order.
   bool releasable_ = false;             ///< `claimed_` may be in the store.
--- a/libs/idempotency/src/claim_writer.cc
+++ b/libs/idempotency/src/claim_writer.cc
@@ -64,6 +64,13 @@
   });
 }
 
+bool claim_writer::Movable(const pending_claim& entry, const claim& holder) const {
+  return entry.request.expected == holder.attempt ||
+         std::any_of(released_.begin(), released_.end(), [&](const released_claim& released) {
+           return released.attempt == holder.attempt;
+         });
+}
+
 void claim_writer::Resolve() {
   std::erase_if(pending_, [&](const pending_claim& entry) {
     if (entry.in_flight)
@@ -75,7 +82,7 @@
       Decide(entry, holder != nullptr ? claim_outcome::kHeld : claim_outcome::kAbsent);
       return true;
     }
-    if (holder == nullptr || entry.request.expected == holder->attempt)
+    if (holder == nullptr || Movable(entry, *holder))
       return false;
     const bool own = holder->attempt == entry.request.value.attempt;
     Decide(entry, own ? claim_outcome::kOwned : claim_outcome::kHeld);
@@ -85,10 +92,10 @@
 
 bool claim_writer::ApplyPending(wall_time wall) {
   stored_.DropExpired(wall);
+  bool changed = false;
   for (const released_claim& entry : released_)
-    stored_.Remove(entry.key, entry.attempt);
+    changed = stored_.Remove(entry.key, entry.attempt) || changed;
   released_in_swap_ = released_.size();
-  bool changed = false;
   std::erase_if(pending_, [&](pending_claim& entry) {
     if (entry.request.look)
       return false;
@@ -107,25 +114,27 @@
 }
 
 std::optional<store_action> claim_writer::NextCall(time_point now, wall_time wall) {
-  if (operation_ != 0 || pending_.empty() || now < retry_at_)
+  const bool release_due = release_at_ && now >= *release_at_;
+  if (operation_ != 0 || now < retry_at_ || (pending_.empty() && !release_due))
     return std::nullopt;
   const bool looks = std::any_of(pending_.begin(), pending_.end(),
                                  [](const pending_claim& entry) { return entry.request.look; });
   store_action action;
   action.key = bucket_;
-  if (!cached_ || looks) {
-    action.what = store_action::kind::kRead;
-    swapping_ = false;
-  } else {
-    if (now < batch_at_)
+  swapping_ = cached_ && !looks;
+  if (swapping_) {
+    if (!release_due && now < batch_at_)
       return std::nullopt;
+    release_at_.reset();
+    if (!ApplyPending(wall)) {
+      // All pending claims were refused, and the released ones are not in the store.
+      released_.clear();
+      return std::nullopt;
+    }
     cached_ = false;
-    if (!ApplyPending(wall))
-      return NextCall(now, wall);
     action.what = store_action::kind::kSwap;
     action.value = stored_.Serialise();
     action.index = index_;
-    swapping_ = true;
   }
   action.operation = operation_ = next_operation_++;
   call_deadline_ = now + options_.reply_timeout;
@@ -136,6 +145,8 @@
   if (operation_ != 0 && now >= call_deadline_)
     OnReply({operation_, store_reply::status::kUnknown, {}, 0}, now);
   ExpirePending(now);
+  if (!released_.empty() && !release_at_)
+    release_at_ = now + options_.release_delay;
   if (cached_)
     Resolve();
   std::vector<store_action> actions;
@@ -210,6 +221,10 @@
   retry_delay_ =
       std::min(std::max(retry_delay_ * 2, options_.retry_delay), options_.max_retry_delay);
   retry_at_ = now + retry_delay_;
+  if (pending_.empty() && retry_delay_ == options_.max_retry_delay)
+    released_.clear();
+  if (released_.empty())
+    release_at_.reset();
 }
 
 std::vector<claim_decision> claim_writer::TakeDecisions() {
@@ -217,11 +232,15 @@
 }
 
 std::optional<time_point> claim_writer::NextWake() const {
-  if (pending_.empty())
+  if (operation_ == 0 && pending_.empty() && !release_at_)
     return std::nullopt;
-  time_point wake = operation_ != 0 ? call_deadline_ : retry_at_;
-  if (operation_ == 0 && cached_)
-    wake = std::max(wake, batch_at_);
+  time_point wake = call_deadline_;
+  if (operation_ == 0) {
+    wake = pending_.empty() ? *release_at_ : cached_ ? batch_at_ : retry_at_;
+    if (release_at_)
+      wake = std::min(wake, *release_at_);
+    wake = std::max(wake, retry_at_);
+  }
   for (const pending_claim& entry : pending_)
     wake = std::min(wake, entry.request.deadline);
   return wake;
--- a/libs/idempotency/src/keyed_request.cc
+++ b/libs/idempotency/src/keyed_request.cc
@@ -78,6 +78,7 @@
   target_ = *target;
   own_ = true;
   resent_ = false;
+  restarted_ = false;
   grace_over_ = false;
   releasable_ = false;
   delivered_ = 0;
@@ -174,6 +175,8 @@
     case copy_outcome::kNotSent:
     case copy_outcome::kRejected:
     case copy_outcome::kWrongIncarnation:
+      // A restarted agent may be chosen again, since its rejection corrects the hint.
+      restarted_ = report.outcome == copy_outcome::kWrongIncarnation;
       if (copies_ == verdict::kNotRun)
         return NewAttempt(report.message);
       // The rejection covers this copy only; an earlier one may still arrive.
@@ -310,7 +313,7 @@
 }
 
 request_action keyed_request::NewAttempt(std::string reason) {
-  if (own_)
+  if (own_ && !restarted_)
     tried_.push_back(target_.agent);
   if (attempts_ >= spec_.max_attempts)
     return Finish(error_code::kUnavailable, std::move(reason));
--- a/libs/scenario/include/quincebank/scenario/event_loop.h
+++ b/libs/scenario/include/quincebank/scenario/event_loop.h
@@ -12,6 +12,9 @@
 
 namespace quincebank::scenario {
 
+/// \brief Wall-clock time at the start of every script.
+inline constexpr wall_time kScenarioStart{seconds(1'800'000'000)};
+
 /// \brief Virtual clock, its events, and the processes that the events belong to.
 ///
 /// Events at the same time run in the order in which they were added. An event of a paused
--- a/libs/scenario/include/quincebank/scenario/fake_agent.h
+++ b/libs/scenario/include/quincebank/scenario/fake_agent.h
@@ -2,8 +2,8 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "quincebank/idempotency/attempt_ledger.h"
@@ -69,7 +69,7 @@
   testbed& bed_;
   const std::string name_;
   attempt_ledger ledger_;
-  std::map<attempt_id, running_order> running_;
+  std::unordered_map<attempt_id, running_order> running_;
   bool drained_ = false;
   std::size_t refuse_ = 0;
 };
--- a/libs/scenario/include/quincebank/scenario/network.h
+++ b/libs/scenario/include/quincebank/scenario/network.h
@@ -37,11 +37,14 @@
     return a < b ? link(a, b) : link(b, a);
   }
 
+  void Break(std::uint64_t channel);
+
   event_loop& loop_;
   std::set<link> cuts_;
   std::uint64_t late_per_mille_ = 0;
   milliseconds late_by_{0};
   std::uint64_t channels_ = 0;
+  std::set<std::uint64_t> broken_;
   std::map<std::uint64_t, time_point> last_delivery_;  ///< Of each channel.
 };
 
--- a/libs/scenario/include/quincebank/scenario/order_book.h
+++ b/libs/scenario/include/quincebank/scenario/order_book.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "quincebank/base/ids.h"
@@ -57,7 +58,7 @@
   std::vector<order_call> calls_;
   std::map<std::string, std::vector<attempt_id>> runs_;
   std::map<std::string, std::vector<std::uint64_t>> calls_of_;
-  std::map<attempt_id, std::uint64_t> owner_;
+  std::unordered_map<attempt_id, std::uint64_t> owner_;
   std::vector<std::string> violations_;
 };
 
--- a/libs/scenario/src/event_loop.cc
+++ b/libs/scenario/src/event_loop.cc
@@ -5,13 +5,12 @@
 
 namespace quincebank::scenario {
 namespace {
-constexpr wall_time kWallAtStart{seconds(1'800'000'000)};
+constexpr time_point kClockStart{seconds(1000)};
 }
-
-event_loop::event_loop(std::uint64_t seed) : random_(seed), now_(seconds(1000)) {}
+event_loop::event_loop(std::uint64_t seed) : random_(seed), now_(kClockStart) {}
 
 wall_time event_loop::wall() const noexcept {
-  return kWallAtStart + std::chrono::duration_cast<wall_time::duration>(now_.time_since_epoch());
+  return kScenarioStart + std::chrono::duration_cast<wall_time::duration>(now_ - kClockStart);
 }
 
 nanoseconds event_loop::Between(nanoseconds low, nanoseconds high) noexcept {
--- a/libs/scenario/src/fake_agent.cc
+++ b/libs/scenario/src/fake_agent.cc
@@ -5,7 +5,7 @@
 
 namespace quincebank::scenario {
 namespace {
-constexpr std::size_t kChunkBytes = 40;
+constexpr std::size_t kChunkBytes = 16;
 constexpr nanoseconds kMinWork = milliseconds(2);
 constexpr nanoseconds kMaxWork = milliseconds(60);
 constexpr milliseconds kHeartbeat{250};
--- a/libs/scenario/src/fake_entry.cc
+++ b/libs/scenario/src/fake_entry.cc
@@ -234,8 +234,10 @@
 void fake_entry::Finish(open_request& request) {
   const request_end end = bed_.policy.OnEnd(request.action.end);
   const std::uint64_t id = request.call.id;
-  if (end.release)
+  if (end.release) {
     Writer(request.bucket).Release(end.release->key, end.release->attempt);
+    PollWriter(request.bucket);
+  }
   bed_.links.Send({name_, "caller", 0, id + (1ULL << 32U)},
                   [&book = bed_.book, id, end] { book.End(id, end); });
   requests_.erase(id);
--- a/libs/scenario/src/fault_schedule.cc
+++ b/libs/scenario/src/fault_schedule.cc
@@ -1,11 +1,11 @@
 #include "quincebank/scenario/fault_schedule.h"
 
 #include <algorithm>
-#include <array>
 #include <map>
-#include <string_view>
 
+#include "quincebank/base/ids.h"
 #include "quincebank/base/random.h"
+#include "quincebank/scenario/event_loop.h"
 
 namespace quincebank::scenario {
 namespace {
@@ -18,7 +18,7 @@
 
   std::string Write() {
     for (std::size_t i = 0; i < options_.orders; ++i)
-      AddOrder("k" + std::to_string(i));
+      AddOrder(random_.Below(2) == 0 ? "k" + std::to_string(i) : TimedKey());
     for (std::size_t i = 0; i < options_.faults; ++i)
       AddFault();
     std::string text = Names("entry", "e", options_.entries) + Names("agent", "a", options_.agents);
@@ -50,6 +50,17 @@
   static std::string Text(milliseconds span) { return std::to_string(span.count()) + "ms"; }
   void At(milliseconds when, std::string line) { lines_.emplace(when, std::move(line)); }
 
+  /// A UUIDv7, whose claim goes to the bucket of its time slice.
+  std::string TimedKey() {
+    const auto ms =
+        std::chrono::duration_cast<milliseconds>(kScenarioStart.time_since_epoch()).count();
+    const std::string digits = ToString(
+        attempt_id{(static_cast<std::uint64_t>(ms) << 16U) | 0x7000U | random_.Below(0x1000),
+                   (random_.Next() >> 2U) | (1ULL << 63U)});
+    return digits.substr(0, 8) + "-" + digits.substr(8, 4) + "-" + digits.substr(12, 4) + "-" +
+           digits.substr(16, 4) + "-" + digits.substr(20);
+  }
+
   void AddOrder(const std::string& key) {
     const milliseconds at = Until(options_.span.count());
     const std::uint64_t kind = random_.Below(20);
@@ -72,8 +83,7 @@
     // Two faults of one process would overlap, and its end would come twice.
     const milliseconds at = Until(options_.span.count());
     const milliseconds over = at + milliseconds(20) + Until(limit);
-    const std::string subject = end;
-    milliseconds& free = free_at_[subject];
+    milliseconds& free = free_at_[end];
     if (at < free)
       return;
     free = over + milliseconds(1);
--- a/libs/scenario/src/network.cc
+++ b/libs/scenario/src/network.cc
@@ -16,8 +16,12 @@
 
 void network::Send(const message_route& route, event_loop::task deliver, event_loop::task refused) {
   const link used = Link(route.from, route.to);
-  if (cuts_.contains(used))
+  if (broken_.contains(route.channel))
     return;
+  if (cuts_.contains(used)) {
+    Break(route.channel);
+    return;
+  }
   nanoseconds delay = loop_.Between(kMinLatency, kMaxLatency);
   if (loop_.random().Below(1000) < late_per_mille_)
     delay += loop_.Between(nanoseconds(0), late_by_);
@@ -30,13 +34,21 @@
   loop_.AfterInLife(
       delay, route.to, route.to_life,
       [this, used, route, from_life, deliver = std::move(deliver), refused = std::move(refused)] {
-        if (cuts_.contains(used))
+        if (broken_.contains(route.channel))
           return;
-        if (loop_.Alive(route.to))
+        if (cuts_.contains(used))
+          Break(route.channel);
+        else if (loop_.Alive(route.to))
           deliver();
         else if (refused)
           loop_.AfterInLife(kMinLatency, route.from, from_life, refused);
       });
 }
 
+// A connection that lost a message delivers nothing after it.
+void network::Break(std::uint64_t channel) {
+  if (channel != 0)
+    broken_.insert(channel);
+}
+
 }  // namespace quincebank::scenario
--- a/libs/scenario/src/script.cc
+++ b/libs/scenario/src/script.cc
@@ -36,7 +36,7 @@
     {"retry", 2, 2, "key deadline as "},
     {"run", 1, 1, ""},
     {"settle", 0, 0, ""},
-    {"expect", 3, 4, ""},
+    {"expect", 3, 6, ""},
 }};
 
 const verb_shape* FindShape(std::string_view verb) {
