Let two calls with one key stop blocking each other

Change: the time that another entry gets to send doubles each time the claim has moved; only attempts that were sent count towards the limit; a call whose attempt was blocked by another ends as "may have run" unless it has moved the claim itself. Conclusion: the retry of a key is safe in either case, so the cautious verdict costs little.

--- a/libs/idempotency/include/quincebank/idempotency/keyed_request.h
+++ b/libs/idempotency/include/quincebank/idempotency/keyed_request.h
@@ -25,9 +25,11 @@
   request_key key;                   ///< For `kKeyed`.
   std::uint64_t request_digest = 0;  ///< For `kKeyed`.
   time_point deadline;
-  std::uint32_t max_attempts = 3;   ///< New attempts by this request.
-  milliseconds poll{100};           ///< Between two questions to an agent that does not answer.
-  milliseconds block_grace{100};    ///< Time for another entry to send what it has claimed.
+  std::uint32_t max_attempts = 3;  ///< Attempts that this request sends.
+  milliseconds poll{100};          ///< Between two questions to an agent that does not answer.
+  /// \brief Time for another entry to send what it has claimed; doubled each time that the claim
+  /// has moved.
+  milliseconds block_grace{100};
   std::uint32_t max_questions = 8;  ///< To one agent about one attempt.
   std::uint32_t max_follows = 8;    ///< Changes to another request's claim.
 };
@@ -106,7 +108,6 @@
   attempt_target target_;  ///< Where `attempt_` runs.
   claim claimed_;          ///< Claim that this request last asked for.
   bool own_ = false;       ///< `attempt_` was created by this request.
-  bool any_sent_ = false;  ///< This request has sent a copy of some attempt.
   bool resent_ = false;
   bool restarted_ = false;  ///< The agent of `attempt_` rejected it as another incarnation.
   bool grace_over_ = false;
--- a/libs/idempotency/src/keyed_request.cc
+++ b/libs/idempotency/src/keyed_request.cc
@@ -1,11 +1,15 @@
 #include "quincebank/idempotency/keyed_request.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "quincebank/idempotency/retention.h"
 #include "quincebank/idempotency/timed_attempt.h"
 
 namespace quincebank {
+namespace {
+constexpr std::uint32_t kMaxGraceDoublings = 5;
+}
 
 keyed_request::keyed_request(request_spec spec, random_source random)
     : spec_(spec), random_(random) {}
@@ -83,9 +87,10 @@
   releasable_ = false;
   delivered_ = 0;
   questions_ = 0;
-  ++attempts_;
-  if (!Keyed())
+  if (!Keyed()) {
+    ++attempts_;
     return Guard(Act(action_kind::kSend), now);
+  }
   claimed_ = claim{spec_.key.digest, spec_.request_digest, attempt_, target_, wall};
   return Guard(Claim(), now);
 }
@@ -108,6 +113,7 @@
   if (decision.outcome == claim_outcome::kOwned) {
     foreign_ = false;
     expected_ = attempt_;
+    ++attempts_;
     return Guard(Act(action_kind::kSend), now);
   }
   if (decision.outcome == claim_outcome::kHeld)
@@ -118,10 +124,10 @@
 request_action keyed_request::OnLooked(const claim_decision& decision) {
   if (decision.outcome == claim_outcome::kHeld && decision.holder.attempt != attempt_)
     return Follow(decision.holder);
+  // Whoever blocked the attempt may move the claim and run the request, unless we move it first.
+  foreign_ = true;
   if (decision.outcome != claim_outcome::kNotRun)
     return NewAttempt("the attempt was blocked");
-  // Whoever blocked the attempt may have moved the claim and may run the request.
-  foreign_ = true;
   return Finish(decision.failure.code, decision.failure.message);
 }
 
@@ -153,7 +159,6 @@
                                      const copy_report& report,
                                      time_point now) {
   const bool sent = !Late(step, action_kind::kSend);
-  any_sent_ = any_sent_ || sent;
   if (!sent && Late(step, action_kind::kFetch))
     return {};
   if (report.delivered > delivered_) {
@@ -261,10 +266,12 @@
   if (grace_over_)
     return Act(action_kind::kBlock);
   grace_over_ = true;
-  // Two entries that found each other's claims would block each other in lock-step.
-  const auto spread = static_cast<std::uint64_t>(spec_.block_grace.count()) + 1;
+  // Two entries that found each other's claims would block each other in lock-step; each time the
+  // claim has moved, the other entry gets longer to send.
+  const milliseconds grace = spec_.block_grace * (1U << std::min(follows_ - 1, kMaxGraceDoublings));
+  const auto spread = static_cast<std::uint64_t>(grace.count()) + 1;
   request_action action = Act(action_kind::kWait);
-  action.wake = now + spec_.block_grace + milliseconds(random_.Below(spread));
+  action.wake = now + grace + milliseconds(random_.Below(spread));
   then_ = next_step::kAskState;
   return action;
 }
@@ -318,7 +325,7 @@
   if (attempts_ >= spec_.max_attempts)
     return Finish(error_code::kUnavailable, std::move(reason));
   // The first attempt that is sent is not a retry, even if it takes over another request's claim.
-  if (!any_sent_)
+  if (attempts_ == 0)
     return Choose();
   return AskRetry(next_step::kNewAttempt, std::move(reason));
 }
--- a/libs/idempotency/tests/keyed_request_test.cc
+++ b/libs/idempotency/tests/keyed_request_test.cc
@@ -219,6 +219,9 @@
                      "choose:ok claim:owned send:blocked look:own ask_retry:yes choose:ok "
                      "claim:owned send:answered",
                      kRan, true},
+        request_case{"blocked_by_a_call_that_may_still_run_it", kKeyed,
+                     "choose:ok claim:owned send:blocked look:own ask_retry:no", kMayHaveRun,
+                     false},
         request_case{"blocked_while_store_is_down", kKeyed,
                      "choose:ok claim:owned send:blocked look:not_run", kMayHaveRun, false},
         request_case{"lost_and_blocked_by_other", kKeyed,
