--- a/libs/idempotency/tests/claim_writer_test.cc
+++ b/libs/idempotency/tests/claim_writer_test.cc
@@ -271,6 +271,29 @@
   EXPECT_TRUE(fix.writer.Idle());
 }
 
+// Guards against buckets of old time slices that pile up in the service, and against erasing the
+// same bucket at every write.
+TEST(claim_writer_erase_test, ErasesAnOldSliceOnceWhenItCreatesABucket) {
+  fake_store store;
+  const bucket_layout layout;
+  const std::string name = BucketName(layout, {{0, 1}, kWall});
+  claim_writer writer(name, {.layout = layout});
+  std::vector<std::string> erased;
+  time_point now{};
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    writer.Add({.value = MakeClaim(i, 10 + i), .deadline = now + seconds(5)}, now);
+    for (const time_point end = now + seconds(1); now < end; now += milliseconds(5)) {
+      for (const store_action& action : writer.Poll(now, kWall)) {
+        if (action.what == kind::kErase)
+          erased.push_back(action.key);
+        else
+          writer.OnReply(store.Apply(action), now);
+      }
+    }
+  }
+  EXPECT_EQ(erased, std::vector<std::string>{*ErasableBucket(layout, name)});
+}
+
 struct move_case {
   const char* name;
   std::uint64_t moved_from;
