Bound the ledger for the target size

Cause: at 2,400 requests/s over 620 agents, each agent sees 3.9 attempts a second, or 340,000 within the horizon. The ledger kept a full record of each and would have rejected all new attempts after 14 hours. Change: an ended attempt without an answer is archived in 17 bytes; answers give way when records run out; repeatable attempts are forgotten 60 s after their end. A repeatable request never takes up another attempt after a part of an answer was delivered. Before: 169 bytes of heap for each ended attempt, 200,000 attempts at most. Conclusion: an agent takes 7.5 orders/s for the whole horizon in about 45 MB (computed).

--- a/libs/idempotency/include/quincebank/idempotency/attempt_ledger.h
+++ b/libs/idempotency/include/quincebank/idempotency/attempt_ledger.h
@@ -10,18 +10,21 @@
 #include "quincebank/base/ids.h"
 #include "quincebank/base/time.h"
 #include "quincebank/base/verdict.h"
+#include "quincebank/idempotency/attempt_archive.h"
 #include "quincebank/idempotency/attempt_state.h"
 #include "quincebank/idempotency/retention.h"
 
 namespace quincebank {
 
-/// \brief Bounds of an agent's memory.
+/// \brief Bounds of an agent's memory: about 45 MB with these values.
 struct ledger_limits {
-  std::size_t max_records = 200'000;
-  std::size_t max_answer_bytes = std::size_t{16} << 20U;  ///< One answer.
-  std::size_t max_total_bytes = std::size_t{32} << 20U;   ///< All held answers.
-  seconds answer_retention = std::chrono::hours(1);       ///< Counted from completion.
-  seconds horizon = kAttemptHorizon;                      ///< Attempts are known this long.
+  std::size_t max_records = 60'000;    ///< Running attempts and those with an answer.
+  std::size_t max_archived = 600'000;  ///< Ended attempts without an answer.
+  std::size_t max_answer_bytes = std::size_t{8} << 20U;  ///< One answer.
+  std::size_t max_total_bytes = std::size_t{24} << 20U;  ///< All held answers.
+  seconds answer_retention = std::chrono::hours(1);      ///< Counted from completion.
+  seconds repeatable_retention{60};   ///< Of a repeatable attempt, counted from its end.
+  seconds horizon = kAttemptHorizon;  ///< Other attempts are known this long.
 };
 
 /// \brief Part of a held answer. Views are valid until the next non-const call of the ledger.
@@ -57,7 +60,12 @@
   attempt_ledger& operator=(const attempt_ledger&) = delete;
 
   /// \brief Decides whether a copy of an attempt runs. Only `kStart` may run.
-  [[nodiscard]] begin_outcome Begin(attempt_id attempt, incarnation wanted, time_point now);
+  ///
+  /// \param repeatable  the attempt may run again; it is forgotten soon after its end.
+  [[nodiscard]] begin_outcome Begin(attempt_id attempt,
+                                    incarnation wanted,
+                                    time_point now,
+                                    bool repeatable = false);
 
   /// \brief Stores the status and headers of the answer, in the form the agent replays them.
   void SetHead(attempt_id attempt, int status, std::string headers);
@@ -90,7 +98,7 @@
   void Expire(time_point now);
 
   [[nodiscard]] incarnation self() const noexcept { return self_; }
-  [[nodiscard]] std::size_t records() const noexcept { return records_.size(); }
+  [[nodiscard]] std::size_t records() const noexcept { return records_.size() + archive_.size(); }
   [[nodiscard]] std::size_t held_bytes() const noexcept { return held_bytes_; }
   [[nodiscard]] std::size_t running() const noexcept { return running_; }
 
@@ -104,23 +112,27 @@
   [[nodiscard]] record* Insert(attempt_id attempt, attempt_state state, time_point now);
   void End(record& entry, attempt_state state, time_point now);
   void DropAnswer(record& entry);
-  void DropOldest();
+  /// \brief Drops the answer that is missed least. False if there is none.
+  bool DropOldest();
+  void Archive();
+  void Erase(record& entry);
 
   struct record {
     attempt_id id;
     attempt_state state = attempt_state::kNeverSeen;
     bool holding = true;
+    bool repeatable = false;
     int status = 0;
     std::string headers;
     std::string bytes;
     time_point ended;
-    hook by_age;   ///< All records, oldest first.
-    hook by_held;  ///< Records in `kDone`, by completion.
+    hook by_age;  ///< All records, oldest first.
+    hook by_end;  ///< In one of `held_`, `brief_` and `gone_`, by end.
   };
   using age_list =
       boost::intrusive::list<record, boost::intrusive::member_hook<record, hook, &record::by_age>>;
-  using held_list =
-      boost::intrusive::list<record, boost::intrusive::member_hook<record, hook, &record::by_held>>;
+  using end_list =
+      boost::intrusive::list<record, boost::intrusive::member_hook<record, hook, &record::by_end>>;
 
   const incarnation self_;
   const ledger_limits limits_;
@@ -130,7 +142,10 @@
   std::size_t running_ = 0;
   std::unordered_map<attempt_id, record> records_;
   age_list ages_;
-  held_list held_;
+  end_list held_;   ///< Not repeatable, in `kDone`.
+  end_list brief_;  ///< Repeatable and ended.
+  end_list gone_;   ///< Not repeatable, ended without an answer; archived in batches.
+  attempt_archive archive_;
 };
 
 }  // namespace quincebank
--- a/libs/idempotency/include/quincebank/idempotency/idempotency.h
+++ b/libs/idempotency/include/quincebank/idempotency/idempotency.h
@@ -4,6 +4,7 @@
 /// \brief Claims, attempts and verdicts of requests that must not be repeated.
 
 // IWYU pragma: begin_exports
+#include "quincebank/idempotency/attempt_archive.h"
 #include "quincebank/idempotency/attempt_ledger.h"
 #include "quincebank/idempotency/attempt_state.h"
 #include "quincebank/idempotency/claim.h"
--- a/libs/idempotency/src/attempt_ledger.cc
+++ b/libs/idempotency/src/attempt_ledger.cc
@@ -8,6 +8,8 @@
 namespace quincebank {
 namespace {
 
+constexpr std::size_t kArchiveBatch = 1024;
+
 begin_outcome RepeatOutcome(attempt_state state) noexcept {
   switch (state) {
     case attempt_state::kRunning:
@@ -31,6 +33,8 @@
 
 attempt_ledger::~attempt_ledger() {
   held_.clear();
+  brief_.clear();
+  gone_.clear();
   ages_.clear();
 }
 
@@ -53,8 +57,17 @@
                                                attempt_state state,
                                                time_point now) {
   Expire(now);
-  if (records_.size() >= limits_.max_records)
-    return nullptr;
+  while (records_.size() >= limits_.max_records) {
+    // Answers give way to new attempts; records never do.
+    if (brief_.empty() && archive_.size() >= limits_.max_archived)
+      return nullptr;
+    if (gone_.empty() && !DropOldest())
+      return nullptr;
+    const std::size_t before = records_.size();
+    Archive();
+    if (records_.size() == before && held_.empty() && brief_.empty())
+      return nullptr;
+  }
   record& entry = records_[attempt];
   entry.id = attempt;
   entry.state = state;
@@ -63,16 +76,23 @@
   return &entry;
 }
 
-begin_outcome attempt_ledger::Begin(attempt_id attempt, incarnation wanted, time_point now) {
+begin_outcome attempt_ledger::Begin(attempt_id attempt,
+                                    incarnation wanted,
+                                    time_point now,
+                                    bool repeatable) {
   if (wanted != self_)
     return begin_outcome::kWrongIncarnation;
   const auto found = records_.find(attempt);
   if (found != records_.end())
     return RepeatOutcome(found->second.state);
+  if (const auto archived = archive_.Find(attempt))
+    return RepeatOutcome(*archived);
   if (BeyondHorizon(attempt, now) || AttemptTime(attempt) > WallTime(now) + kClockMargin)
     return begin_outcome::kUntimely;
-  if (Insert(attempt, attempt_state::kRunning, now) == nullptr)
+  record* const entry = Insert(attempt, attempt_state::kRunning, now);
+  if (entry == nullptr)
     return begin_outcome::kFull;
+  entry->repeatable = repeatable;
   ++running_;
   return begin_outcome::kStart;
 }
@@ -92,8 +112,8 @@
   if (entry == nullptr || !entry->holding)
     return false;
   const bool fits = entry->bytes.size() + bytes.size() <= limits_.max_answer_bytes;
-  while (fits && held_bytes_ + bytes.size() > limits_.max_total_bytes && !held_.empty())
-    DropOldest();
+  while (fits && held_bytes_ + bytes.size() > limits_.max_total_bytes && DropOldest()) {
+  }
   if (!fits || held_bytes_ + bytes.size() > limits_.max_total_bytes) {
     DropAnswer(*entry);
     return false;
@@ -107,10 +127,14 @@
   entry.state = state;
   entry.ended = now;
   --running_;
-  if (state == attempt_state::kDone)
+  if (state != attempt_state::kDone)
+    DropAnswer(entry);
+  if (entry.repeatable)
+    brief_.push_back(entry);
+  else if (state == attempt_state::kDone)
     held_.push_back(entry);
   else
-    DropAnswer(entry);
+    gone_.push_back(entry);
 }
 
 void attempt_ledger::Complete(attempt_id attempt, int status, time_point now) {
@@ -137,6 +161,8 @@
   const auto found = records_.find(attempt);
   if (found != records_.end())
     return found->second.state;
+  if (const auto archived = archive_.Find(attempt))
+    return *archived;
   return BeyondHorizon(attempt, now) ? attempt_state::kForgotten : attempt_state::kNeverSeen;
 }
 
@@ -148,8 +174,10 @@
   const attempt_state state = Status(attempt, wanted, now);
   if (state != attempt_state::kNeverSeen)
     return state;
-  if (Insert(attempt, attempt_state::kBlocked, now) == nullptr)
+  record* const entry = Insert(attempt, attempt_state::kBlocked, now);
+  if (entry == nullptr)
     return attempt_state::kNeverSeen;
+  gone_.push_back(*entry);
   return attempt_state::kBlocked;
 }
 
@@ -177,30 +205,56 @@
   std::string().swap(entry.headers);
 }
 
-void attempt_ledger::DropOldest() {
+bool attempt_ledger::DropOldest() {
+  // A repeatable request can compute its answer again.
+  if (!brief_.empty()) {
+    Erase(brief_.front());
+    return true;
+  }
+  if (held_.empty())
+    return false;
   record& entry = held_.front();
   held_.pop_front();
   entry.state = attempt_state::kAnswerGone;
   DropAnswer(entry);
+  gone_.push_back(entry);
+  return true;
+}
+
+void attempt_ledger::Archive() {
+  std::vector<archived_attempt> batch;
+  while (!gone_.empty() && archive_.size() + batch.size() < limits_.max_archived) {
+    record& entry = gone_.front();
+    batch.push_back({entry.id, entry.state});
+    Erase(entry);
+  }
+  archive_.Add(std::move(batch));
+}
+
+void attempt_ledger::Erase(record& entry) {
+  if (entry.by_end.is_linked())
+    (entry.repeatable                      ? brief_
+     : entry.state == attempt_state::kDone ? held_
+                                           : gone_)
+        .erase(end_list::s_iterator_to(entry));
+  ages_.erase(age_list::s_iterator_to(entry));
+  DropAnswer(entry);
+  records_.erase(attempt_id(entry.id));
 }
 
 void attempt_ledger::Expire(time_point now) {
+  while (!brief_.empty() && brief_.front().ended + limits_.repeatable_retention <= now)
+    Erase(brief_.front());
   while (!held_.empty() && held_.front().ended + limits_.answer_retention <= now)
     DropOldest();
-  while (!ages_.empty() && BeyondHorizon(ages_.front().id, now)) {
-    record& entry = ages_.front();
-    ages_.pop_front();
-    if (entry.state == attempt_state::kRunning) {
-      // A running attempt stays on record whatever its age.
-      ages_.push_back(entry);
-      if (ages_.size() == 1 || ages_.front().state == attempt_state::kRunning)
-        return;
-      continue;
-    }
-    if (entry.by_held.is_linked())
-      held_.erase(held_.iterator_to(entry));
-    DropAnswer(entry);
-    records_.erase(entry.id);
+  if (gone_.size() >= kArchiveBatch)
+    Archive();
+  archive_.DropBefore(WallTime(now) - limits_.horizon);
+  // A running attempt stays on record whatever its age.
+  for (auto next = ages_.begin(); next != ages_.end() && BeyondHorizon(next->id, now);) {
+    record& entry = *next++;
+    if (entry.state != attempt_state::kRunning)
+      Erase(entry);
   }
 }
 
--- a/libs/idempotency/src/keyed_request.cc
+++ b/libs/idempotency/src/keyed_request.cc
@@ -234,6 +234,10 @@
 }
 
 request_action keyed_request::OnKnownState(attempt_state state, bool blocking, time_point now) {
+  // The caller has a part of the answer, so the agent has only forgotten a repeatable attempt.
+  const bool unknown = state == attempt_state::kNeverSeen || state == attempt_state::kBlocked;
+  if (delivered_ > 0 && unknown)
+    return Gone();
   switch (state) {
     case attempt_state::kRunning:
     case attempt_state::kDone:
--- a/libs/idempotency/tests/keyed_request_test.cc
+++ b/libs/idempotency/tests/keyed_request_test.cc
@@ -251,6 +251,8 @@
                      kMayHaveRun, false},
         request_case{"repeatable_mixes_no_answers", kRepeatable,
                      "choose:ok send:cut ask_state:wrong_incarnation", kMayHaveRun, false},
+        request_case{"repeatable_forgotten_after_a_part", kRepeatable,
+                     "choose:ok send:cut ask_state:never_seen", kRan, false},
         request_case{"repeatable_attempts_are_bounded", kRepeatable,
                      "choose:ok send:failed ask_retry:yes choose:ok send:rejected ask_retry:yes "
                      "choose:ok send:rejected",
--- a/libs/scenario/include/quincebank/scenario/fake_agent.h
+++ b/libs/scenario/include/quincebank/scenario/fake_agent.h
@@ -38,6 +38,7 @@
   void OnAttempt(attempt_id attempt,
                  incarnation wanted,
                  const std::string& order,
+                 bool repeatable,
                  stream_reader reader);
   void OnFetch(attempt_id attempt, incarnation wanted, stream_reader reader);
   [[nodiscard]] attempt_state OnStatus(attempt_id attempt, incarnation wanted);
--- a/libs/scenario/src/fake_entry.cc
+++ b/libs/scenario/src/fake_entry.cc
@@ -155,10 +155,11 @@
   bed_.links.Send(
       {name_, agent},
       [&bed = bed_, send, agent, attempt = action.attempt, life = action.target.life,
-       order = request.call.order, reader] {
+       order = request.call.order, repeatable = request.call.kind == request_kind::kRepeatable,
+       reader] {
         fake_agent& receiver = *bed.agents.at(agent);
         if (send)
-          receiver.OnAttempt(attempt, life, order, reader);
+          receiver.OnAttempt(attempt, life, order, repeatable, reader);
         else
           receiver.OnFetch(attempt, life, reader);
       },
