Measure spread, steady traffic and document cost

Cause: spread, control traffic and memory had no figures by fleet size and by number of workspaces. Change: bench_config runs the fleet model of the tests at 20 to 1,020 nodes and measures parse time, adoption time and heap at 10 to 50,000 workspaces. Before: no figures.

--- /dev/null
+++ b/bench/config/main.cc
@@ -0,0 +1,12 @@
+// Measures the configuration exchange and the snapshot. Virtual time and fixed seeds for the
+// exchange; wall time and heap for the snapshot. Prints Markdown tables.
+
+#include "document_cost.h"
+#include "spread.h"
+
+int main() {
+  quincebank::PrintSpread();
+  quincebank::PrintSteadyTraffic();
+  quincebank::PrintDocumentCost();
+  return 0;
+}
--- a/libs/membership/src/rendezvous.cc
+++ b/libs/membership/src/rendezvous.cc
@@ -21,12 +21,16 @@
   for (const std::string& name : names)
     scores.emplace_back(RendezvousScore(key, name), position++);
   count = std::min(count, scores.size());
-  std::partial_sort(scores.begin(), scores.begin() + static_cast<std::ptrdiff_t>(count),
-                    scores.end(), [&names](const auto& a, const auto& b) {
-                      // Equal scores are ordered by name, which all processes know.
-                      return a.first != b.first ? a.first > b.first
-                                                : names[a.second] < names[b.second];
-                    });
+  const auto higher = [&names](const auto& a, const auto& b) {
+    // Equal scores are ordered by name, which all processes know.
+    return a.first != b.first ? a.first > b.first : names[a.second] < names[b.second];
+  };
+  if (count == scores.size()) {
+    std::sort(scores.begin(), scores.end(), higher);
+  } else {
+    std::partial_sort(scores.begin(), scores.begin() + static_cast<std::ptrdiff_t>(count),
+                      scores.end(), higher);
+  }
   std::vector<std::uint32_t> order;
   order.reserve(count);
   for (std::size_t i = 0; i < count; ++i)
--- a/libs/membership/tests/fleet_model.cc
+++ b/libs/membership/tests/fleet_model.cc
@@ -19,7 +19,6 @@
 constexpr std::uint64_t kJitterMs = 4;
 constexpr milliseconds kServiceLatency{4};
 constexpr milliseconds kServiceTimeout{1'000};
-constexpr std::size_t kWorkspacesPerSection = 500;
 
 std::string DocumentText(const fleet_options& options, std::uint64_t version, bool drained) {
   std::string text =
@@ -31,14 +30,14 @@
   }
   text += "]}";
   for (std::size_t i = 0; i < std::max<std::size_t>(options.workspaces, 1); ++i) {
-    if (i % kWorkspacesPerSection == 0) {
+    if (i % options.per_section == 0) {
       text += (i > 0 ? "]}" : "");
-      text += ", \"workspaces-" + std::to_string(i / kWorkspacesPerSection) +
+      text += ", \"workspaces-" + std::to_string(i / options.per_section) +
               R"(": {"owner": "ops", "kind": "workspaces", "workspaces": [)";
     }
     // One section differs in each version, as after a change by one team.
-    const std::size_t sections = options.workspaces / kWorkspacesPerSection + 1;
-    const bool changes = i == version % sections * kWorkspacesPerSection;
+    const std::size_t sections = options.workspaces / options.per_section + 1;
+    const bool changes = i == version % sections * options.per_section;
     text += "{\"name\": \"workspace-" + std::to_string(i) +
             "\", \"weight\": " + std::to_string(changes ? 1 + version : 1) + "},";
   }
@@ -75,7 +74,8 @@
 fleet_model::~fleet_model() = default;
 
 void fleet_model::After(milliseconds delay, std::function<void()> run) {
-  events_.push({now_ + delay, order_++, std::move(run)});
+  events_.push_back({now_ + delay, order_++, std::move(run)});
+  std::push_heap(events_.begin(), events_.end());
 }
 
 void fleet_model::Start(std::size_t index) {
@@ -316,9 +316,10 @@
 }
 
 void fleet_model::RunUntil(milliseconds end) {
-  while (!events_.empty() && events_.top().at <= end) {
-    const event next = events_.top();
-    events_.pop();
+  while (!events_.empty() && events_.front().at <= end) {
+    std::pop_heap(events_.begin(), events_.end());
+    const event next = std::move(events_.back());
+    events_.pop_back();
     now_ = next.at;
     next.run();
   }
--- a/libs/membership/tests/fleet_model.h
+++ b/libs/membership/tests/fleet_model.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <string>
 #include <vector>
 
@@ -21,7 +20,8 @@
   std::size_t regions = 2;
   double loss = 0;  ///< Share of requests and of answers that never arrive.
   std::uint64_t seed = 1;
-  std::size_t workspaces = 0;  ///< In the document, 500 to a section.
+  std::size_t workspaces = 0;  ///< In the document.
+  std::size_t per_section = 500;
 };
 
 struct fleet_counts {
@@ -112,7 +112,7 @@
   std::vector<std::uint64_t> lives_;
   std::vector<std::uint64_t> highest_;  ///< Highest version that each host ever held.
   std::vector<bool> in_part_;
-  std::priority_queue<event> events_;
+  std::vector<event> events_;  ///< Heap, the earliest first.
   std::uint64_t order_ = 0;
   milliseconds now_{0};
 
--- a/libs/membership/tests/spread_test.cc
+++ b/libs/membership/tests/spread_test.cc
@@ -35,7 +35,7 @@
   const spread_case& scenario = GetParam();
   for (const std::uint64_t seed : {1U, 2U, 3U}) {
     SCOPED_TRACE("seed " + std::to_string(seed));
-    fleet_model fleet({scenario.nodes, 2, scenario.loss, seed, 0});
+    fleet_model fleet({scenario.nodes, 2, scenario.loss, seed});
     fleet.Write(false);
     ASSERT_TRUE(fleet.RunUntilHeld(1, milliseconds(30'000)));
     fleet.RunUntil(fleet.now() + kSettled);
