Bound the reads of a fleet that starts at once, and back off failed fetches

Cause: a fresh node read the root ten times a second until its sections had arrived, and fetched a body that nobody has every 100 ms for ever.

--- a/libs/config/tests/holder_test.cc
+++ b/libs/config/tests/holder_test.cc
@@ -208,6 +208,25 @@
   EXPECT_TRUE(holder.Missing().empty());
 }
 
+// Guards against a change that costs three calls from node to node, and against answers without
+// bound or with sections that the asker has.
+TEST(holder_test, AnswerBringsWhatTheAskerLacks) {
+  const history all(3);
+  config_holder holder({}, kStart);
+  EXPECT_TRUE(holder.Answer(0, kStart).bodies.empty());
+  holder.Hear(all.Announce(3, milliseconds(0)), root_source::kService, kStart, kStart);
+  all.Feed(holder, 3, kStart);
+  EXPECT_TRUE(holder.Answer(3, kStart).bodies.empty());
+  EXPECT_TRUE(holder.Answer(4, kStart).bodies.empty());
+  const root_answer delta = holder.Answer(2, kStart);
+  EXPECT_EQ(delta.bodies, (std::vector<std::string>{Serialize(all.At(3).root),
+                                                    all.At(3).document.Find("domains")->body}));
+  EXPECT_EQ(holder.Answer(0, kStart).bodies.size(), 1 + all.At(3).document.sections.size());
+  const auto again = RootAnswerFromJson(ToJson(delta));
+  ASSERT_TRUE(again.has_value());
+  EXPECT_EQ(again.value().bodies, delta.bodies);
+}
+
 // Guards against bodies of old versions that pile up.
 TEST(holder_test, KeepsOnlyTheBodiesOfTheHeldRoot) {
   const history all(2);
--- a/libs/membership/src/config_exchange.cc
+++ b/libs/membership/src/config_exchange.cc
@@ -13,8 +13,14 @@
 constexpr milliseconds kServicePause{100};
 /// Pause between reads while no configuration was ever accepted.
 constexpr milliseconds kAbsentPause{1'000};
+/// Pause of a fresh node that is no watcher after it has read the root: its sections need that time
+/// to arrive, and the whole fleet may start at once.
+constexpr milliseconds kStrangerPause{5'000};
 /// Longest pause of a fresh node that is no watcher: all nodes of the fleet may be in this state.
 constexpr milliseconds kStrangerLastWait{15'000};
+/// Failed fetches of one body before the waits grow: lost messages are common, lost bodies are not.
+constexpr std::size_t kQuickFetches = 3;
+constexpr std::size_t kMaxDoublings = 16;
 
 milliseconds Spread(std::string_view key, std::string_view node, milliseconds range) {
   return milliseconds(RendezvousScore(key, node) % static_cast<std::uint64_t>(range.count()));
@@ -163,6 +169,9 @@
     service_open_ = true;
     return;
   }
+  // Spreads the first reads of a fleet that starts at once.
+  if (now < start_ + Spread("service", self_.name, settings_.service_first_wait))
+    return;
   const holder_state state = holder_.State(now);
   if (state != holder_state::kEmpty && state != holder_state::kProvisional)
     return;
@@ -289,7 +298,10 @@
     return;
   entry->second.open = false;
   ++entry->second.tries;
-  entry->second.next = now + settings_.fetch_retry;
+  const std::size_t doublings = std::min<std::size_t>(
+      entry->second.tries > kQuickFetches ? entry->second.tries - kQuickFetches : 0, kMaxDoublings);
+  entry->second.next =
+      now + std::min(settings_.fetch_retry * (1U << doublings), settings_.fetch_last_retry);
 }
 
 void config_exchange::OnServiceRoot(const std::optional<stored_value>& value,
@@ -297,7 +309,11 @@
                                     time_point now) {
   service_open_ = false;
   service_wait_ = settings_.service_first_wait;
-  service_next_ = now + (value ? kServicePause : kAbsentPause);
+  if (!value) {
+    service_next_ = now + kAbsentPause;
+  } else {
+    service_next_ = now + (IsWatcher(now) ? kServicePause : kStrangerPause);
+  }
   if (!value)
     return;
   service_index_ = value->index;
--- a/libs/membership/tests/spread_test.cc
+++ b/libs/membership/tests/spread_test.cc
@@ -95,5 +95,16 @@
                     spread_case{"drain_1020", 1020, 0.2, true, kAll, false, 0, true}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a fleet that starts at once and overloads the key-value service: each node may
+// read the root once, and only the three watchers of each region read the sections.
+TEST(fleet_start_test, ReadsOfTheServiceAreBounded) {
+  constexpr std::size_t kNodes = 200;
+  constexpr std::size_t kSections = 101;
+  fleet_model fleet({kNodes, 2, 0.1, 1, 1'000, 10});
+  fleet.Write(false);
+  ASSERT_TRUE(fleet.RunUntilHeld(1, BoundFor(kNodes)));
+  EXPECT_LE(fleet.counts().reads, kNodes + 6 * kSections);
+}
+
 }  // namespace
 }  // namespace quincebank
