--- a/libs/experts/include/quincebank/experts/switch_messages.h
+++ b/libs/experts/include/quincebank/experts/switch_messages.h
@@ -109,7 +109,7 @@
   step_number step = 0;     ///< For `kHold` and `kCommit`.
   std::uint64_t fence = 0;  ///< Never falls. The protocol is safe with engines that ignore it.
 
-  [[nodiscard]] auto operator<=>(const engine_order&) const noexcept = default;
+  [[nodiscard]] bool operator==(const engine_order&) const noexcept = default;
 };
 
 /// \brief What an engine reports about one epoch besides its active map.
--- a/libs/experts/tests/placement_test.cc
+++ b/libs/experts/tests/placement_test.cc
@@ -4,6 +4,7 @@
 
 #include <cmath>
 #include <numeric>
+#include <ostream>
 
 #include "quincebank/base/random.h"
 
@@ -25,6 +26,8 @@
   group_shape shape;
   double exponent;
   std::vector<double> speeds;
+
+  friend void PrintTo(const placement_case& c, std::ostream* out) { *out << c.name; }
 };
 
 std::vector<double> Speeds(int ranks, double straggler) {
@@ -73,6 +76,8 @@
   std::vector<double> loads;
   std::vector<double> speeds;
   double peak;
+
+  friend void PrintTo(const split_case& c, std::ostream* out) { *out << c.name; }
 };
 
 class split_test : public testing::TestWithParam<split_case> {};
--- a/libs/experts/tests/rebalance_test.cc
+++ b/libs/experts/tests/rebalance_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/json/serialize.hpp>
 #include <functional>
+#include <ostream>
 #include <utility>
 
 #include "quincebank/base/json_reader.h"
@@ -47,6 +48,8 @@
   const char* name;
   std::function<void(plan_input&)> edit;
   plan_reason reason;
+
+  friend void PrintTo(const plan_case& c, std::ostream* out) { *out << c.name; }
 };
 
 class plan_reason_test : public testing::TestWithParam<plan_case> {};
@@ -130,6 +133,8 @@
   const char* name;
   std::function<void(plan_input&)> edit;
   const char* path;
+
+  friend void PrintTo(const invalid_case& c, std::ostream* out) { *out << c.name; }
 };
 
 class invalid_plan_test : public testing::TestWithParam<invalid_case> {};
@@ -167,6 +172,8 @@
   std::function<double(int)> rate;  // Tokens per step in a window.
   double smoothed;
   double tolerance;
+
+  friend void PrintTo(const rate_case& c, std::ostream* out) { *out << c.name; }
 };
 
 class popularity_test : public testing::TestWithParam<rate_case> {};
