Take the shares of a rank that takes no load away even if nothing moves

Cause: with a rank at speed 0 whose experts all have other replicas, the planner compared peaks of the other ranks only, called the map balanced, and left the tokens on that rank. Change: a share on a rank without load forces a change with the reason repair. Before: the new test got 'balanced'. After: 'repair', no weight loaded; 56 planning and step tests pass. Conclusion: a rank can be taken out of service by its speed alone.

--- a/libs/experts/include/quincebank/experts/rebalance.h
+++ b/libs/experts/include/quincebank/experts/rebalance.h
@@ -47,7 +47,7 @@
 /// \brief Why a plan keeps or changes the map.
 enum class plan_reason : std::uint8_t {
   kFirstMap,      ///< The group had no map.
-  kRepair,        ///< An expert had no replica on a rank that takes load.
+  kRepair,        ///< A rank that takes no load had a share of the tokens.
   kPays,          ///< The time saved exceeds the cost.
   kBalanced,      ///< The gain is below the noise threshold.
   kTooSoon,       ///< The last change is too recent.
--- a/libs/experts/src/rebalance.cc
+++ b/libs/experts/src/rebalance.cc
@@ -86,11 +86,10 @@
   }
 
   /// Gives each expert without a replica on a rank that takes load a slot of a spare replica.
-  int Repair(layer_load& layer) const {
+  void Repair(layer_load& layer) const {
     std::vector<int> live(static_cast<std::size_t>(shape_.experts), 0);
     for (int slot = 0; slot < shape_.slots(); ++slot)
       live[layer.experts[slot]] += splitter_.speeds()[shape_.RankOf(slot)] > 0 ? 1 : 0;
-    int repaired = 0;
     for (int expert = 0; expert < shape_.experts; ++expert) {
       if (live[expert] > 0)
         continue;
@@ -104,9 +103,16 @@
       --live[layer.experts[victim]];
       layer.experts[victim] = static_cast<expert_index>(expert);
       live[expert] = 1;
-      ++repaired;
     }
-    return repaired;
+  }
+
+  /// Returns whether a rank that takes no load has a share of the tokens.
+  [[nodiscard]] bool SendsToIdleRank(const layer_map& map) const {
+    for (int slot = 0; slot < shape_.slots(); ++slot) {
+      if (map.shares[slot] > 0 && splitter_.speeds()[shape_.RankOf(slot)] <= 0)
+        return true;
+    }
+    return false;
   }
 
   void PlanLayer(std::size_t index, plan_outcome& outcome) {
@@ -119,10 +125,11 @@
     layer_load layer;
     splitter_.StartFrom(layer, held, loads);
     const double before = splitter_.Peak(layer).level;
-    const int repaired = Repair(layer);
-    repaired_ += repaired;
-    if (repaired > 0)
+    if (SendsToIdleRank(held)) {
+      must_change_ = true;
+      Repair(layer);
       splitter_.Start(layer, loads);
+    }
     splitter_.Improve(layer, loads, kSplitSweeps, kSplitTolerance);
     const layer_change change = search_.Run(std::move(layer), loads, Limits(loads, cost));
     layer_map next = splitter_.ToMap(change.layer, loads);
@@ -163,7 +170,7 @@
   }
 
   [[nodiscard]] plan_reason Judge(const plan_outcome& outcome) const {
-    if (repaired_ > 0)
+    if (must_change_)
       return plan_reason::kRepair;
     const double gain = before_ - after_;
     const double least = before_ * static_cast<double>(input_.settings.min_gain_permille) / 1000;
@@ -182,7 +189,7 @@
   const plan_input& input_;
   load_splitter splitter_;
   layer_search search_;
-  int repaired_ = 0;
+  bool must_change_ = false;
   double before_ = 0;  // Sums of the levels of all layers.
   double after_ = 0;
   double noise_ = 0;
--- a/libs/experts/tests/rebalance_test.cc
+++ b/libs/experts/tests/rebalance_test.cc
@@ -129,6 +129,22 @@
                               plan_reason::kBalanced}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against tokens that go on to a rank that takes no load, because other ranks hold all of
+// its experts and nothing needs to move.
+TEST(repair_test, TakesSharesFromARankWithoutLoad) {
+  const group_shape shape{1, 2, 2, 2};
+  plan_input input;
+  input.speeds = {1000, 1000};
+  input.popularity = {{{5000, 5000}, {5000, 5000}, {0, 0}}};
+  input.current = PlanRebalance(shape, input).value().map;
+  input.speeds = {1000, 0};
+  const plan_outcome outcome = PlanRebalance(shape, input).value();
+  EXPECT_EQ(ToString(outcome.reason), "repair");
+  EXPECT_EQ(outcome.loaded_weights, 0);
+  ASSERT_EQ(outcome.map.layers.size(), 1U);
+  EXPECT_EQ(outcome.map.layers[0].shares[2] + outcome.map.layers[0].shares[3], 0);
+}
+
 struct invalid_case {
   const char* name;
   std::function<void(plan_input&)> edit;
