--- a/libs/idempotency/tests/keyed_request_test.cc
+++ b/libs/idempotency/tests/keyed_request_test.cc
@@ -219,6 +219,9 @@
                      "choose:ok claim:owned send:blocked look:own ask_retry:yes choose:ok "
                      "claim:owned send:answered",
                      kRan, true},
+        request_case{"blocked_by_a_call_that_may_still_run_it", kKeyed,
+                     "choose:ok claim:owned send:blocked look:own ask_retry:no", kMayHaveRun,
+                     false},
         request_case{"blocked_while_store_is_down", kKeyed,
                      "choose:ok claim:owned send:blocked look:not_run", kMayHaveRun, false},
         request_case{"lost_and_blocked_by_other", kKeyed,
@@ -248,6 +251,8 @@
                      kMayHaveRun, false},
         request_case{"repeatable_mixes_no_answers", kRepeatable,
                      "choose:ok send:cut ask_state:wrong_incarnation", kMayHaveRun, false},
+        request_case{"repeatable_forgotten_after_a_part", kRepeatable,
+                     "choose:ok send:cut ask_state:never_seen", kRan, false},
         request_case{"repeatable_attempts_are_bounded", kRepeatable,
                      "choose:ok send:failed ask_retry:yes choose:ok send:rejected ask_retry:yes "
                      "choose:ok send:rejected",
--- a/libs/membership/include/quincebank/membership/config_exchange.h
+++ b/libs/membership/include/quincebank/membership/config_exchange.h
@@ -24,7 +24,9 @@
   std::size_t peer_failures = 3;
   milliseconds peer_rest{15'000};  ///< Time until a replaced peer is tried again.
   std::size_t parallel_fetches = 4;
-  milliseconds fetch_retry{100};
+  milliseconds fetch_retry{
+      100};  ///< Doubles from the fourth failure on, since the body may be gone.
+  milliseconds fetch_last_retry{3'000};
   /// Nodes that do not watch read a body from the service only after this time without a peer that
   /// has it, so that a change costs the service a few reads and not one for each node.
   milliseconds service_fallback{3'000};
@@ -32,10 +34,11 @@
   /// Entries that stand in when the root they hold gets old: the watchers may be gone before the
   /// host list says so. They are few, since during an outage every root gets old.
   std::size_t standby_watchers = 3;
-  milliseconds standby_age{6'000};
-  /// Longest blocking watch. Nodes confirm their root by its return, so it is well below the limit
-  /// after which a root is unconfirmed.
-  milliseconds watch_wait{4'000};
+  milliseconds standby_age{4'500};
+  /// Longest blocking watch. Its return confirms the root as of its start, so the age at a watcher
+  /// reaches twice this time; the way through the fleet has to fit in the rest of the 10 s after
+  /// which a root is unconfirmed.
+  milliseconds watch_wait{2'000};
   milliseconds service_first_wait{500};
   milliseconds service_last_wait{4'000};
 };
--- a/libs/membership/tests/fleet_model.h
+++ b/libs/membership/tests/fleet_model.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <string>
 #include <vector>
 
@@ -21,7 +20,8 @@
   std::size_t regions = 2;
   double loss = 0;  ///< Share of requests and of answers that never arrive.
   std::uint64_t seed = 1;
-  std::size_t workspaces = 0;  ///< In the document, 500 to a section.
+  std::size_t workspaces = 0;  ///< In the document.
+  std::size_t per_section = 500;
 };
 
 struct fleet_counts {
@@ -60,6 +60,7 @@
 
   [[nodiscard]] std::size_t size() const noexcept { return nodes_.size(); }
   [[nodiscard]] const config_peer& peer(std::size_t node) const { return peers_[node]; }
+  [[nodiscard]] bool IsRunning(std::size_t node) const { return nodes_[node] != nullptr; }
   [[nodiscard]] const config_holder& holder(std::size_t node) const;
   [[nodiscard]] bool IsWatcher(std::size_t node) const;
   [[nodiscard]] holder_status Status(std::size_t node) const;
@@ -98,7 +99,7 @@
             std::size_t to,
             milliseconds timeout,
             std::function<std::optional<std::string>(node&)> serve,
-            std::function<void(node&, const std::string*)> reply);
+            const std::function<void(node&, const std::string*)>& reply);
   void CallService(std::size_t index, const exchange_action& action);
   void OfferTo(std::size_t index, std::size_t tries);
   void Observe(std::size_t index);
@@ -111,7 +112,7 @@
   std::vector<std::uint64_t> lives_;
   std::vector<std::uint64_t> highest_;  ///< Highest version that each host ever held.
   std::vector<bool> in_part_;
-  std::priority_queue<event> events_;
+  std::vector<event> events_;  ///< Heap, the earliest first.
   std::uint64_t order_ = 0;
   milliseconds now_{0};
 
--- a/libs/membership/tests/spread_test.cc
+++ b/libs/membership/tests/spread_test.cc
@@ -35,7 +35,7 @@
   const spread_case& scenario = GetParam();
   for (const std::uint64_t seed : {1U, 2U, 3U}) {
     SCOPED_TRACE("seed " + std::to_string(seed));
-    fleet_model fleet({scenario.nodes, 2, scenario.loss, seed, 0});
+    fleet_model fleet({scenario.nodes, 2, scenario.loss, seed});
     fleet.Write(false);
     ASSERT_TRUE(fleet.RunUntilHeld(1, milliseconds(30'000)));
     fleet.RunUntil(fleet.now() + kSettled);
@@ -63,7 +63,7 @@
     fleet.RunUntil(fleet.now() + kSettled);
     EXPECT_EQ(fleet.reverts(), 0U);
     for (std::size_t i = 0; i < fleet.size(); ++i) {
-      if (scenario.watchers_die && fleet.peer(i).role == peer_role::kEntry)
+      if (!fleet.IsRunning(i))
         continue;
       ASSERT_EQ(fleet.holder(i).version(), version);
       EXPECT_TRUE(fleet.holder(i).config()->IsDomainDrained("domain-0"));
@@ -85,6 +85,8 @@
                     spread_case{"outage_and_few_offers_20", 20, 0.1, true, 4, false, 0, false},
                     spread_case{"outage_and_few_offers_200", 200, 0.1, true, 8, false, 0, false},
                     spread_case{"outage_and_few_offers_1020", 1020, 0.1, true, 8, false, 0, false},
+                    spread_case{"watchers_dead_20", 20, 0, false, 0, true, 0, false},
+                    spread_case{"watchers_dead_200", 200, 0, false, 0, true, 0, false},
                     spread_case{"watchers_dead_1020", 1020, 0, false, 0, true, 0, false},
                     spread_case{"restarts_200", 200, 0.1, false, kAll, false, 12, false},
                     spread_case{"restarts_in_outage_1020", 1020, 0.1, true, kAll, false, 12, false},
@@ -93,5 +95,16 @@
                     spread_case{"drain_1020", 1020, 0.2, true, kAll, false, 0, true}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a fleet that starts at once and overloads the key-value service: each node may
+// read the root once, and only the three watchers of each region read the sections.
+TEST(fleet_start_test, ReadsOfTheServiceAreBounded) {
+  constexpr std::size_t kNodes = 200;
+  constexpr std::size_t kSections = 101;
+  fleet_model fleet({kNodes, 2, 0.1, 1, 1'000, 10});
+  fleet.Write(false);
+  ASSERT_TRUE(fleet.RunUntilHeld(1, BoundFor(kNodes)));
+  EXPECT_LE(fleet.counts().reads, kNodes + 6 * kSections);
+}
+
 }  // namespace
 }  // namespace quincebank
--- a/libs/scenario/include/quincebank/scenario/fake_agent.h
+++ b/libs/scenario/include/quincebank/scenario/fake_agent.h
@@ -2,8 +2,8 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "quincebank/idempotency/attempt_ledger.h"
@@ -38,6 +38,7 @@
   void OnAttempt(attempt_id attempt,
                  incarnation wanted,
                  const std::string& order,
+                 bool repeatable,
                  stream_reader reader);
   void OnFetch(attempt_id attempt, incarnation wanted, stream_reader reader);
   [[nodiscard]] attempt_state OnStatus(attempt_id attempt, incarnation wanted);
@@ -69,7 +70,7 @@
   testbed& bed_;
   const std::string name_;
   attempt_ledger ledger_;
-  std::map<attempt_id, running_order> running_;
+  std::unordered_map<attempt_id, running_order> running_;
   bool drained_ = false;
   std::size_t refuse_ = 0;
 };
