Say when callers must forget an upstream in the prefix index

Cause: the index never drops an upstream by itself, and its limit was not documented. Before and after: comments only; 181 tests pass. Conclusion: memory stays bounded if removed upstreams are forgotten.

--- a/libs/routing/include/quincebank/routing/prefix_index.h
+++ b/libs/routing/include/quincebank/routing/prefix_index.h
@@ -69,7 +69,8 @@
   /// Such blocks stay valid after a gap: the entry knows of them by itself. A restart of the
   /// engine, an event that evicts them, or `Forget` ends them.
   void NoteServed(upstream_key upstream, std::span<const std::uint64_t> blocks);
-  /// \brief Drops all that is known about an upstream.
+  /// \brief Drops all that is known about an upstream. Call it for each upstream that is removed
+  /// from the snapshot; the index holds at most 65,535 upstreams and ignores further ones.
   void Forget(upstream_key upstream);
   /// \brief Finds the upstreams that hold the longest parts of a prompt. Allocates no memory.
   [[nodiscard]] prefix_hits Find(std::span<const std::uint64_t> prefix) const noexcept;
