Let an idle writer with released claims be dropped

Cause: an entry drops the writers of old buckets when they are idle, and a released claim that nobody polls for would keep its writer for ever. Change: Idle ignores released claims, whose removal is not guaranteed anyway. Before: a writer with a released claim and no further poll was never idle. After: it is idle; 116 and 71 tests pass. Conclusion: entries should still poll after Release, so that the claim is removed.

--- a/libs/idempotency/include/quincebank/idempotency/claim_writer.h
+++ b/libs/idempotency/include/quincebank/idempotency/claim_writer.h
@@ -103,10 +103,8 @@
 
   [[nodiscard]] const std::string& bucket() const noexcept { return bucket_; }
   [[nodiscard]] std::size_t pending() const noexcept { return pending_.size(); }
-  /// \brief True if the writer holds nothing that a new writer of the bucket would need.
-  [[nodiscard]] bool Idle() const noexcept {
-    return pending_.empty() && released_.empty() && operation_ == 0;
-  }
+  /// \brief True if the writer can be dropped. A released claim that waits for a write then stays.
+  [[nodiscard]] bool Idle() const noexcept { return pending_.empty() && operation_ == 0; }
 
  private:
   struct pending_claim {
