Let a configuration change the limits of a running gate

Cause: the limits of an upstream are part of the operators' configuration, which must be in force within seconds; the gate took them only when it was made. Change: admission_gate::SetLimits. Tickets stay valid, a lower limit acts at once, a higher full limit is still reached only on evidence. Pools grow and never shrink. Conclusion: agents can follow a configuration without a restart.

--- a/libs/admission/include/quincebank/admission/concurrency_limit.h
+++ b/libs/admission/include/quincebank/admission/concurrency_limit.h
@@ -39,6 +39,9 @@
   void OnProgress(limit_mark started, milliseconds service_time, std::size_t in_flight) noexcept;
   /// \brief Returns to the cold limit.
   void FallBack() noexcept;
+  /// \brief Changes the bounds. The limit moves only as far as the new bounds require; above that
+  /// it is still raised only on evidence.
+  void SetBounds(std::size_t cold, std::size_t full) noexcept;
 
  private:
   /// Counts slow work and spikes.
@@ -50,8 +53,8 @@
   void Decide(std::size_t in_flight) noexcept;
   void LowerFrom(std::size_t in_flight) noexcept;
 
-  const std::size_t cold_limit_;
-  const std::size_t full_limit_;
+  std::size_t cold_limit_;
+  std::size_t full_limit_;
   const ramp_settings ramp_;
   std::size_t limit_;
   /// Limit above which growth is by single steps, since a higher one was too slow before.
--- a/libs/admission/include/quincebank/admission/fair_queue.h
+++ b/libs/admission/include/quincebank/admission/fair_queue.h
@@ -6,6 +6,7 @@
 #include <boost/intrusive/unordered_set.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <vector>
 
 #include "quincebank/admission/concurrency_limit.h"
@@ -73,6 +74,9 @@
   fair_queue(const fair_queue&) = delete;
   fair_queue& operator=(const fair_queue&) = delete;
 
+  /// \brief Makes room for more queued requests. The capacity never shrinks.
+  void Reserve(std::size_t capacity);
+
   [[nodiscard]] std::size_t size() const noexcept { return size_; }
   [[nodiscard]] bool empty() const noexcept { return size_ == 0; }
 
@@ -139,7 +143,7 @@
   void TrimIdle();
 
   const std::size_t idle_capacity_;
-  std::vector<workspace_flow> flows_;
+  std::deque<workspace_flow> flows_;
   std::vector<flow_table::bucket_type> buckets_;
   flow_table table_;
   boost::intrusive::set<
--- a/libs/admission/include/quincebank/admission/gate.h
+++ b/libs/admission/include/quincebank/admission/gate.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <vector>
 
@@ -72,6 +73,10 @@
   /// drain starts cold.
   void SetDraining(bool draining);
 
+  /// \brief Changes the limits, as a new configuration may. Accepted work keeps its ticket; queued
+  /// work above a smaller queue limit is shed by the next `NextAdmitted`.
+  void SetLimits(std::size_t cold_limit, std::size_t full_limit, std::size_t queue_limit);
+
   [[nodiscard]] admission_state State() const noexcept;
 
  private:
@@ -89,8 +94,10 @@
   [[nodiscard]] entry* Allocate() noexcept;
   void Release(entry& work) noexcept;
 
-  const admission_settings settings_;
-  std::vector<entry> entries_;  // before `queue_`, which links its elements
+  void GrowPool();
+
+  admission_settings settings_;
+  std::deque<entry> entries_;  // before `queue_`, which links its elements
   std::vector<std::uint32_t> free_;
   concurrency_limit limit_;
   occupancy_estimate occupancy_;
--- a/libs/admission/src/concurrency_limit.cc
+++ b/libs/admission/src/concurrency_limit.cc
@@ -125,6 +125,20 @@
   cold_ = true;
 }
 
+void concurrency_limit::SetBounds(std::size_t cold, std::size_t full) noexcept {
+  if (cold == cold_limit_ && full == full_limit_)
+    return;
+  if (threshold_ == full_limit_ || threshold_ > full)
+    threshold_ = full;
+  cold_limit_ = cold;
+  full_limit_ = full;
+  const std::size_t before = limit_;
+  limit_ = cold_ ? cold : std::clamp(limit_, cold, full);
+  if (limit_ < before)
+    ++epoch_;
+  StartRound();
+}
+
 void concurrency_limit::StartRound() noexcept {
   ++round_;
   good_ = 0;
--- a/libs/admission/src/fair_queue.cc
+++ b/libs/admission/src/fair_queue.cc
@@ -26,12 +26,21 @@
 
 fair_queue::fair_queue(std::size_t capacity, std::size_t idle_capacity)
     : idle_capacity_(idle_capacity),
-      // One more than both bounds, for the flow that is being created.
-      flows_(capacity + idle_capacity + 1),
-      buckets_(std::bit_ceil(flows_.size())),
+      buckets_(std::bit_ceil(capacity + idle_capacity + 1)),
       table_(flow_table::bucket_traits(buckets_.data(), buckets_.size())) {
-  for (workspace_flow& flow : flows_)
-    unused_.push_back(flow);
+  Reserve(capacity);
+}
+
+void fair_queue::Reserve(std::size_t capacity) {
+  // One more than both bounds, for the flow that is being created.
+  const std::size_t wanted = capacity + idle_capacity_ + 1;
+  while (flows_.size() < wanted)
+    unused_.push_back(flows_.emplace_back());
+  if (wanted <= buckets_.size())
+    return;
+  std::vector<flow_table::bucket_type> buckets(std::bit_ceil(wanted));
+  table_.rehash(flow_table::bucket_traits(buckets.data(), buckets.size()));
+  buckets_.swap(buckets);
 }
 
 fair_queue::~fair_queue() {
--- a/libs/admission/src/gate.cc
+++ b/libs/admission/src/gate.cc
@@ -32,17 +32,35 @@
 
 admission_gate::admission_gate(const admission_settings& settings)
     : settings_(Normalized(settings)),
-      entries_(settings_.queue_limit + settings_.full_limit),
-      free_(entries_.size()),
       limit_(settings_.cold_limit, settings_.full_limit, settings_.ramp),
       occupancy_(settings_.expected_service_time),
       queue_(settings_.queue_limit, settings_.idle_workspace_limit) {
-  for (std::uint32_t i = 0; i < entries_.size(); ++i) {
-    entries_[i].index = i;
-    free_[free_.size() - 1 - i] = i;
+  GrowPool();
+}
+
+void admission_gate::GrowPool() {
+  const std::size_t wanted = settings_.queue_limit + settings_.full_limit;
+  free_.reserve(wanted);
+  while (entries_.size() < wanted) {
+    const auto index = static_cast<std::uint32_t>(entries_.size());
+    entries_.emplace_back().index = index;
+    free_.push_back(index);
   }
 }
 
+void admission_gate::SetLimits(std::size_t cold_limit,
+                               std::size_t full_limit,
+                               std::size_t queue_limit) {
+  admission_settings changed = settings_;
+  changed.cold_limit = cold_limit;
+  changed.full_limit = full_limit;
+  changed.queue_limit = queue_limit;
+  settings_ = Normalized(changed);
+  limit_.SetBounds(settings_.cold_limit, settings_.full_limit);
+  queue_.Reserve(settings_.queue_limit);
+  GrowPool();
+}
+
 admission_entry* admission_gate::Allocate() noexcept {
   if (free_.empty())
     return nullptr;
--- a/libs/admission/tests/gate_test.cc
+++ b/libs/admission/tests/gate_test.cc
@@ -208,6 +208,56 @@
   EXPECT_EQ(changes.admitted.front(), other.ticket);
 }
 
+struct limits_case {
+  const char* name;
+  std::size_t cold;
+  std::size_t full;
+  std::size_t queue;
+  std::size_t limit;   ///< Right after the change, from 8 in flight and 16 queued.
+  std::size_t queued;  ///< After the next step.
+};
+
+class limits_test : public gate_fixture, public testing::WithParamInterface<limits_case> {};
+
+// Guards against a configuration change that loses accepted work, raises the limit without evidence
+// or is ignored until a restart.
+TEST_P(limits_test, AConfigurationChangeAppliesAtOnce) {
+  WarmUp();
+  const auto queued = FillAndQueue(16, {.workspace = 1});
+  gate_.SetLimits(GetParam().cold, GetParam().full, GetParam().queue);
+  EXPECT_EQ(gate_.State().limit, GetParam().limit);
+  const queue_changes changes = Next();
+  EXPECT_EQ(gate_.State().queued, GetParam().queued);
+  EXPECT_EQ(changes.admitted.size() + changes.shed.size() + gate_.State().queued, queued.size());
+  // All tickets from before the change still name their work.
+  while (!running_.empty())
+    (void)FinishAll();
+  EXPECT_EQ(gate_.State().in_flight, 0U);
+  EXPECT_EQ(gate_.State().queued, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Changes,
+                         limits_test,
+                         testing::Values(limits_case{"same", 2, 8, 16, 8, 16},
+                                         limits_case{"higher", 2, 100, 1600, 8, 16},
+                                         limits_case{"higher_cold", 10, 20, 40, 10, 14},
+                                         limits_case{"lower", 2, 4, 8, 4, 8},
+                                         limits_case{"no_queue", 2, 8, 0, 8, 0},
+                                         limits_case{"zero", 0, 0, 0, 1, 0}),
+                         [](const auto& info) { return info.param.name; });
+
+// Guards against a larger queue that is configured but cannot be filled.
+TEST_F(gate_test, ALargerQueueCanBeFilled) {
+  gate_.SetLimits(2, 8, 4000);
+  WarmUp();
+  while (gate_.State().in_flight < 8)
+    (void)Offer();
+  for (std::uint64_t workspace = 0; workspace < 4000; ++workspace)
+    ASSERT_TRUE(Offer({.workspace = workspace}).queued());
+  EXPECT_TRUE(Offer({.workspace = 1}).rejected());
+  EXPECT_EQ(gate_.State().queued, 4000U);
+}
+
 // Guards against a full queue that keeps out a small workspace.
 TEST_F(gate_test, AFullQueueMakesRoomForASmallWorkspace) {
   WarmUp();
