--- a/bench/admission/slopes.cc
+++ b/bench/admission/slopes.cc
@@ -1,6 +1,7 @@
 #include <malloc.h>
 
 #include <array>
+#include <boost/json/serialize.hpp>
 #include <chrono>
 #include <cstdio>
 #include <memory>
@@ -97,11 +98,11 @@
   const std::size_t used = AllocatedBytes() - before;
   const stopwatch snapshot;
   const burn_counts counts = table->Counts("node", now);
-  std::printf("%10d %12.1f %12.1f %14.0f %14.2f\n", static_cast<int>(workspaces),
+  const double snapshot_ms = snapshot.NanosPer(1) / 1e6;
+  const std::size_t json_bytes = boost::json::serialize(ToJson(counts)).size();
+  std::printf("%10d %12.1f %12.1f %14.0f %14.2f %10.1f\n", static_cast<int>(workspaces),
               static_cast<double>(empty) / 1024, static_cast<double>(used) / 1024, nanos,
-              snapshot.NanosPer(1) / 1e6);
-  if (counts.series.empty())
-    std::printf("no counts\n");
+              snapshot_ms, static_cast<double>(json_bytes) / 1024);
 }
 
 template <typename Work>
@@ -124,9 +125,10 @@
 
   std::printf(
       "\nObjective table with an objective for every workspace: heap before and after requests of"
-      "\nrandom workspaces, time of one record (service and workspace) and of one snapshot.\n"
-      "%10s %12s %12s %14s %14s\n",
-      "workspaces", "empty KiB", "used KiB", "ns/record", "snapshot ms");
+      "\nrandom workspaces, time of one record (service and workspace) and of one snapshot, and "
+      "its size as JSON.\n"
+      "%10s %12s %12s %14s %14s %10s\n",
+      "workspaces", "empty KiB", "used KiB", "ns/record", "snapshot ms", "JSON KiB");
   for (const std::uint64_t workspaces : kWorkspaces)
     RunObjectives(workspaces, seed);
 
