--- a/bench/admission/experiments.h
+++ b/bench/admission/experiments.h
@@ -12,6 +12,8 @@
 void RunRetries(std::uint64_t seed);
 /// \brief Entries that follow the rejections of the gate, without agreement.
 void RunEntries(std::uint64_t seed);
+/// \brief Latency with and without hedges when upstreams become slow.
+void RunHedging(std::uint64_t seed);
 /// \brief An upstream that starts cold, and one that crashes while warm.
 void RunColdStart(std::uint64_t seed);
 /// \brief Memory and time by the number of workspaces. Times are measured on the real clock.
--- a/bench/admission/main.cc
+++ b/bench/admission/main.cc
@@ -21,6 +21,7 @@
     experiment{"fairness", quincebank::bench::RunFairness},
     experiment{"retries", quincebank::bench::RunRetries},
     experiment{"entries", quincebank::bench::RunEntries},
+    experiment{"hedging", quincebank::bench::RunHedging},
     experiment{"cold_start", quincebank::bench::RunColdStart},
     experiment{"slopes", quincebank::bench::RunSlopes},
 };
@@ -43,7 +44,7 @@
     } else {
       std::fprintf(stderr,
                    "usage: bench_admission [--seed N] "
-                   "[--only goodput|fairness|retries|entries|cold_start|slopes]\n");
+                   "[--only goodput|fairness|retries|entries|hedging|cold_start|slopes]\n");
       return choice == 'h' ? 0 : 2;
     }
   }
--- a/libs/admission/include/quincebank/admission/hedge_policy.h
+++ b/libs/admission/include/quincebank/admission/hedge_policy.h
@@ -30,7 +30,8 @@
  public:
   explicit hedge_policy(const hedge_settings& settings = {});
 
-  /// \brief Records the latency of an answered request (its first copy's, not a hedge's).
+  /// \brief Records the latency of a first copy, not a hedge's. For a first copy that was cancelled
+  /// because its hedge was faster, the time until then.
   void Observe(milliseconds latency);
   /// \brief Returns how long to wait before a hedge; nothing if this request is never hedged.
   [[nodiscard]] std::optional<milliseconds> Delay(bool repeatable) const;
