Make 'not run' true for the idempotency key; wait for room; keep cold upstreams cold

Cause: KilledAgentLeavesMayHaveRun showed a retry of an order answered 'not run' because no upstream could be chosen, while the first request with the key had run. The same held for a retry during an outage of the key-value service. Ruled out: the claim itself, which was in the store. Change: a keyed request looks the claim up before it is refused; what the store can't rule out may have run, unless the caller says by Quincebank-First-Send that it sends the key for the first time. The scenario check now counts runs by earlier calls of a key. A look-up through the daemon used an empty key; it now uses the request's. Entries wait up to 1 s for room before they refuse, note served prompts for prefix affinity, and forget them when an engine restarts. An upstream stays at its cold limit until warm_requests have finished: good times at the cold limit do not show warmth, and a burst crashed cold engines. Configured limits change on a running gate. Conclusion: 'not run' can be trusted for a key.

--- a/libs/admission/include/quincebank/admission/concurrency_limit.h
+++ b/libs/admission/include/quincebank/admission/concurrency_limit.h
@@ -42,6 +42,7 @@
   /// \brief Changes the bounds. The limit moves only as far as the new bounds require; above that
   /// it is still raised only on evidence.
   void SetBounds(std::size_t cold, std::size_t full) noexcept;
+  void SetWarmRequests(std::size_t count) noexcept { ramp_.warm_requests = count; }
 
  private:
   /// Counts slow work and spikes.
@@ -55,7 +56,7 @@
 
   std::size_t cold_limit_;
   std::size_t full_limit_;
-  const ramp_settings ramp_;
+  ramp_settings ramp_;
   std::size_t limit_;
   /// Limit above which growth is by single steps, since a higher one was too slow before.
   std::size_t threshold_;
@@ -65,6 +66,7 @@
   std::size_t finished_ = 0;  ///< All work that finished in this window of a round.
   std::size_t slow_ = 0;      ///< Slow or failed work in the same window.
   std::size_t spikes_in_a_row_ = 0;
+  std::size_t good_since_cold_ = 0;  ///< Good work since the last fallback, in all rounds.
   bool cold_ = true;
 };
 
--- a/libs/admission/include/quincebank/admission/gate.h
+++ b/libs/admission/include/quincebank/admission/gate.h
@@ -76,6 +76,8 @@
   /// \brief Changes the limits, as a new configuration may. Accepted work keeps its ticket; queued
   /// work above a smaller queue limit is shed by the next `NextAdmitted`.
   void SetLimits(std::size_t cold_limit, std::size_t full_limit, std::size_t queue_limit);
+  /// \brief Changes `ramp_settings::warm_requests`.
+  void SetWarmRequests(std::size_t warm_requests) noexcept;
 
   [[nodiscard]] admission_state State() const noexcept;
 
--- a/libs/admission/include/quincebank/admission/settings.h
+++ b/libs/admission/include/quincebank/admission/settings.h
@@ -19,6 +19,9 @@
   /// Spikes in a row that send the limit back to the cold limit. One lone slow request is no
   /// evidence of a cold upstream, since request sizes differ.
   std::size_t spike_count = 2;
+  /// Good requests that must have finished since the last fallback before the limit leaves the cold
+  /// limit. Good times at the cold limit do not show that an upstream is warm.
+  std::size_t warm_requests = 0;
   /// Factor on the limit after one full round of good work.
   double growth = 2.0;
   /// Factor on the limit after one round in which most work was slow.
--- a/libs/admission/src/concurrency_limit.cc
+++ b/libs/admission/src/concurrency_limit.cc
@@ -46,7 +46,10 @@
     if (!Judge(service_time))
       return;
     const bool used = in_flight * kUsedDenominator >= limit_ * kUsedNumerator;
-    if (service_time <= ramp_.good_service_time && started.round == round_ && used)
+    const bool good = service_time <= ramp_.good_service_time;
+    if (good)
+      ++good_since_cold_;
+    if (good && started.round == round_ && used)
       ++good_;
   }
   Decide(in_flight);
@@ -87,6 +90,8 @@
     finished_ = 0;
     slow_ = 0;
   }
+  if (cold_ && good_since_cold_ < ramp_.warm_requests)
+    return;
   if (good_ >= std::max(limit_, kLeastGood) && slow_ * kPerSlow <= finished_)
     Grow();
 }
@@ -123,6 +128,7 @@
   Decrease(cold_limit_);
   threshold_ = full_limit_;
   cold_ = true;
+  good_since_cold_ = 0;
 }
 
 void concurrency_limit::SetBounds(std::size_t cold, std::size_t full) noexcept {
--- a/libs/admission/src/gate.cc
+++ b/libs/admission/src/gate.cc
@@ -61,6 +61,11 @@
   GrowPool();
 }
 
+void admission_gate::SetWarmRequests(std::size_t warm_requests) noexcept {
+  settings_.ramp.warm_requests = warm_requests;
+  limit_.SetWarmRequests(warm_requests);
+}
+
 admission_entry* admission_gate::Allocate() noexcept {
   if (free_.empty())
     return nullptr;
--- a/libs/admission/tests/concurrency_limit_test.cc
+++ b/libs/admission/tests/concurrency_limit_test.cc
@@ -41,6 +41,21 @@
   EXPECT_FALSE(limit.cold());
 }
 
+// Guards against a full share for an upstream that answers well at its cold limit, but is not warm.
+TEST(concurrency_limit_test, StaysColdUntilEnoughRequestsHaveFinished) {
+  ramp_settings ramp = Ramp();
+  ramp.warm_requests = 20;
+  concurrency_limit limit(2, 32, ramp);
+  FinishUsed(limit, 19);
+  EXPECT_EQ(limit.limit(), 2U);
+  EXPECT_TRUE(limit.cold());
+  WarmUp(limit);
+  EXPECT_EQ(limit.limit(), 32U);
+  limit.FallBack();
+  FinishUsed(limit, 19);
+  EXPECT_EQ(limit.limit(), 2U);
+}
+
 struct no_evidence_case {
   const char* name;
   work_outcome outcome;
--- a/libs/agent/include/quincebank/agent/agent_service.h
+++ b/libs/agent/include/quincebank/agent/agent_service.h
@@ -24,12 +24,6 @@
   milliseconds silence_timeout{60'000};  ///< Between two reads of the upstream's answer.
   /// Short against the shortest restart of an upstream, so that one between two requests is seen.
   milliseconds probe_interval{100};
-
-  [[nodiscard]] bool SameAdmission(const upstream_settings& other) const noexcept {
-    return admission.cold_limit == other.admission.cold_limit &&
-           admission.full_limit == other.admission.full_limit &&
-           admission.queue_limit == other.admission.queue_limit;
-  }
 };
 
 /// \brief Share of one workspace, as the configuration gives it.
--- a/libs/agent/src/agent_config.cc
+++ b/libs/agent/src/agent_config.cc
@@ -33,6 +33,7 @@
   settings.admission.cold_limit = found.cold_limit;
   settings.admission.full_limit = found.full_limit;
   settings.admission.queue_limit = found.queue_limit;
+  settings.admission.ramp.warm_requests = found.warm_requests;
   const auto service = config.FindService(found.service);
   if (service) {
     const service_config& owner = config.services()[*service];
--- a/libs/agent/src/agent_impl.cc
+++ b/libs/agent/src/agent_impl.cc
@@ -154,7 +154,8 @@
   } else {
     ApplyQueue();
   }
-  const begin_outcome begun = ledger_.Begin(request.attempt, request.wanted, Now());
+  const begin_outcome begun =
+      ledger_.Begin(request.attempt, request.wanted, Now(), request.repeatable);
   if (begun != begin_outcome::kStart) {
     gate_->Finish(decision.ticket, work_outcome::kNoEvidence, milliseconds(0), Now());
     ApplyQueue();
@@ -380,11 +381,10 @@
 }
 
 void agent_service::impl::SetUpstream(const upstream_settings& settings) {
-  if (!settings.SameAdmission(settings_) && ledger_.running() == 0 && waiting_.empty()) {
-    // Running work holds tickets of the present gate; new limits wait until it has finished.
-    gate_ = std::make_unique<admission_gate>(settings.admission);
-    gate_->SetDraining(draining_ || leaving_);
-  }
+  gate_->SetLimits(settings.admission.cold_limit, settings.admission.full_limit,
+                   settings.admission.queue_limit);
+  gate_->SetWarmRequests(settings.admission.ramp.warm_requests);
+  ApplyQueue();
   if (settings.upstream != settings_.upstream)
     probe_ = MakeHttpProbe(http_, settings.upstream, kProbeTimeout);
   settings_ = settings;
--- a/libs/agent/src/attempt_request.h
+++ b/libs/agent/src/attempt_request.h
@@ -15,6 +15,7 @@
   attempt_id attempt;
   incarnation wanted;
   std::string workspace;
+  bool repeatable = false;  ///< The ledger may forget it soon after its end.
   admission_request admission;
   http_request forwarded;  ///< As the upstream gets it.
 };
--- a/libs/config/src/section_reader.cc
+++ b/libs/config/src/section_reader.cc
@@ -101,6 +101,8 @@
   upstream.cold_limit = static_cast<std::uint32_t>(reader.Int("cold_limit", kLimit));
   upstream.full_limit = static_cast<std::uint32_t>(reader.Int("full_limit", kLimit));
   upstream.queue_limit = static_cast<std::uint32_t>(reader.Int("queue_limit", {0, kLimit.max}, 0));
+  upstream.warm_requests =
+      static_cast<std::uint32_t>(reader.Int("warm_requests", {0, kLimit.max}, 16));
   upstream.checks_fencing = reader.Bool("checks_fencing", false);
   if (upstream.cold_limit > upstream.full_limit)
     reader.Fail("cold_limit", "above full_limit");
--- a/libs/entry/include/quincebank/entry/entry_service.h
+++ b/libs/entry/include/quincebank/entry/entry_service.h
@@ -49,6 +49,7 @@
   entry_metrics metrics;
   retry_budget retries{{.ratio = 0.1, .burst = 20, .initial = 20}};
   std::uint64_t seed = 0;                   ///< Random for this process.
+  std::atomic<int> waiting{0};              ///< Requests that wait for room at an upstream.
   std::atomic<std::uint64_t> requests{0};   ///< Requests begun.
   std::atomic<std::uint64_t> decisions{0};  ///< Routing decisions made.
 };
--- a/libs/entry/include/quincebank/entry/upstream_directory.h
+++ b/libs/entry/include/quincebank/entry/upstream_directory.h
@@ -31,6 +31,7 @@
   void Loop();
   void Poll(std::uint32_t upstream);
   void TakeHints();
+  void ForgetPrompts(std::string_view upstream);
   void Publish();
   [[nodiscard]] bool StatusesChanged();
   [[nodiscard]] ref_ptr<upstream_slot> SlotFor(const upstream_config& upstream);
@@ -46,7 +47,12 @@
   ref_ptr<const objective_table> objectives_;
   std::vector<host_entry> hosts_;
   std::map<std::string, ref_ptr<upstream_slot>, std::less<>> slots_;
-  std::map<std::string, time_point, std::less<>> taken_;  ///< Hints already given to the view.
+  struct taken_hint {
+    time_point heard;
+    std::uint64_t boot = 0;
+  };
+  std::map<std::string, taken_hint, std::less<>> taken_;  ///< Hints already given to the view.
+  std::map<std::string, ref_ptr<prompt_notes>, std::less<>> prompts_;  ///< By service.
   std::vector<upstream_status> published_;
   std::vector<std::string> leaving_entries_;
   bool leaving_ = false;
--- a/libs/entry/include/quincebank/entry/upstream_slot.h
+++ b/libs/entry/include/quincebank/entry/upstream_slot.h
@@ -33,6 +33,7 @@
     draining_ = load.draining;
     leaving_ = load.leaving;
     life_ = load.life.value;
+    boot_ = load.boot;
     sent_since_ = 0;
     heard_at_ = now.time_since_epoch().count();
   }
@@ -48,6 +49,7 @@
     load.queued = queued_;
     load.limit = limit_;
     load.cold = cold_;
+    load.closed = draining_ || leaving_;
     load.age = std::chrono::duration_cast<milliseconds>(now - heard);
     load.sent_since = sent_since_;
     return load;
@@ -59,6 +61,8 @@
   }
   /// \brief Returns the agent's incarnation; 0 while unknown.
   [[nodiscard]] incarnation life() const noexcept { return incarnation{life_}; }
+  /// \brief Returns the boot number of the upstream; 0 while unknown.
+  [[nodiscard]] std::uint64_t boot() const noexcept { return boot_; }
   [[nodiscard]] bool draining() const noexcept { return draining_; }
   [[nodiscard]] bool leaving() const noexcept { return leaving_; }
 
@@ -73,6 +77,7 @@
   std::atomic<bool> draining_{false};
   std::atomic<bool> leaving_{false};
   std::atomic<std::uint64_t> life_{0};
+  std::atomic<std::uint64_t> boot_{0};
   std::atomic<time_point::rep> heard_at_{0};
 };
 
--- a/libs/entry/src/request_flow.cc
+++ b/libs/entry/src/request_flow.cc
@@ -8,8 +8,8 @@
 
 #include "quincebank/base/json_reader.h"
 #include "quincebank/messages/messages.h"
-#include "quincebank/routing/replay.h"
 #include "refusal.h"
+#include "target_chooser.h"
 
 namespace quincebank {
 namespace {
@@ -57,6 +57,14 @@
   return value;
 }
 
+// Without a configuration nothing is known of an earlier request with the same key.
+error WithVerdictOfKey(error failure, const http_headers& headers) {
+  const bool keyed = headers.Find(kIdempotencyKeyField) && headers.Get(kFirstSendField) != "true";
+  if (failure.code == error_code::kUnavailable && keyed)
+    failure.outcome = verdict::kMayHaveRun;
+  return failure;
+}
+
 std::string PromptOf(const std::string& body) {
   if (body.size() > kMaxParsedBody)
     return body;
@@ -92,7 +100,8 @@
 void request_flow::Run(const service_target& target) {
   const result<void> prepared = Prepare(target);
   if (!prepared) {
-    Refuse(exchange_, prepared.error(), id_, kDefaultRetryAfter);
+    Refuse(exchange_, WithVerdictOfKey(prepared.error(), exchange_.request().headers), id_,
+           kDefaultRetryAfter);
     return;
   }
   shared_.retries.OnRequest();
@@ -163,6 +172,7 @@
     return spec;
   spec.kind = request_kind::kKeyed;
   BOOST_OUTCOME_TRY(spec.key, ParseRequestKey(service_->name, workspace_, *key, WallNow()));
+  spec.first_send = request.headers.Get(kFirstSendField) == "true";
   spec.request_digest = RequestDigest(request.method, path_, request.body);
   return spec;
 }
@@ -202,62 +212,13 @@
 }
 
 request_action request_flow::ChooseTarget(keyed_request& machine, const request_action& action) {
-  std::vector<upstream_key> tried;
-  std::vector<upstream_load> loads;
-  loads.reserve(view_->slots.size());
-  const time_point now = Now();
-  for (const ref_ptr<upstream_slot>& slot : view_->slots) {
-    loads.push_back(slot->Read(now));
-    if (std::find(action.tried.begin(), action.tried.end(), ToString(slot->agent())) !=
-        action.tried.end()) {
-      tried.push_back(KeyOf(slot->name()));
-    }
-  }
-  const route_policy* policy = FindRoutePolicy(service_->policy);
-  if (policy == nullptr)
-    policy = FindRoutePolicy(kDefaultRoutePolicy);
-  for (;;) {
-    route_input input;
-    input.table = view_->table;
-    input.loads = loads;
-    input.request.workspace = workspace_;
-    input.request.prefix = prefix_.view();
-    input.request.priority = priority_;
-    input.request.deadline = std::chrono::duration_cast<milliseconds>(deadline_ - Now());
-    input.request.failure_domain = shared_.settings.node.failure_domain;
-    input.request.region = shared_.settings.node.region;
-    input.request.tried = tried;
-    input.request.seed = random_.Next();
-    input.request.turn = ++shared_.decisions;
-    const result<route_decision> decision = Choose(*policy, input);
-    shared_.metrics.CountDecision();
-    shared_.records->Append(MakeRouteRecord(id_, WallNow(), *policy, input, decision));
-    if (!decision) {
-      refused_as_ = decision.error().code;
-      return machine.OnTarget(action.step, std::nullopt, decision.error().message, Now(),
-                              WallNow());
-    }
-    const std::uint32_t index = decision.value().index;
-    const auto target = TargetOf(index);
-    if (target)
-      return machine.OnTarget(action.step, target, {}, Now(), WallNow());
-    tried.push_back(view_->table->key(index));
-  }
-}
-
-std::optional<attempt_target> request_flow::TargetOf(std::uint32_t index) {
-  upstream_slot& slot = *view_->slots[index];
-  if (slot.life().value == 0) {
-    const auto answer = context_.rpc.Call(slot.agent(), "agent.status", {}, kStatusTimeout);
-    const auto load =
-        answer ? AgentLoadFromJson(answer.value()) : result<agent_load>(answer.error());
-    if (!load) {
-      shared_.directory->Report(slot.name(), contact::kRefused);
-      return std::nullopt;
-    }
-    slot.OnLoad(load.value(), Now());
-  }
-  return attempt_target{ToString(slot.agent()), slot.life()};
+  const choice_request wanted{id_, workspace_, priority_, deadline_, prefix_};
+  target_chooser chooser(shared_, context_, *service_, *view_, wanted, random_.Next());
+  const result<attempt_target> target = chooser.Choose(action.tried);
+  if (target)
+    return machine.OnTarget(action.step, target.value(), {}, Now(), WallNow());
+  refused_as_ = target.error().code;
+  return machine.OnTarget(action.step, std::nullopt, target.error().message, Now(), WallNow());
 }
 
 http_call request_flow::CallTo(const attempt_target& target) const {
@@ -295,6 +256,8 @@
   const auto left = std::chrono::duration_cast<milliseconds>(deadline_ - Now());
   call.request.headers.Set(kAttemptField, ToString(action.attempt));
   call.request.headers.Set(kServiceField, service_->name);
+  if (spec_.kind == request_kind::kRepeatable)
+    call.request.headers.Set(kRepeatableField, "true");
   call.request.headers.Set(kWorkspaceField, workspace_);
   call.request.headers.Set(kPriorityField, std::to_string(priority_));
   call.request.headers.Set(kDeadlineField,
@@ -304,6 +267,8 @@
     slot->OnSent();
   answer_.SetSource(call.peer, action.target.life, action.attempt, 0);
   const copy_result copy = RunCopy(context_.http, call, answer_, slot);
+  if (slot != nullptr && copy.report.outcome == copy_outcome::kAnswered)
+    view_->prompts->Note(slot->name(), prefix_.view());
   retry_after_ = std::max(retry_after_, copy.retry_after);
   refused_as_ = copy.refused_as;
   ReportContact(action.target.agent, copy.report);
@@ -333,6 +298,7 @@
 claim_decision request_flow::AskClaims(const request_action& action) {
   claim_request request;
   request.value = action.value;
+  request.value.key = spec_.key.digest;
   request.expected = action.expected;
   request.look = action.kind == action_kind::kLook;
   request.deadline = std::min(deadline_, Now() + kClaimTimeout);
@@ -363,8 +329,8 @@
   error failure = end.failure;
   if (refused_as_ && failure.outcome == verdict::kNotRun)
     failure.code = *refused_as_;
-  const bool retry =
-      failure.outcome == verdict::kNotRun && failure.code != error_code::kInvalidArgument;
+  const bool retry = failure.code != error_code::kInvalidArgument &&
+                     (failure.outcome == verdict::kNotRun || spec_.kind == request_kind::kKeyed);
   Refuse(exchange_, failure, id_,
          retry ? std::max(retry_after_, kDefaultRetryAfter) : milliseconds(0));
 }
--- a/libs/entry/src/request_flow.h
+++ b/libs/entry/src/request_flow.h
@@ -35,7 +35,6 @@
   [[nodiscard]] result<void> ReadCallerFields();
   [[nodiscard]] request_action Perform(keyed_request& machine, const request_action& action);
   [[nodiscard]] request_action ChooseTarget(keyed_request& machine, const request_action& action);
-  [[nodiscard]] std::optional<attempt_target> TargetOf(std::uint32_t index);
   [[nodiscard]] copy_report Send(const request_action& action);
   [[nodiscard]] copy_report Fetch(const request_action& action);
   [[nodiscard]] claim_decision AskClaims(const request_action& action);
--- a/libs/entry/src/upstream_directory.cc
+++ b/libs/entry/src/upstream_directory.cc
@@ -83,14 +83,24 @@
 void upstream_directory::TakeHints() {
   for (const auto& [name, slot] : slots_) {
     const time_point heard = slot->heard_at();
-    time_point& taken = taken_[name];
-    if (heard == taken)
+    taken_hint& taken = taken_[name];
+    if (heard == taken.heard)
       continue;
-    taken = heard;
+    taken.heard = heard;
+    // A restarted engine has lost its prefix cache.
+    if (slot->boot() != taken.boot && taken.boot != 0)
+      ForgetPrompts(name);
+    if (slot->boot() != 0)
+      taken.boot = slot->boot();
     view_.OnContact(name, ContactOf(slot->leaving(), slot->draining()), slot->life(), Now());
   }
 }
 
+void upstream_directory::ForgetPrompts(std::string_view upstream) {
+  for (const auto& [service, prompts] : prompts_)
+    prompts->Forget(upstream);
+}
+
 void upstream_directory::Report(std::string upstream, contact what) {
   node_.SpawnTracked([this, upstream = std::move(upstream), what] {
     view_.OnContact(upstream, what, {}, Now());
@@ -107,7 +117,12 @@
   for (const upstream_config& upstream : config->upstreams())
     kept.emplace(upstream.name, SlotFor(upstream));
   slots_ = std::move(kept);
-  std::erase_if(taken_, [&](const auto& entry) { return !slots_.contains(entry.first); });
+  std::erase_if(taken_, [&](const auto& entry) {
+    if (slots_.contains(entry.first))
+      return false;
+    ForgetPrompts(entry.first);
+    return true;
+  });
   Publish();
 }
 
@@ -177,6 +192,10 @@
     upstreams.push_back(std::move(to));
     view.slots.push_back(SlotFor(from));
   }
+  ref_ptr<prompt_notes>& prompts = prompts_[owner.name];
+  if (!prompts)
+    prompts = new prompt_notes;
+  view.prompts = prompts;
   auto table = routing_table::Build(owner.name, std::move(upstreams));
   if (!table) {
     kLog.Error("service ", owner.name, ": ", Describe(table.error()));
--- a/libs/idempotency/include/quincebank/idempotency/keyed_request.h
+++ b/libs/idempotency/include/quincebank/idempotency/keyed_request.h
@@ -24,6 +24,8 @@
   request_kind kind = request_kind::kPlain;
   request_key key;                   ///< For `kKeyed`.
   std::uint64_t request_digest = 0;  ///< For `kKeyed`.
+  /// The caller says that it sends this key for the first time, so no earlier request can have run.
+  bool first_send = false;
   time_point deadline;
   std::uint32_t max_attempts = 3;  ///< Attempts that this request sends.
   milliseconds poll{100};          ///< Between two questions to an agent that does not answer.
@@ -85,6 +87,7 @@
   [[nodiscard]] request_action OnSent(const copy_report& report, time_point now);
   [[nodiscard]] request_action OnFetched(const copy_report& report, time_point now);
   [[nodiscard]] request_action OnLooked(const claim_decision& decision);
+  [[nodiscard]] request_action RefuseKeyed(error refusal);
   [[nodiscard]] request_action OnKnownState(attempt_state state, bool blocking, time_point now);
   [[nodiscard]] request_action OnNeverSeen(bool blocking, time_point now);
   [[nodiscard]] request_action OnBlocked(bool by_us);
@@ -112,6 +115,8 @@
   bool restarted_ = false;  ///< The agent of `attempt_` rejected it as another incarnation.
   bool grace_over_ = false;
   bool foreign_ = false;                ///< Another request's claim may still run the order.
+  bool claim_known_ = false;            ///< The store has told whether the key was claimed before.
+  std::optional<error> refusal_;        ///< Reported once the claim of an earlier request is known.
   bool releasable_ = false;             ///< `claimed_` may be in the store.
   verdict copies_ = verdict::kNotRun;   ///< Over all copies of `attempt_` sent by this request.
   verdict earlier_ = verdict::kNotRun;  ///< Over all earlier attempts of this request.
--- a/libs/idempotency/src/keyed_request.cc
+++ b/libs/idempotency/src/keyed_request.cc
@@ -35,7 +35,9 @@
 }
 
 verdict keyed_request::Verdict() const noexcept {
-  const verdict others = foreign_ ? verdict::kMayHaveRun : verdict::kNotRun;
+  // An earlier request with this key may have run unless the store or the caller rules it out.
+  const bool unknown = Keyed() && !claim_known_ && !spec_.first_send;
+  const verdict others = foreign_ || unknown ? verdict::kMayHaveRun : verdict::kNotRun;
   return Combine(Combine(earlier_, copies_), others);
 }
 
@@ -75,7 +77,7 @@
   if (Late(step, action_kind::kChoose))
     return {};
   if (!target)
-    return Finish(error_code::kOverloaded, std::move(reason));
+    return RefuseKeyed(MakeError(error_code::kOverloaded, std::move(reason)));
   earlier_ = Combine(earlier_, copies_);
   copies_ = verdict::kNotRun;
   attempt_ = NewTimedAttemptId(random_, wall);
@@ -110,6 +112,7 @@
   if (Late(step, action_kind::kClaim))
     return {};
   releasable_ = true;
+  claim_known_ = claim_known_ || decision.outcome != claim_outcome::kNotRun;
   if (decision.outcome == claim_outcome::kOwned) {
     foreign_ = false;
     expected_ = attempt_;
@@ -121,7 +124,21 @@
   return Finish(decision.failure.code, decision.failure.message);
 }
 
+request_action keyed_request::RefuseKeyed(error refusal) {
+  if (!Keyed() || claim_known_ || spec_.first_send)
+    return Finish(refusal.code, std::move(refusal.message));
+  refusal_ = std::move(refusal);
+  return Act(action_kind::kLook);
+}
+
 request_action keyed_request::OnLooked(const claim_decision& decision) {
+  claim_known_ = claim_known_ || decision.outcome != claim_outcome::kNotRun;
+  if (refusal_) {
+    const error refusal = *std::exchange(refusal_, std::nullopt);
+    if (decision.outcome == claim_outcome::kHeld)
+      return Follow(decision.holder);
+    return Finish(refusal.code, refusal.message);
+  }
   if (decision.outcome == claim_outcome::kHeld && decision.holder.attempt != attempt_)
     return Follow(decision.holder);
   // Whoever blocked the attempt may move the claim and run the request, unless we move it first.
--- a/libs/messages/include/quincebank/messages/header_names.h
+++ b/libs/messages/include/quincebank/messages/header_names.h
@@ -11,6 +11,7 @@
 inline constexpr std::string_view kVerdictField = "Quincebank-Verdict";
 inline constexpr std::string_view kRequestField = "Quincebank-Request";
 inline constexpr std::string_view kIdempotencyKeyField = "Idempotency-Key";
+inline constexpr std::string_view kFirstSendField = "Quincebank-First-Send";
 inline constexpr std::string_view kLastEventIdField = "Last-Event-ID";
 inline constexpr std::string_view kRetryAfterField = "Retry-After";
 
@@ -18,6 +19,7 @@
 inline constexpr std::string_view kAttemptField = "Quincebank-Attempt";
 inline constexpr std::string_view kIncarnationField = "Quincebank-Incarnation";
 inline constexpr std::string_view kConfigVersionField = "Quincebank-Config-Version";
+inline constexpr std::string_view kRepeatableField = "Quincebank-Repeatable";
 inline constexpr std::string_view kServiceField = "Quincebank-Service";
 inline constexpr std::string_view kLoadField = "Quincebank-Load";
 
--- a/libs/node/include/quincebank/node/node_settings.h
+++ b/libs/node/include/quincebank/node/node_settings.h
@@ -25,8 +25,9 @@
   endpoint host_list;
   std::string host_list_path = "/hosts";
   milliseconds host_list_interval{1'000};
-  std::size_t record_keep = 4'096;  ///< Decisions kept in memory.
-  bool record_stdout = false;       ///< Also writes each decision as a line on standard output.
+  /// Decisions kept in memory; with 620 upstreams one takes about 15 KB.
+  std::size_t record_keep = 500;
+  bool record_stdout = false;  ///< Also writes each decision as a line on standard output.
 };
 
 /// \brief Reads the members of `node_settings`; the caller calls `Finish`.
--- a/libs/scenario/include/quincebank/scenario/fake_entry.h
+++ b/libs/scenario/include/quincebank/scenario/fake_entry.h
@@ -22,6 +22,7 @@
   std::string key;
   request_kind kind = request_kind::kKeyed;
   milliseconds deadline{15'000};
+  bool first_send = false;  ///< No earlier call had this key.
 };
 
 /// \brief Entry process: performs the actions of `keyed_request` and `claim_writer`.
--- a/libs/scenario/src/fake_entry.cc
+++ b/libs/scenario/src/fake_entry.cc
@@ -18,6 +18,7 @@
   open_request& request = requests_[call.id];
   request.call = call;
   request_spec spec{.kind = call.kind, .deadline = bed_.loop.now() + call.deadline};
+  spec.first_send = call.first_send;
   if (call.kind == request_kind::kKeyed) {
     const auto key = ParseRequestKey("order-desk", "w", call.key, bed_.loop.wall());
     if (!key) {
--- a/libs/scenario/src/world.cc
+++ b/libs/scenario/src/world.cc
@@ -271,6 +271,7 @@
     BOOST_OUTCOME_TRY(call.deadline, ParseDuration(command, command.options.at("deadline")));
   }
   const std::string entry = via.text;
+  call.first_send = bed_.book.LastCall(call.order) == nullptr;
   call.id = bed_.book.Open(call.order, entry, call.kind);
   bed_.links.Send(
       {"caller", entry}, [this, entry, call] { bed_.entries.at(entry)->OnCall(call); },
--- a/libs/testing/include/quincebank/testing/deployment.h
+++ b/libs/testing/include/quincebank/testing/deployment.h
@@ -23,6 +23,7 @@
   int cold_limit = 2;
   int full_limit = 16;
   int queue_limit = 64;
+  int warm_requests = 8;
   int lookup_ttl_ms = 300;
   bool relays = false;  ///< Entries reach each agent through a relay named `relay-` and its name.
   std::vector<std::string> engine_options;  ///< For the engine stand-ins.
--- a/libs/testing/src/deployment.cc
+++ b/libs/testing/src/deployment.cc
@@ -155,8 +155,7 @@
     const bool drafts = process.name.starts_with("drafts-");
     if (!drafts && !process.name.starts_with("orders-"))
       continue;
-    const endpoint agent =
-        AddressOf((plan_.relays ? "relay-agent-" : "agent-") + process.name);
+    const endpoint agent = AddressOf((plan_.relays ? "relay-agent-" : "agent-") + process.name);
     upstreams.push_back(json::object{{"name", process.name},
                                      {"host", "agent-" + process.name},
                                      {"failure_domain", process.failure_domain},
@@ -167,7 +166,8 @@
                                      {"upstream_port", process.address.port},
                                      {"cold_limit", plan_.cold_limit},
                                      {"full_limit", plan_.full_limit},
-                                     {"queue_limit", plan_.queue_limit}});
+                                     {"queue_limit", plan_.queue_limit},
+                                     {"warm_requests", plan_.warm_requests}});
   }
   const json::array services{
       Service("quince-drafts", "model",
--- a/tests/process/domains_test.cc
+++ b/tests/process/domains_test.cc
@@ -127,6 +127,7 @@
 TEST_F(domains_process_test, BurstDoesNotCrashColdUpstreams) {
   deployment_plan plan;
   plan.engine_options = {"--token-ms=2", "--warm-after=20"};
+  plan.warm_requests = 20;
   StartSystem(plan);
   std::vector<std::future<result<http_response>>> calls;
   for (int i = 0; i < 60; ++i) {
