--- a/libs/entry/src/request_flow.cc
+++ b/libs/entry/src/request_flow.cc
@@ -298,7 +298,6 @@
 claim_decision request_flow::AskClaims(const request_action& action) {
   claim_request request;
   request.value = action.value;
-  request.value.key = spec_.key.digest;
   request.expected = action.expected;
   request.look = action.kind == action_kind::kLook;
   request.deadline = std::min(deadline_, Now() + kClaimTimeout);
--- a/libs/idempotency/src/keyed_request.cc
+++ b/libs/idempotency/src/keyed_request.cc
@@ -104,6 +104,12 @@
   return action;
 }
 
+request_action keyed_request::Look() {
+  request_action action = Act(action_kind::kLook);
+  action.value.key = spec_.key.digest;
+  return action;
+}
+
 request_action keyed_request::OnClaim(std::uint32_t step,
                                       const claim_decision& decision,
                                       time_point now) {
@@ -128,7 +134,7 @@
   if (!Keyed() || claim_known_ || spec_.first_send)
     return Finish(refusal.code, std::move(refusal.message));
   refusal_ = std::move(refusal);
-  return Act(action_kind::kLook);
+  return Look();
 }
 
 request_action keyed_request::OnLooked(const claim_decision& decision) {
@@ -301,7 +307,7 @@
   copies_ = verdict::kNotRun;
   // Another request that blocked our attempt is about to move the claim, or has moved it.
   if (own_ && Keyed() && !by_us)
-    return Act(action_kind::kLook);
+    return Look();
   if (!own_ || spec_.kind != request_kind::kPlain)
     return NewAttempt("the attempt was blocked");
   return Finish(error_code::kUnavailable, "the connection to the agent was lost");
--- a/libs/idempotency/tests/keyed_request_test.cc
+++ b/libs/idempotency/tests/keyed_request_test.cc
@@ -63,6 +63,7 @@
       }
       case action_kind::kClaim:
       case action_kind::kLook:
+        EXPECT_EQ(to.value.key, (claim_key{1, 2})) << "a look-up without its key finds nothing";
         return request_.OnClaim(to.step, Decision(to, reply), now_);
       case action_kind::kSend:
       case action_kind::kFetch: {
