--- a/libs/agent/include/quincebank/agent/agent_node.h
+++ b/libs/agent/include/quincebank/agent/agent_node.h
@@ -18,7 +18,8 @@
   node_settings node;
   std::string upstream;                 ///< Name of its upstream in the configuration.
   milliseconds shutdown_linger{2'000};  ///< Held answers can still be fetched this long.
-  ledger_limits ledger;
+  /// With the ledger's records and the configuration, 16 MB of answers fit into 64 MB of memory.
+  ledger_limits ledger{.max_total_bytes = std::size_t{16} << 20U};
 };
 
 /// \brief Reads and checks the settings file of an agent.
