Forward claims to the preferred entry; follow refusals of a service

Change: claims.decide at the preferred entry of a bucket, own writer after 300 ms without an answer; a released claim is written at once; entries cut back what a service refuses (backoff_after). Conclusion: writes are bounded by buckets and window, not by entries.

--- a/bench/added_cost/main.cc
+++ b/bench/added_cost/main.cc
@@ -80,6 +80,7 @@
     http_client client(thread);
     int next = 0;
     std::vector<boost::fibers::fiber> callers;
+    callers.reserve(kConcurrency);
     for (int i = 0; i < kConcurrency; ++i) {
       callers.emplace_back([&] {
         while (next < kRequests) {
@@ -147,6 +148,57 @@
               agent_after.resident_mb);
 }
 
+/// Streams drafts from a number of callers at once and prints the processor time a token.
+void MeasureStreams(int streams) {
+  constexpr int kTokens = 400;
+  deployment_plan plan;
+  plan.entries = 1;
+  plan.drafts = 1;
+  plan.orders = 1;
+  plan.cold_limit = 256;
+  plan.full_limit = 256;
+  plan.engine_options = {"--token-ms=20", "--first-token-ms=20"};
+  deployment system(plan);
+  const auto started = system.Start();
+  if (!started) {
+    std::cerr << started.error().message << "\n";
+    return;
+  }
+  const http_request draft{
+      "POST",
+      "/services/quince-drafts/v1/completions",
+      {{std::string(kWorkspaceField), "cafe-nord"}},
+      R"({"prompt": "p", "stream": true, "max_tokens": )" + std::to_string(kTokens) + "}"};
+  const process_usage entry_before = UsageOf(system, "entry-0");
+  const process_usage agent_before = UsageOf(system, "agent-drafts-0");
+  const auto start = std::chrono::steady_clock::now();
+  fiber_thread thread("load");
+  int whole = 0;
+  thread.RunAndWait([&] {
+    http_client client(thread);
+    std::vector<boost::fibers::fiber> callers;
+    callers.reserve(static_cast<std::size_t>(streams));
+    for (int i = 0; i < streams; ++i) {
+      callers.emplace_back([&] {
+        http_call call{system.AddressOf("entry-0"), draft};
+        const auto answer = client.Call(call);
+        whole += answer && answer.value().body.find("[DONE]") != std::string::npos ? 1 : 0;
+      });
+    }
+    for (boost::fibers::fiber& caller : callers)
+      caller.join();
+  });
+  const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - start;
+  const process_usage entry_after = UsageOf(system, "entry-0");
+  const process_usage agent_after = UsageOf(system, "agent-drafts-0");
+  const double tokens = static_cast<double>(streams) * kTokens;
+  std::printf("%8d %8d %12.0f %12.1f %12.1f %10.1f %10.1f\n", streams, whole,
+              tokens / elapsed.count(),
+              (entry_after.cpu_seconds - entry_before.cpu_seconds) * 1e6 / tokens,
+              (agent_after.cpu_seconds - agent_before.cpu_seconds) * 1e6 / tokens,
+              entry_after.resident_mb, agent_after.resident_mb);
+}
+
 struct fleet_usage {
   process_usage entry;
   process_usage agent;
@@ -221,8 +273,15 @@
     quincebank::MeasureRequests();
     return 0;
   }
+  if (mode == "streams") {
+    std::printf("%8s %8s %12s %12s %12s %10s %10s\n", "streams", "whole", "tokens/s",
+                "entry us/tok", "agent us/tok", "entry MB", "agent MB");
+    for (const int streams : {8, 32, 128})
+      quincebank::MeasureStreams(streams);
+    return 0;
+  }
   if (mode != "control") {
-    std::cerr << "usage: bench_added_cost [requests|control]\n";
+    std::cerr << "usage: bench_added_cost [requests|streams|control]\n";
     return 2;
   }
   std::printf(
--- a/libs/entry/include/quincebank/entry/claim_service.h
+++ b/libs/entry/include/quincebank/entry/claim_service.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "quincebank/entry/entry_snapshot.h"
 #include "quincebank/idempotency/claim_writer.h"
 #include "quincebank/idempotency/request_key.h"
 #include "quincebank/node/node_control.h"
@@ -13,9 +14,20 @@
 namespace quincebank {
 
 /// \brief Writes the claims of this entry, one writer for each bucket. Lives on the control thread.
+///
+/// A claim goes to the preferred entry of its bucket, so that the claims of many entries share one
+/// compare-and-swap; without an answer in time, this entry writes it itself. Both writes name the
+/// same attempt, so it does not matter which one takes effect.
 class claim_service {
  public:
-  claim_service(node_control& node, std::uint64_t seed);
+  /// \param self  name of this entry's host.
+  claim_service(node_control& node,
+                const snapshot_box& snapshots,
+                std::string self,
+                std::uint64_t seed);
+
+  /// \brief Adds `claims.decide`, by which other entries forward claims.
+  void AddMethods(rpc_server& rpc);
 
   /// \brief Claims or looks up a key; suspends the calling fiber of any thread until decided.
   [[nodiscard]] claim_decision Decide(const request_key& key, const claim_request& request);
@@ -34,8 +46,11 @@
     time_point used;
   };
 
-  [[nodiscard]] bucket_state& BucketOf(const request_key& key);
-  [[nodiscard]] claim_decision DecideHere(const request_key& key, const claim_request& request);
+  [[nodiscard]] bucket_state& Bucket(const std::string& name);
+  [[nodiscard]] claim_decision DecideHere(const std::string& bucket, const claim_request& request);
+  /// \returns The preferred entry's decision, or nothing if this entry must decide.
+  [[nodiscard]] std::optional<claim_decision> Forward(const std::string& bucket,
+                                                      const claim_request& request);
   void Drive(bucket_state& bucket);
   void Call(bucket_state& bucket, const store_action& action);
   [[nodiscard]] store_reply Perform(const store_action& action);
@@ -43,6 +58,8 @@
   void DropIdle();
 
   node_control& node_;
+  const snapshot_box& snapshots_;
+  const std::string self_;
   claim_writer_options options_;
   std::map<std::string, std::unique_ptr<bucket_state>, std::less<>> buckets_;
 };
--- a/libs/entry/include/quincebank/entry/entry_service.h
+++ b/libs/entry/include/quincebank/entry/entry_service.h
@@ -2,10 +2,13 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "quincebank/admission/backoff_after.h"
 #include "quincebank/admission/retry_budget.h"
 #include "quincebank/base/record.h"
 #include "quincebank/entry/claim_service.h"
@@ -35,6 +38,8 @@
 
   http_client http;
   rpc_client rpc;
+  /// What each service's refusals say about its capacity, as this thread has seen it.
+  std::map<std::string, backoff_after, std::less<>> backoffs;
 };
 
 /// \brief What the handling of requests shares in one entry.
--- a/libs/entry/src/claim_service.cc
+++ b/libs/entry/src/claim_service.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <utility>
 
+#include "claim_json.h"
 #include "quincebank/net/run_on.h"
 
 namespace quincebank {
@@ -10,6 +11,8 @@
 
 // An idle writer keeps its bucket's value as a cache; a time slice is unused after a minute.
 constexpr milliseconds kIdleLimit{60'000};
+// A preferred entry that does not answer within this time is paused, cut off or gone.
+constexpr milliseconds kForwardTimeout{300};
 
 time_point Now() {
   return std::chrono::steady_clock::now();
@@ -17,20 +20,72 @@
 
 }  // namespace
 
-claim_service::claim_service(node_control& node, std::uint64_t seed) : node_(node) {
+claim_service::claim_service(node_control& node,
+                             const snapshot_box& snapshots,
+                             std::string self,
+                             std::uint64_t seed)
+    : node_(node), snapshots_(snapshots), self_(std::move(self)) {
   options_.seed = seed;
 }
 
+void claim_service::AddMethods(rpc_server& rpc) {
+  rpc.Add("claims.decide", [this](const boost::json::object& params) {
+    return RunOn(node_.thread(), [&]() -> result<boost::json::value> {
+      BOOST_OUTCOME_TRY(const forwarded_claim forwarded, ForwardedClaimFromJson(params, Now()));
+      return boost::json::value(ToJson(DecideHere(forwarded.bucket, forwarded.request)));
+    });
+  });
+}
+
 claim_decision claim_service::Decide(const request_key& key, const claim_request& request) {
-  return RunOn(node_.thread(), [&] { return DecideHere(key, request); });
+  return RunOn(node_.thread(), [&] {
+    const std::string bucket = BucketName(options_.layout, key);
+    // A look-up needs a value that is read after it was asked for, so it gains nothing elsewhere.
+    auto decision = request.look ? std::nullopt : Forward(bucket, request);
+    return decision ? *decision : DecideHere(bucket, request);
+  });
+}
+
+std::optional<claim_decision> claim_service::Forward(const std::string& bucket,
+                                                     const claim_request& request) {
+  const auto snapshot = snapshots_.Get();
+  if (!snapshot)
+    return std::nullopt;
+  std::vector<std::string> names;
+  std::vector<endpoint> addresses;
+  for (const entry_address& entry : snapshot->entries) {
+    if (entry.draining)
+      continue;
+    names.push_back(entry.host);
+    addresses.push_back({entry.address, entry.port});
+  }
+  if (names.empty())
+    return std::nullopt;
+  const std::size_t preferred = PreferredEntry(bucket, names);
+  if (names[preferred] == self_)
+    return std::nullopt;
+  const auto left = std::chrono::duration_cast<milliseconds>(request.deadline - Now());
+  const auto answer = rpc_client(node_.http())
+                          .Call(addresses[preferred], "claims.decide",
+                                ToJson(forwarded_claim{bucket, request}, left), kForwardTimeout);
+  if (!answer)
+    return std::nullopt;
+  const auto decision = ClaimDecisionFromJson(answer.value());
+  // A refusal there may be due to that entry's own link to the store.
+  if (!decision || decision.value().outcome == claim_outcome::kNotRun)
+    return std::nullopt;
+  return decision.value();
 }
 
 void claim_service::Release(const request_key& key, const claim& released) {
-  RunOn(node_.thread(), [&] { BucketOf(key).writer.Release(released.key, released.attempt); });
+  RunOn(node_.thread(), [&] {
+    bucket_state& bucket = Bucket(BucketName(options_.layout, key));
+    bucket.writer.Release(released.key, released.attempt);
+    Drive(bucket);
+  });
 }
 
-claim_service::bucket_state& claim_service::BucketOf(const request_key& key) {
-  const std::string name = BucketName(options_.layout, key);
+claim_service::bucket_state& claim_service::Bucket(const std::string& name) {
   auto found = buckets_.find(name);
   if (found == buckets_.end()) {
     DropIdle();
@@ -40,8 +95,8 @@
   return *found->second;
 }
 
-claim_decision claim_service::DecideHere(const request_key& key, const claim_request& request) {
-  bucket_state& bucket = BucketOf(key);
+claim_decision claim_service::DecideHere(const std::string& name, const claim_request& request) {
+  bucket_state& bucket = Bucket(name);
   boost::fibers::promise<claim_decision> promise;
   auto future = promise.get_future();
   const std::uint64_t ticket = bucket.writer.Add(request, Now());
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -73,7 +73,7 @@
       shared_(settings_),
       node_(control, settings.node, peer_role::kEntry),
       directory_(node_, settings.node, shared_.snapshots),
-      claims_(node_, seed) {
+      claims_(node_, shared_.snapshots, settings.node.host, seed) {
   shared_.directory = &directory_;
   shared_.claims = &claims_;
   shared_.records = &records_;
@@ -87,6 +87,7 @@
 
 result<void> entry_service::Start() {
   node_.AddMethods(rpc_);
+  claims_.AddMethods(rpc_);
   rpc_.Add("entry.leaving", [this](const boost::json::object& params) {
     return RunOn(control_, [&]() -> result<boost::json::value> {
       const boost::json::value* const host = params.if_contains("host");
--- a/libs/entry/src/request_flow.cc
+++ b/libs/entry/src/request_flow.cc
@@ -212,6 +212,14 @@
 }
 
 request_action request_flow::ChooseTarget(keyed_request& machine, const request_action& action) {
+  const auto wait = context_.backoffs[service_->name].Check(Now(), random_);
+  if (wait) {
+    retry_after_ = std::max(retry_after_, *wait);
+    refused_as_ = error_code::kOverloaded;
+    return machine.OnTarget(action.step, std::nullopt,
+                            "service '" + service_->name + "' refuses more work for now", Now(),
+                            WallNow());
+  }
   const choice_request wanted{id_, workspace_, priority_, deadline_, prefix_};
   target_chooser chooser(shared_, context_, *service_, *view_, wanted, random_.Next());
   const result<attempt_target> target = chooser.Choose(action.tried);
@@ -269,6 +277,11 @@
   const copy_result copy = RunCopy(context_.http, call, answer_, slot);
   if (slot != nullptr && copy.report.outcome == copy_outcome::kAnswered)
     view_->prompts->Note(slot->name(), prefix_.view());
+  backoff_after& backoff = context_.backoffs[service_->name];
+  if (copy.report.outcome == copy_outcome::kAnswered)
+    backoff.OnAccepted(Now());
+  if (copy.refused_as == error_code::kOverloaded)
+    backoff.OnRejected(copy.retry_after, Now());
   retry_after_ = std::max(retry_after_, copy.retry_after);
   refused_as_ = copy.refused_as;
   ReportContact(action.target.agent, copy.report);
