Read expert groups from the configuration

Cause: nothing in the configuration said which upstreams are the ranks of an expert-parallel group, so no agent could take part in a map change. Change: section kind expert_groups with the shape of the group, its ranks in order, and the costs that the rebalancer reads. The checks name the rank in the path, refuse plain services and a rank in two groups, and bound a group to the 64 ranks that the switch protocol can count. Before: no such section. Conclusion: groups are adopted as atomically as the other sections.

--- a/libs/config/include/quincebank/config/document.h
+++ b/libs/config/include/quincebank/config/document.h
@@ -23,6 +23,7 @@
   kServices,
   kUpstreams,
   kObjectives,
+  kExpertGroups,
 };
 
 /// \brief Returns the name in documents, which is also the key of the section's list.
@@ -91,12 +92,28 @@
   double latency_percent = 95;  ///< Share of requests that must be within the threshold.
 };
 
+/// \brief Ranks that run in lock-step on one expert map, and what a change of the map costs.
+struct expert_group_config {
+  std::string name;
+  int layers = 1;
+  int experts = 1;         ///< In each layer.
+  int slots_per_rank = 1;  ///< Expert weights that a rank holds in each layer.
+  /// Names of upstreams, in the order of their ranks; a rank is in one group only.
+  std::vector<std::string> ranks;
+  std::uint64_t step_margin = 64;  ///< Steps between the last prepared rank and a switch.
+  nanoseconds cost_per_megabyte{2'000'000};
+  std::int64_t expert_bytes = 88'000'000;  ///< Weights of one expert in one layer.
+  std::int64_t horizon_steps = 20'000;     ///< Steps until the next expected change.
+  std::int64_t min_steps_between_changes = 1'000;
+};
+
 using section_content = std::variant<std::vector<failure_domain_config>,
                                      std::vector<workspace_config>,
                                      std::vector<model_version_config>,
                                      std::vector<service_config>,
                                      std::vector<upstream_config>,
-                                     std::vector<objective_config>>;
+                                     std::vector<objective_config>,
+                                     std::vector<expert_group_config>>;
 
 /// \brief One section with its stored form.
 struct config_section {
--- a/libs/config/include/quincebank/config/effective_config.h
+++ b/libs/config/include/quincebank/config/effective_config.h
@@ -56,6 +56,9 @@
   [[nodiscard]] const std::vector<objective_config>& objectives() const noexcept {
     return objectives_;
   }
+  [[nodiscard]] const std::vector<expert_group_config>& expert_groups() const noexcept {
+    return expert_groups_;
+  }
 
   [[nodiscard]] std::optional<std::uint32_t> FindService(std::string_view name) const noexcept;
   [[nodiscard]] std::optional<std::uint32_t> FindUpstream(std::string_view name) const noexcept;
@@ -106,6 +109,7 @@
   std::vector<service_config> services_;
   std::vector<upstream_config> upstreams_;
   std::vector<objective_config> objectives_;
+  std::vector<expert_group_config> expert_groups_;
   std::vector<workspace_slot> workspaces_;  ///< Ordered by hash; names are not kept.
   std::vector<std::vector<std::uint32_t>> upstreams_of_;
   std::vector<bool> drained_;
--- a/libs/config/src/check.cc
+++ b/libs/config/src/check.cc
@@ -68,11 +68,14 @@
   void CheckServices();
   void CheckUpstreams();
   void CheckObjectives();
+  void CheckExpertGroups();
 
   const config_document& document_;
   std::vector<error> errors_;
   std::set<std::string_view> domains_;
   std::set<std::string_view> services_;
+  std::set<std::string_view> model_services_;
+  std::map<std::string_view, std::string_view> upstreams_;  ///< Service by upstream.
   std::set<std::pair<std::string_view, std::string_view>> versions_;
   /// By hash, as nodes hold them: two names of one hash could not be told apart there.
   std::unordered_map<std::uint64_t, std::string_view> workspaces_;
@@ -81,6 +84,8 @@
 void document_checker::CheckServices() {
   Each<service_config>([this](const service_config& service, const place& where) {
     Claim(services_, service.name, where, "name");
+    if (service.kind == service_kind::kModel)
+      model_services_.insert(service.name);
     if (service.kind == service_kind::kModel &&
         !versions_.contains({service.model, service.version})) {
       Fail(where, "version",
@@ -98,6 +103,7 @@
   std::set<std::pair<std::string_view, std::uint16_t>> agents;
   Each<upstream_config>([&](const upstream_config& upstream, const place& where) {
     Claim(names, upstream.name, where, "name");
+    upstreams_.emplace(upstream.name, upstream.service);
     Claim(agents,
           std::pair<std::string_view, std::uint16_t>(upstream.agent_address, upstream.agent_port),
           where, "agent_port");
@@ -119,6 +125,27 @@
   });
 }
 
+void document_checker::CheckExpertGroups() {
+  std::set<std::string_view> names;
+  std::set<std::string_view> taken;
+  Each<expert_group_config>([&](const expert_group_config& group, const place& where) {
+    Claim(names, group.name, where, "name");
+    const std::string list = where.Path("ranks");
+    std::size_t index = 0;
+    for (const std::string& rank : group.ranks) {
+      const place at{list, index++};
+      const auto upstream = upstreams_.find(rank);
+      if (upstream == upstreams_.end()) {
+        Fail(at, "", "no upstream is named '" + rank + "'");
+      } else if (!model_services_.contains(upstream->second)) {
+        Fail(at, "", "upstream '" + rank + "' does not belong to a model service");
+      }
+      if (!taken.insert(rank).second)
+        Fail(at, "", "duplicate; '" + rank + "' is a rank already");
+    }
+  });
+}
+
 result<void> document_checker::Run() {
   Each<failure_domain_config>([this](const failure_domain_config& domain, const place& where) {
     Claim(domains_, domain.name, where, "name");
@@ -140,6 +167,7 @@
   CheckServices();
   CheckUpstreams();
   CheckObjectives();
+  CheckExpertGroups();
   if (!errors_.empty())
     return JoinFirstErrors(std::move(errors_));
   return BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/libs/config/src/document.cc
+++ b/libs/config/src/document.cc
@@ -14,8 +14,9 @@
 
 namespace json = boost::json;
 
-constexpr std::array<std::string_view, 6> kKindNames{
-    "failure_domains", "workspaces", "model_versions", "services", "upstreams", "objectives",
+constexpr std::array<std::string_view, 7> kKindNames{
+    "failure_domains", "workspaces", "model_versions", "services",
+    "upstreams",       "objectives", "expert_groups",
 };
 
 constexpr std::string_view kBaseKey = "$base";
--- a/libs/config/src/effective_config.cc
+++ b/libs/config/src/effective_config.cc
@@ -81,6 +81,7 @@
     MoveItems(section.content, services_);
     MoveItems(section.content, upstreams_);
     MoveItems(section.content, objectives_);
+    MoveItems(section.content, expert_groups_);
     const auto* const items = std::get_if<std::vector<workspace_config>>(&section.content);
     if (items == nullptr)
       continue;
@@ -94,6 +95,7 @@
   SortByName(failure_domains_);
   SortByName(services_);
   SortByName(upstreams_);
+  SortByName(expert_groups_);
   std::sort(model_versions_.begin(), model_versions_.end(), [](const auto& a, const auto& b) {
     return std::tie(a.model, a.version) < std::tie(b.model, b.version);
   });
@@ -164,10 +166,10 @@
 }
 
 std::size_t effective_config::EstimateBytes() const noexcept {
-  std::size_t bytes = sizeof(*this) + HeapBytes(workspaces_) + HeapBytes(services_) +
-                      HeapBytes(upstreams_) + HeapBytes(failure_domains_) +
-                      HeapBytes(model_versions_) + HeapBytes(objectives_) +
-                      HeapBytes(upstreams_of_) + drained_.capacity() / 8;
+  std::size_t bytes =
+      sizeof(*this) + HeapBytes(workspaces_) + HeapBytes(services_) + HeapBytes(upstreams_) +
+      HeapBytes(failure_domains_) + HeapBytes(model_versions_) + HeapBytes(objectives_) +
+      HeapBytes(expert_groups_) + HeapBytes(upstreams_of_) + drained_.capacity() / 8;
   for (const auto& list : upstreams_of_)
     bytes += HeapBytes(list);
   for (const upstream_config& upstream : upstreams_) {
--- a/libs/config/src/section_reader.cc
+++ b/libs/config/src/section_reader.cc
@@ -18,6 +18,14 @@
 /// Claims are kept up to a week, so that work that is put off over a weekend keeps its claim.
 constexpr int_range kRetentionMs{1'000, 604'800'000};
 
+constexpr int_range kLayers{1, 1'024};
+constexpr int_range kExperts{1, 4'096};
+constexpr int_range kSteps{1, 1'000'000'000};
+constexpr int_range kCostUs{0, 60'000'000};
+constexpr int_range kExpertBytes{1, 1'000'000'000'000};
+/// The switch protocol keeps the ranks that have answered in 64 bits.
+constexpr std::size_t kMaxRanks = 64;
+
 std::string Name(json_reader& reader, std::string_view key) {
   std::string name = reader.String(key);
   if (!name.empty() && !IsName(name)) {
@@ -115,6 +123,32 @@
   objective.latency_percent = reader.Number("latency_percent", 0, 100, objective.latency_percent);
 }
 
+void Read(json_reader& reader, expert_group_config& group) {
+  group.name = Name(reader, "name");
+  group.layers = static_cast<int>(reader.Int("layers", kLayers));
+  group.experts = static_cast<int>(reader.Int("experts", kExperts));
+  group.slots_per_rank = static_cast<int>(reader.Int("slots_per_rank", kExperts));
+  if (!reader.Has("ranks"))
+    reader.Fail("ranks", "missing");
+  group.ranks = reader.Strings("ranks");
+  group.step_margin = static_cast<std::uint64_t>(
+      reader.Int("step_margin", kSteps, static_cast<std::int64_t>(group.step_margin)));
+  const std::chrono::microseconds cost(reader.Int(
+      "cost_per_megabyte_us", kCostUs,
+      std::chrono::duration_cast<std::chrono::microseconds>(group.cost_per_megabyte).count()));
+  group.cost_per_megabyte = cost;
+  group.expert_bytes = reader.Int("expert_bytes", kExpertBytes, group.expert_bytes);
+  group.horizon_steps = reader.Int("horizon_steps", kSteps, group.horizon_steps);
+  group.min_steps_between_changes =
+      reader.Int("min_steps_between_changes", {0, kSteps.max}, group.min_steps_between_changes);
+  if (group.ranks.empty() || group.ranks.size() > kMaxRanks)
+    reader.Fail("ranks", "expected 1 to " + std::to_string(kMaxRanks) + " upstreams");
+  if (group.slots_per_rank > group.experts)
+    reader.Fail("slots_per_rank", "above experts; a rank holds an expert once");
+  if (group.slots_per_rank * static_cast<std::int64_t>(group.ranks.size()) < group.experts)
+    reader.Fail("slots_per_rank", "the ranks have fewer slots than there are experts");
+}
+
 template <typename T>
 section_content ReadList(json_reader& reader, section_kind kind) {
   std::vector<T> items;
@@ -142,6 +176,8 @@
       return ReadList<upstream_config>(reader, kind);
     case section_kind::kObjectives:
       return ReadList<objective_config>(reader, kind);
+    case section_kind::kExpertGroups:
+      return ReadList<expert_group_config>(reader, kind);
   }
   return {};
 }
