Add a stand-in for a rank group

Cause: no stand-in ran ranks in lock-step, so the map switch could not be tested through the running system. Change: role rank-group holds all ranks of one group in one process, with the paths /ranks/<i>/view, /orders and /tokens. A step begins at a rank once all ranks have ended the one before. It counts steps, stalls and steps in which two ranks used different maps. PUT /control makes orders or answers late, loses answers, repeats orders, and shifts the popularity of experts. Before: four roles and the relay.

--- a/libs/standins/include/quincebank/standins/standin.h
+++ b/libs/standins/include/quincebank/standins/standin.h
@@ -20,7 +20,11 @@
   int warm_after = 8;              ///< Upstreams: answered requests that end the cold start.
   milliseconds service_time{2};    ///< Plain service: time to run one request.
   milliseconds restart_time{300};  ///< Upstreams: time that a crash takes them away.
-  bool checks_fencing = true;      ///< Engine: refuses orders with an old fencing token.
+  int ranks = 4;                   ///< Rank group: ranks in lock-step.
+  int layers = 2;                  ///< Rank group: layers with experts.
+  int experts = 16;                ///< Rank group: experts of a layer.
+  milliseconds step_time{2};       ///< Rank group: time of one step.
+  bool checks_fencing = true;  ///< Engine, rank group: refuses orders with an old fencing token.
 };
 
 /// \brief Small replacement of a platform service for tests and the quickstart.
@@ -33,7 +37,8 @@
   virtual void Handle(http_exchange& exchange) = 0;
 };
 
-/// \brief Makes a stand-in by the name of its role: `kv`, `hosts`, `engine` or `orders`.
+/// \brief Makes a stand-in by the name of its role: `kv`, `hosts`, `engine`, `orders` or
+/// `rank-group`.
 [[nodiscard]] result<std::unique_ptr<standin>> MakeStandin(std::string_view role,
                                                            const standin_settings& settings);
 
@@ -41,5 +46,8 @@
 [[nodiscard]] std::unique_ptr<standin> MakeHostsStandin(const standin_settings& settings);
 [[nodiscard]] std::unique_ptr<standin> MakeEngineStandin(const standin_settings& settings);
 [[nodiscard]] std::unique_ptr<standin> MakeOrdersStandin(const standin_settings& settings);
+/// \brief Makes all ranks of one group, with the paths `/ranks/<i>/view`, `/ranks/<i>/orders` and
+/// `/ranks/<i>/tokens`.
+[[nodiscard]] std::unique_ptr<standin> MakeRankGroupStandin(const standin_settings& settings);
 
 }  // namespace quincebank
--- a/libs/standins/src/make.cc
+++ b/libs/standins/src/make.cc
@@ -11,10 +11,11 @@
   std::unique_ptr<standin> (*make)(const standin_settings&);
 };
 
-constexpr std::array<role, 4> kRoles{{{"kv", MakeKvStandin},
+constexpr std::array<role, 5> kRoles{{{"kv", MakeKvStandin},
                                       {"hosts", MakeHostsStandin},
                                       {"engine", MakeEngineStandin},
-                                      {"orders", MakeOrdersStandin}}};
+                                      {"orders", MakeOrdersStandin},
+                                      {"rank-group", MakeRankGroupStandin}}};
 
 }  // namespace
 
@@ -24,8 +25,9 @@
     if (known.name == role)
       return known.make(settings);
   }
-  return MakeError(error_code::kInvalidArgument,
-                   "unknown role '" + std::string(role) + "'; roles are kv, hosts, engine, orders");
+  return MakeError(
+      error_code::kInvalidArgument,
+      "unknown role '" + std::string(role) + "'; roles are kv, hosts, engine, orders, rank-group");
 }
 
 }  // namespace quincebank
--- /dev/null
+++ b/libs/standins/src/rank_group_standin.cc
@@ -0,0 +1,254 @@
+#include <algorithm>
+#include <atomic>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/json/array.hpp>
+#include <charconv>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "http_reply.h"
+#include "quincebank/net/net.h"
+#include "quincebank/standins/standin.h"
+#include "rank_model.h"
+
+namespace quincebank {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::string_view kRanksPrefix = "/ranks/";
+constexpr int_range kAny{};
+constexpr int_range kCount{0, 1'000'000};
+constexpr std::int64_t kBaseTokens = 100;  // Of each rank, step and expert.
+
+/// All ranks of one group in lock-step. A step begins at a rank once all ranks have ended the one
+/// before, so that ranks differ by at most one started step.
+class rank_group_standin final : public standin {
+ public:
+  explicit rank_group_standin(const standin_settings& settings)
+      : settings_(settings),
+        ranks_(static_cast<std::size_t>(settings.ranks)),
+        tokens_(static_cast<std::size_t>(settings.layers),
+                std::vector<std::int64_t>(static_cast<std::size_t>(settings.experts))) {}
+
+  ~rank_group_standin() override {
+    stop_.Set();
+    while (fibers_ > 0)
+      std::this_thread::sleep_for(milliseconds(1));
+  }
+  rank_group_standin(const rank_group_standin&) = delete;
+  rank_group_standin& operator=(const rank_group_standin&) = delete;
+
+  void Handle(http_exchange& exchange) override {
+    if (!running_) {
+      running_ = true;
+      // Steps run from the first call on, in a fiber of the thread that serves the calls.
+      Spawn([this] { RunSteps(); });
+    }
+    const http_request& request = exchange.request();
+    if (request.target == "/control") {
+      Control(exchange);
+    } else if (request.target == "/health") {
+      ReplyJson(exchange, 200, json::object{{"boot", Boot()}, {"running", 0}, {"waiting", 0}});
+    } else if (request.target.starts_with(kRanksPrefix)) {
+      HandleRank(exchange, std::string_view(request.target).substr(kRanksPrefix.size()));
+    } else {
+      ReplyError(exchange, 404, "not found");
+    }
+  }
+
+ private:
+  [[nodiscard]] std::uint64_t Boot() const noexcept { return settings_.seed + 1; }
+
+  template <typename Task>
+  void Spawn(Task task) {
+    ++fibers_;
+    boost::fibers::fiber([this, task = std::move(task)] {
+      task();
+      --fibers_;
+    }).detach();
+  }
+
+  void RunSteps() {
+    while (!stop_.WaitFor(settings_.step_time)) {
+      const std::uint64_t step = steps_;
+      for (rank_model& rank : ranks_) {
+        if (rank.next_step() == step && rank.MayStart(step))
+          rank.StartStep();
+      }
+      const bool all = std::all_of(ranks_.begin(), ranks_.end(), [step](const rank_model& rank) {
+        return rank.next_step() > step;
+      });
+      if (!all) {
+        ++stalled_ticks_;
+        stalls_ += stalled_ ? 0 : 1;
+        stalled_ = true;
+        continue;
+      }
+      EndStep();
+    }
+  }
+
+  void EndStep() {
+    stalled_ = false;
+    ++steps_;
+    const rank_model& first = ranks_.front();
+    const bool mixed = std::any_of(ranks_.begin(), ranks_.end(), [&](const rank_model& rank) {
+      return rank.active() != first.active() || rank.active_map() != first.active_map();
+    });
+    mixed_ += mixed ? 1 : 0;
+    for (std::vector<std::int64_t>& layer : tokens_) {
+      for (std::int64_t& count : layer)
+        count += kBaseTokens;
+      if (hot_tokens_ > 0)
+        layer[static_cast<std::size_t>(hot_expert_) % layer.size()] += hot_tokens_;
+    }
+  }
+
+  void HandleRank(http_exchange& exchange, std::string_view rest) {
+    std::size_t index = 0;
+    const char* const end = rest.data() + rest.size();
+    const auto [next, ec] = std::from_chars(rest.data(), end, index);
+    if (ec != std::errc() || index >= ranks_.size()) {
+      ReplyError(exchange, 404, "no such rank");
+      return;
+    }
+    const std::string_view what(next, static_cast<std::size_t>(end - next));
+    const std::string& method = exchange.request().method;
+    if (what == "/view" && method == "GET") {
+      ReplyJson(exchange, 200, View(ranks_[index]));
+    } else if (what == "/tokens" && method == "GET") {
+      ReplyJson(exchange, 200, Tokens());
+    } else if (what == "/orders" && method == "POST") {
+      Order(exchange, index);
+    } else {
+      ReplyError(exchange, 404, "not found");
+    }
+  }
+
+  [[nodiscard]] json::object View(const rank_model& rank) const {
+    json::array epochs;
+    for (const auto& [epoch, state] : rank.epochs()) {
+      json::object entry{{"epoch", epoch}, {"staged", state.staged}};
+      if (state.hold)
+        entry["hold"] = *state.hold;
+      epochs.push_back(std::move(entry));
+    }
+    return {{"boot", Boot()},
+            {"next_step", rank.next_step()},
+            {"map", rank.active()},
+            {"pending", rank.pending()},
+            {"epochs", std::move(epochs)}};
+  }
+
+  /// Tokens of the rank's own batch by layer and expert, since the start.
+  [[nodiscard]] json::object Tokens() const {
+    json::array layers;
+    for (const std::vector<std::int64_t>& layer : tokens_)
+      layers.push_back(json::array(layer.begin(), layer.end()));
+    return {{"steps", steps_}, {"layers", std::move(layers)}};
+  }
+
+  void Order(http_exchange& exchange, std::size_t index) {
+    const auto parsed = ParseJson(exchange.request().body);
+    if (!parsed) {
+      ReplyError(exchange, 400, Describe(parsed.error()));
+      return;
+    }
+    std::vector<error> errors;
+    json_reader reader(parsed.value(), "", errors);
+    rank_order order;
+    order.kind = reader.String("kind");
+    order.epoch = static_cast<std::uint64_t>(reader.Int("epoch", kAny));
+    order.step = static_cast<std::uint64_t>(reader.Int("step", kAny));
+    order.fence = static_cast<std::uint64_t>(reader.Int("fence", kAny));
+    order.map = reader.String("map", "");
+    if (!errors.empty()) {
+      ReplyError(exchange, 400, Describe(JoinErrors(errors)));
+      return;
+    }
+    ++orders_;
+    if (Take(late_orders_))
+      boost::this_fiber::sleep_for(late_);
+    const bool taken = ranks_[index].Execute(order, settings_.checks_fencing);
+    const bool late_answer = Take(late_answers_);
+    const bool lost_answer = Take(lose_answers_);
+    if (Take(repeat_orders_)) {
+      Spawn([this, order, index] {
+        if (!stop_.WaitFor(late_))
+          (void)ranks_[index].Execute(order, settings_.checks_fencing);
+      });
+    }
+    if (late_answer)
+      boost::this_fiber::sleep_for(late_);
+    if (!lost_answer)
+      ReplyJson(exchange, taken ? 200 : 409, json::object{{"taken", taken}});
+  }
+
+  static bool Take(std::int64_t& left) {
+    if (left == 0)
+      return false;
+    --left;
+    return true;
+  }
+
+  void Control(http_exchange& exchange) {
+    if (exchange.request().method == "GET") {
+      json::array maps;
+      json::array since;
+      for (const rank_model& rank : ranks_) {
+        maps.push_back(rank.active());
+        since.push_back(rank.active_since());
+      }
+      ReplyJson(exchange, 200,
+                json::object{{"steps", steps_},
+                             {"mixed_steps", mixed_},
+                             {"stalls", stalls_},
+                             {"stalled_ticks", stalled_ticks_},
+                             {"orders", orders_},
+                             {"maps", std::move(maps)},
+                             {"since", std::move(since)}});
+      return;
+    }
+    ReadControl(exchange, [&](json_reader& reader) {
+      late_orders_ = reader.Int("late_orders", kCount, late_orders_);
+      late_answers_ = reader.Int("late_answers", kCount, late_answers_);
+      lose_answers_ = reader.Int("lose_answers", kCount, lose_answers_);
+      repeat_orders_ = reader.Int("repeat_orders", kCount, repeat_orders_);
+      late_ = reader.Millis("late_ms", {0, 60'000}, late_);
+      hot_expert_ = reader.Int("hot_expert", kCount, hot_expert_);
+      hot_tokens_ = reader.Int("hot_tokens", kCount, hot_tokens_);
+    });
+  }
+
+  const standin_settings settings_;
+  std::vector<rank_model> ranks_;
+  std::vector<std::vector<std::int64_t>> tokens_;
+  stop_signal stop_;
+  std::atomic<int> fibers_{0};
+  bool running_ = false;
+  bool stalled_ = false;
+  std::uint64_t steps_ = 0;
+  std::uint64_t mixed_ = 0;
+  std::uint64_t stalls_ = 0;
+  std::uint64_t stalled_ticks_ = 0;
+  std::uint64_t orders_ = 0;
+  std::int64_t late_orders_ = 0;
+  std::int64_t late_answers_ = 0;
+  std::int64_t lose_answers_ = 0;
+  std::int64_t repeat_orders_ = 0;
+  milliseconds late_{0};
+  std::int64_t hot_expert_ = 0;
+  std::int64_t hot_tokens_ = 0;
+};
+
+}  // namespace
+
+std::unique_ptr<standin> MakeRankGroupStandin(const standin_settings& settings) {
+  return std::make_unique<rank_group_standin>(settings);
+}
+
+}  // namespace quincebank
--- a/programs/standin/main.cc
+++ b/programs/standin/main.cc
@@ -15,6 +15,8 @@
 constexpr logger kLog{"standin"};
 constexpr long long kLongestMs = 600'000;
 constexpr long long kMostRequests = 1'000'000;
+constexpr long long kMostRanks = 64;
+constexpr long long kMostExperts = 4'096;
 
 struct standin_options {
   std::string role;
@@ -28,12 +30,16 @@
   long long full_limit = 16;
   long long cold_limit = 2;
   long long warm_after = 8;
+  long long ranks = 4;
+  long long layers = 2;
+  long long experts = 16;
+  long long step_ms = 2;
   bool ignores_fencing = false;
 };
 
 std::vector<option_spec> Options(standin_options& options) {
   return {
-      TextOption("role", "NAME", "kv, hosts, engine, orders or relay", options.role),
+      TextOption("role", "NAME", "kv, hosts, engine, orders, rank-group or relay", options.role),
       TextOption("target", "IP:PORT", "relay: where connections go; control is at the next port",
                  options.target),
       TextOption("listen", "IP:PORT", "address to listen on", options.listen),
@@ -50,7 +56,11 @@
                    kMostRequests, options.cold_limit),
       NumberOption("warm-after", "answered requests that end the cold start", 0, kMostRequests,
                    options.warm_after),
-      FlagOption("ignores-fencing", "engine: accepts orders with an old fencing token",
+      NumberOption("ranks", "rank-group: ranks in lock-step", 1, kMostRanks, options.ranks),
+      NumberOption("layers", "rank-group: layers with experts", 1, kMostExperts, options.layers),
+      NumberOption("experts", "rank-group: experts of a layer", 1, kMostExperts, options.experts),
+      NumberOption("step-ms", "rank-group: time of one step", 1, kLongestMs, options.step_ms),
+      FlagOption("ignores-fencing", "engine, rank-group: accepts orders with an old fencing token",
                  options.ignores_fencing),
   };
 }
@@ -65,6 +75,10 @@
   settings.full_limit = static_cast<int>(options.full_limit);
   settings.cold_limit = static_cast<int>(options.cold_limit);
   settings.warm_after = static_cast<int>(options.warm_after);
+  settings.ranks = static_cast<int>(options.ranks);
+  settings.layers = static_cast<int>(options.layers);
+  settings.experts = static_cast<int>(options.experts);
+  settings.step_time = milliseconds(options.step_ms);
   settings.checks_fencing = !options.ignores_fencing;
   return settings;
 }
