Run map changes of expert groups in the agents

Cause: the libraries for placement, rebalancing and the map switch were not used by any process. The deployment of the process tests has a plan option for ranks. Before: no process used an expert map.

--- a/libs/agent/include/quincebank/agent/agent_node.h
+++ b/libs/agent/include/quincebank/agent/agent_node.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "quincebank/agent/agent_service.h"
+#include "quincebank/expert_group/expert_group_service.h"
 #include "quincebank/net/fiber_thread.h"
 #include "quincebank/net/http_server.h"
 #include "quincebank/node/node_control.h"
@@ -45,6 +46,7 @@
   fiber_thread traffic_{"traffic"};
   node_control node_;
   agent_service agent_;
+  expert_group_service experts_;
   rpc_server rpc_;
   std::unique_ptr<http_server> server_;
   std::atomic<bool> known_{false};  ///< The configuration names the upstream.
--- a/libs/agent/src/agent_node.cc
+++ b/libs/agent/src/agent_node.cc
@@ -50,7 +50,8 @@
 agent_node::agent_node(const agent_settings& settings, fiber_thread& control, incarnation self)
     : settings_(settings),
       node_(control, settings.node, peer_role::kAgent),
-      agent_(traffic_, self, Unconfigured(), settings.ledger) {
+      agent_(traffic_, self, Unconfigured(), settings.ledger),
+      experts_(node_, self, settings.upstream, settings.node.record_stdout) {
   agent_.SetDraining(true);
 }
 
@@ -62,6 +63,7 @@
 result<void> agent_node::Start() {
   node_.AddMethods(rpc_);
   agent_.AddMethods(rpc_);
+  experts_.AddMethods(rpc_);
   BOOST_OUTCOME_TRY(server_,
                     http_server::Listen({&traffic_}, settings_.node.listen,
                                         [this](http_exchange& exchange) { Handle(exchange); }));
@@ -85,6 +87,7 @@
   agent_.SetDraining(config->IsDomainDrained(settings_.node.failure_domain) ||
                      config->IsDrained(*config->FindUpstream(settings_.upstream)));
   known_ = true;
+  experts_.OnConfig(*config);
 }
 
 void agent_node::Handle(http_exchange& exchange) {
--- a/libs/experts/include/quincebank/experts/switch_json.h
+++ b/libs/experts/include/quincebank/experts/switch_json.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/json/object.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -13,6 +14,8 @@
 [[nodiscard]] std::string DecisionKey(std::string_view group, map_epoch epoch);
 
 [[nodiscard]] std::string ToHex(const map_digest& digest);
+/// \brief Parses exactly 64 hexadecimal digits.
+[[nodiscard]] std::optional<map_digest> MapDigestFromHex(std::string_view text);
 
 [[nodiscard]] boost::json::object ToJson(const switch_decision& record);
 [[nodiscard]] result<switch_decision> SwitchDecisionFromJson(const boost::json::value& value);
--- a/libs/experts/src/switch_json.cc
+++ b/libs/experts/src/switch_json.cc
@@ -47,6 +47,13 @@
   return text;
 }
 
+std::optional<map_digest> MapDigestFromHex(std::string_view text) {
+  map_digest digest;
+  if (!ReadHex(text, digest))
+    return std::nullopt;
+  return digest;
+}
+
 boost::json::object ToJson(const switch_decision& record) {
   boost::json::object object{
       {"epoch", record.epoch},
--- a/libs/testing/include/quincebank/testing/deployment.h
+++ b/libs/testing/include/quincebank/testing/deployment.h
@@ -26,6 +26,8 @@
   int lookup_ttl_ms = 300;
   bool relays = false;  ///< Entries reach each agent through a relay named `relay-` and its name.
   std::vector<std::string> engine_options;  ///< For the engine stand-ins.
+  int ranks = 0;  ///< Ranks of the expert group `quince-group`, all held by the stand-in `ranks`.
+  std::vector<std::string> rank_options;    ///< For the rank group stand-in.
   std::vector<std::string> orders_options;  ///< For the plain service stand-ins.
 };
 
@@ -80,7 +82,9 @@
   void AddProcess(std::string name, int domain, std::vector<std::string> arguments);
   void AddNode(const std::string& program, const std::string& name, int domain, std::string extra);
   void AddUpstream(const std::string& kind, int index, std::vector<std::string> options);
+  void AddRanks();
   [[nodiscard]] std::string Document() const;
+  [[nodiscard]] boost::json::object ExpertGroup() const;
   [[nodiscard]] std::string HostList() const;
   void WriteFile(const std::string& name, const std::string& text) const;
   void StartProcess(const process_plan& process);
--- a/libs/testing/src/deployment.cc
+++ b/libs/testing/src/deployment.cc
@@ -23,6 +23,8 @@
 
 constexpr std::array<const char*, 3> kDomains{"qc-east-a", "qc-east-b", "qc-east-c"};
 constexpr std::uint16_t kPort = 8000;
+constexpr int kLayers = 2;
+constexpr int kExperts = 16;
 constexpr milliseconds kPollInterval{20};
 constexpr milliseconds kToolTimeout{60'000};
 
@@ -99,6 +101,8 @@
     AddUpstream("drafts", i, plan_.engine_options);
   for (int i = 0; i < plan_.orders; ++i)
     AddUpstream("orders", i, plan_.orders_options);
+  if (plan_.ranks > 0)
+    AddRanks();
 }
 
 void deployment::AddProcess(std::string name, int domain, std::vector<std::string> arguments) {
@@ -146,6 +150,29 @@
   }
 }
 
+void deployment::AddRanks() {
+  std::vector<std::string> arguments{
+      QUINCEBANK_STANDIN_PROGRAM, "--role=rank-group", "--ranks=" + std::to_string(plan_.ranks),
+      "--layers=" + std::to_string(kLayers), "--experts=" + std::to_string(kExperts)};
+  arguments.insert(arguments.end(), plan_.rank_options.begin(), plan_.rank_options.end());
+  AddProcess("ranks", 0, std::move(arguments));
+  for (int i = 0; i < plan_.ranks; ++i) {
+    const std::string name = "rank-" + std::to_string(i);
+    AddNode(QUINCEBANK_AGENT_PROGRAM, "agent-" + name, i,
+            R"("upstream": ")" + name + R"(", "shutdown_linger_ms": 200)");
+  }
+}
+
+json::object deployment::ExpertGroup() const {
+  json::array ranks;
+  for (int i = 0; i < plan_.ranks; ++i)
+    ranks.emplace_back("rank-" + std::to_string(i));
+  return {{"name", "quince-group"},    {"layers", kLayers},
+          {"experts", kExperts},       {"slots_per_rank", kExperts / plan_.ranks + 2},
+          {"ranks", std::move(ranks)}, {"step_margin", 32},
+          {"expert_bytes", 1'000'000}, {"min_steps_between_changes", 50}};
+}
+
 std::string deployment::Document() const {
   json::array domains;
   for (const char* domain : kDomains)
@@ -155,8 +182,7 @@
     const bool drafts = process.name.starts_with("drafts-");
     if (!drafts && !process.name.starts_with("orders-"))
       continue;
-    const endpoint agent =
-        AddressOf((plan_.relays ? "relay-agent-" : "agent-") + process.name);
+    const endpoint agent = AddressOf((plan_.relays ? "relay-agent-" : "agent-") + process.name);
     upstreams.push_back(json::object{{"name", process.name},
                                      {"host", "agent-" + process.name},
                                      {"failure_domain", process.failure_domain},
@@ -169,13 +195,32 @@
                                      {"full_limit", plan_.full_limit},
                                      {"queue_limit", plan_.queue_limit}});
   }
-  const json::array services{
+  for (int i = 0; i < plan_.ranks; ++i) {
+    const std::string name = "rank-" + std::to_string(i);
+    const endpoint agent = AddressOf("agent-" + name);
+    upstreams.push_back(json::object{{"name", name},
+                                     {"host", "agent-" + name},
+                                     {"failure_domain", DomainOf(i)},
+                                     {"service", "quince-ranks"},
+                                     {"agent_address", agent.address},
+                                     {"agent_port", agent.port},
+                                     {"upstream_address", AddressOf("ranks").address},
+                                     {"upstream_port", AddressOf("ranks").port},
+                                     {"cold_limit", plan_.cold_limit},
+                                     {"full_limit", plan_.full_limit}});
+  }
+  json::array services{
       Service("quince-drafts", "model",
               {json::object{
                   {"method", "POST"}, {"path_prefix", "/v1/completions"}, {"repeatable", true}}}),
       Service("order-desk", "plain",
               {json::object{{"method", "POST"}, {"path_prefix", "/orders"}, {"repeatable", false}},
                json::object{{"method", "GET"}, {"path_prefix", "/orders"}, {"repeatable", true}}})};
+  json::array groups;
+  if (plan_.ranks > 0) {
+    services.push_back(Service("quince-ranks", "model", json::array()));
+    groups.push_back(ExpertGroup());
+  }
   const json::object document{
       {"domains", Section("platform", "failure_domains", domains)},
       {"models",
@@ -183,6 +228,7 @@
                {json::object{{"model", "quince"}, {"version", "1"}, {"adapters", json::array()}}})},
       {"services", Section("services", "services", services)},
       {"upstreams", Section("platform", "upstreams", upstreams)},
+      {"groups", Section("models", "expert_groups", groups)},
       {"objectives", Section("operations", "objectives",
                              {json::object{{"service", "quince-drafts"},
                                            {"availability", 0.99},
