Count refused epochs in the fencing token of orders

Cause: after a change was given up, switch_agent took the token from the decided epoch again. The release order then had a lower token than the stage order, an engine that checks tokens rejected it, and the agent repeated it without becoming idle. Seen when the coordinator's agent is killed while ranks stage. Change: the token is the highest of the decided, the refused and the present epoch, so that it never falls.

--- a/libs/experts/src/switch_agent.cc
+++ b/libs/experts/src/switch_agent.cc
@@ -5,7 +5,9 @@
 namespace quincebank {
 
 engine_order switch_agent::Order(engine_order_kind kind, map_epoch epoch, step_number step) const {
-  return {kind, epoch, step, std::max(state_.decided, state_.change.epoch)};
+  // A refused epoch counts, since its stage or hold order carried it: an engine that checks fencing
+  // tokens would reject the release otherwise.
+  return {kind, epoch, step, std::max({state_.decided, state_.change.epoch, state_.refused})};
 }
 
 switch_agent::actions switch_agent::Start() {
--- a/libs/experts/tests/switch_steps_test.cc
+++ b/libs/experts/tests/switch_steps_test.cc
@@ -235,5 +235,29 @@
   EXPECT_EQ(DecisionKey("g1", 9), "experts/g1/9");
 }
 
+// Guards against staged weights that are never released, since an engine that checks fencing tokens
+// rejects the release of a change that was given up.
+TEST(switch_agent_fence_test, NeverFallsAfterAnAbandonedChange) {
+  switch_agent agent;
+  (void)agent.Start();
+  (void)agent.OnHistory({3, {}});
+  (void)agent.OnView({});
+  (void)agent.OnDecision({Record(switch_verdict::kAbort)});
+  (void)agent.OnView({});
+  ASSERT_EQ(agent.state().phase, agent_phase::kIdle);
+  const change_id change{5, {7}};
+  const auto staged = agent.OnPrepare({change, {}});
+  ASSERT_TRUE(std::holds_alternative<engine_order>(staged.front()));
+  (void)agent.OnCoordinatorGone(change);
+  engine_view view;
+  view.epochs.push_back({5, true, std::nullopt});
+  const auto released = agent.OnView(view);
+  ASSERT_FALSE(released.empty());
+  ASSERT_TRUE(std::holds_alternative<engine_order>(released.front()));
+  EXPECT_EQ(std::get<engine_order>(released.front()).kind, engine_order_kind::kRelease);
+  EXPECT_GE(std::get<engine_order>(released.front()).fence,
+            std::get<engine_order>(staged.front()).fence);
+}
+
 }  // namespace
 }  // namespace quincebank
