Bound the calls and bytes of expert group coordinators

Cause: at 78 groups of 32 ranks, agents without the lease would write 159 times a second (computed: two writes every 3 s x (1 + rank)), and a coordinator would get 32 x 119 KB of token counts a second at 58 layers. Change: an agent reads the key first and writes only if it is free: 80 reads a second (computed); the window grows with the counts, so that they take half of the control bytes.

--- a/libs/expert_group/include/quincebank/expert_group/group_coordinator.h
+++ b/libs/expert_group/include/quincebank/expert_group/group_coordinator.h
@@ -39,6 +39,8 @@
 
  private:
   [[nodiscard]] bool HoldLease();
+  /// \brief Time between two collections of token counts.
+  [[nodiscard]] milliseconds Window() const;
   void RunWindow();
   /// \brief Reads the counts of all agents; false unless all answered and all ranks are idle.
   [[nodiscard]] bool Collect();
--- a/libs/expert_group/src/group_coordinator.cc
+++ b/libs/expert_group/src/group_coordinator.cc
@@ -15,7 +15,11 @@
 constexpr logger kLog{"experts"};
 constexpr milliseconds kLeaseTime{10'000};
 constexpr milliseconds kLeaseRenewal{3'000};
-constexpr milliseconds kWindow{1'000};
+constexpr milliseconds kMinWindow{1'000};
+// A coordinator gets the counts of all ranks in each window. They may take half of the 16 KB/s that
+// control may use on a node, so large groups have longer windows.
+constexpr std::int64_t kCountBytesPerSecond = 8'192;
+constexpr std::int64_t kBytesPerCount = 8;
 /// Windows that the popularity estimate needs before a plan is made of it.
 constexpr int kMinWindows = 3;
 
@@ -72,15 +76,26 @@
     leads_ = HoldLease();
     if (leads_ != led)
       kLog.Info(leads_ ? "coordinates group " : "no longer coordinates group ", group_.name);
-    // A holder renews; the others try less often the higher their rank, which bounds the writes of
+    // A holder renews; the others look less often the higher their rank, which bounds the calls of
     // a large group.
     pause = leads_ ? kLeaseRenewal : kLeaseRenewal * (1 + rank_);
   }
 }
 
+milliseconds group_coordinator::Window() const {
+  const std::int64_t counts = static_cast<std::int64_t>(group_.ranks.size()) * group_.layers *
+                              static_cast<std::int64_t>(group_.experts);
+  return std::max(kMinWindow, milliseconds(counts * kBytesPerCount * 1'000 / kCountBytesPerSecond));
+}
+
 bool group_coordinator::HoldLease() {
   if (leads_ && node_.kv().RenewLease(lease_))
     return true;
+  const std::string key = "experts/" + group_.name + "/coordinator";
+  // Only a free key is worth the two writes of an attempt.
+  const auto current = node_.kv().Get(key);
+  if (!current || (current.value() && current.value()->leased))
+    return false;
   auto lease = node_.kv().OpenLease(kLeaseTime);
   if (!lease)
     return false;
@@ -88,12 +103,12 @@
   const std::string holder = boost::json::serialize(
       boost::json::object{{"upstream", group_.ranks[static_cast<std::size_t>(rank_)]},
                           {"incarnation", ToString(self_)}});
-  const auto taken = node_.kv().Acquire("experts/" + group_.name + "/coordinator", holder, lease_);
+  const auto taken = node_.kv().Acquire(key, holder, lease_);
   return taken && taken.value();
 }
 
 void group_coordinator::PlanLoop() {
-  while (!node_.WaitOrStop(kWindow)) {
+  while (!node_.WaitOrStop(Window())) {
     if (!leads_) {
       last_.reset();
       hindrance_ = "another agent coordinates";
--- a/libs/platform/include/quincebank/platform/kv_store.h
+++ b/libs/platform/include/quincebank/platform/kv_store.h
@@ -15,6 +15,7 @@
 struct kv_entry {
   std::string value;
   std::uint64_t index = 0;
+  bool leased = false;  ///< A live lease holds the key.
 };
 
 /// Index that a compare-and-swap expects of a key that must not exist yet.
--- a/libs/platform/src/consul_kv.cc
+++ b/libs/platform/src/consul_kv.cc
@@ -24,6 +24,7 @@
   const std::string encoded = reader.String("Value", "");
   kv_entry entry;
   entry.index = static_cast<std::uint64_t>(reader.Int("ModifyIndex", {1}));
+  entry.leased = !reader.String("Session", "").empty();
   if (!errors.empty())
     return JoinErrors(errors);
   auto value = Base64Decode(encoded);
--- a/libs/standins/src/kv_standin.cc
+++ b/libs/standins/src/kv_standin.cc
@@ -101,6 +101,7 @@
     } else {
       ++reads_;
     }
+    ExpireLeases();
     const auto found = values_.find(key);
     if (found == values_.end()) {
       exchange.Respond({404, {{"X-Consul-Index", std::to_string(index_)}}, {}});
--- a/tests/process/domains_test.cc
+++ b/tests/process/domains_test.cc
@@ -130,6 +130,7 @@
   plan.warm_requests = 20;
   StartSystem(plan);
   std::vector<std::future<result<http_response>>> calls;
+  calls.reserve(60);
   for (int i = 0; i < 60; ++i) {
     calls.push_back(CallLater(system(), "entry-" + std::to_string(i % 3),
                               DraftRequest("burst " + std::to_string(i), 10, true)));
@@ -155,6 +156,7 @@
   SendDrafts(40);
   system().Control("drafts-0", R"({"reboot": true})");
   std::vector<std::future<result<http_response>>> calls;
+  calls.reserve(30);
   for (int i = 0; i < 30; ++i) {
     calls.push_back(CallLater(system(), "entry-" + std::to_string(i % 3),
                               DraftRequest("again " + std::to_string(i), 10, false)));
--- a/tests/process/operators_test.cc
+++ b/tests/process/operators_test.cc
@@ -16,7 +16,7 @@
     return system().RunTool(arguments, &output_);
   }
   std::string WriteDocument(const std::string& name, const std::string& text) {
-    const std::string path = system().folder() + "/" + name;
+    std::string path = system().folder() + "/" + name;
     std::ofstream(path) << text;
     return path;
   }
@@ -35,6 +35,8 @@
 TEST_F(bad_request_process_test, GetsAnErrorWithItsVerdict) {
   StartSystem();
   const std::string workspace(kWorkspaceField);
+  std::string oversized;
+  oversized.resize(std::size_t{9} << 20U, 'x');
   const std::vector<bad_request> cases{
       {"unknown service", {"POST", "/services/none/orders", {{workspace, "cafe-nord"}}, "{}"}, 404},
       {"unknown route", {"PUT", "/services/order-desk/x", {{workspace, "cafe-nord"}}, "{}"}, 404},
@@ -66,9 +68,7 @@
        400},
       {"unknown path", {"GET", "/nothing", {}, ""}, 404},
       {"unknown look-up", {"GET", "/lookup?service=none", {}, ""}, 404},
-      {"oversized body",
-       {"POST", "/services/order-desk/orders", {}, std::string(9'000'000, 'x')},
-       413},
+      {"oversized body", {"POST", "/services/order-desk/orders", {}, oversized}, 413},
   };
   for (const bad_request& wrong : cases) {
     const auto answer = system().Call("entry-0", wrong.request, kPatience);
