Run the two long enumerations in every test run

Cause: two cases of the map switch were disabled for their run time. Change: enabled. Before: run on request.

--- a/libs/experts/tests/switch_protocol_test.cc
+++ b/libs/experts/tests/switch_protocol_test.cc
@@ -81,7 +81,7 @@
 
 // About a minute each, so they run only with --gtest_also_run_disabled_tests.
 INSTANTIATE_TEST_SUITE_P(
-    DISABLED_LongGroups,
+    LongGroups,
     switch_protocol_test,
     testing::Values(group_case{"three_ranks_crash",
                                {.ranks = 3, .steps = 2, .coordinator_crashes = 1}},
