--- a/libs/agent/src/agent_answers.cc
+++ b/libs/agent/src/agent_answers.cc
@@ -4,17 +4,10 @@
 #include <charconv>
 
 #include "agent_impl.h"
+#include "quincebank/base/clock.h"
 #include "quincebank/messages/header_names.h"
 
 namespace quincebank {
-namespace {
-
-time_point Now() {
-  return std::chrono::steady_clock::now();
-}
-
-}  // namespace
-
 void agent_service::impl::Tail(http_exchange& exchange, attempt_id attempt, std::uint64_t offset) {
   const auto found = running_.find(attempt);
   const ref_ptr<attempt_signal> signal = found == running_.end() ? nullptr : found->second;
--- a/libs/agent/src/agent_impl.cc
+++ b/libs/agent/src/agent_impl.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "quincebank/base/clock.h"
 #include "quincebank/base/json_reader.h"
 #include "quincebank/base/log.h"
 #include "quincebank/messages/header_names.h"
@@ -14,10 +15,6 @@
 constexpr milliseconds kSweepInterval{50};
 constexpr milliseconds kProbeTimeout{1000};
 
-time_point Now() {
-  return std::chrono::steady_clock::now();
-}
-
 result<attempt_id> ReadAttemptId(json_reader& reader) {
   const auto attempt = ParseAttemptId(reader.String("attempt"));
   if (!attempt)
--- a/libs/base/include/quincebank/base/base.h
+++ b/libs/base/include/quincebank/base/base.h
@@ -1,6 +1,7 @@
 #pragma once
 
 // IWYU pragma: begin_exports
+#include "quincebank/base/clock.h"
 #include "quincebank/base/digest.h"
 #include "quincebank/base/error.h"
 #include "quincebank/base/file.h"
--- a/libs/cli/src/config_commands.cc
+++ b/libs/cli/src/config_commands.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "commands.h"
+#include "quincebank/base/clock.h"
 #include "quincebank/base/file.h"
 #include "quincebank/base/ids.h"
 #include "quincebank/base/random.h"
@@ -18,10 +19,6 @@
 
 constexpr milliseconds kCallTimeout{1'000};
 
-time_point Now() {
-  return std::chrono::steady_clock::now();
-}
-
 /// The configuration library does not know the routing policies, so their names are checked here.
 result<void> CheckPolicies(const config_document& document) {
   for (const config_section& section : document.sections) {
--- a/libs/entry/src/claim_service.cc
+++ b/libs/entry/src/claim_service.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "claim_json.h"
+#include "quincebank/base/clock.h"
 #include "quincebank/net/run_on.h"
 
 namespace quincebank {
@@ -14,10 +15,6 @@
 // A preferred entry that does not answer within this time is paused, cut off or gone.
 constexpr milliseconds kForwardTimeout{300};
 
-time_point Now() {
-  return std::chrono::steady_clock::now();
-}
-
 }  // namespace
 
 claim_service::claim_service(node_control& node,
--- a/libs/entry/src/target_chooser.cc
+++ b/libs/entry/src/target_chooser.cc
@@ -4,6 +4,7 @@
 #include <boost/fiber/operations.hpp>
 #include <utility>
 
+#include "quincebank/base/clock.h"
 #include "quincebank/messages/agent_load.h"
 #include "quincebank/routing/replay.h"
 
@@ -17,10 +18,6 @@
 // Requests of one entry that may wait for room at the same time.
 constexpr int kMaxWaiting = 256;
 
-time_point Now() {
-  return std::chrono::steady_clock::now();
-}
-
 /// Counts a waiting request for as long as it lives.
 class waiting_request {
  public:
--- a/libs/entry/src/upstream_directory.cc
+++ b/libs/entry/src/upstream_directory.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "quincebank/base/clock.h"
 #include "quincebank/base/log.h"
 #include "quincebank/entry/entry_metrics.h"
 
@@ -17,10 +18,6 @@
 // 16 KB/s that control may take.
 constexpr std::size_t kPollsPerSecond = 8;
 
-time_point Now() {
-  return std::chrono::steady_clock::now();
-}
-
 upstream_state ToState(upstream_status status) {
   switch (status) {
     case upstream_status::kUsable:
--- a/libs/expert_group/src/rank_driver.cc
+++ b/libs/expert_group/src/rank_driver.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "overloaded.h"
+#include "quincebank/base/clock.h"
 #include "quincebank/base/log.h"
 #include "quincebank/experts/switch_json.h"
 
@@ -19,10 +20,6 @@
 constexpr std::array<std::string_view, 7> kPhaseNames{"starting", "settling", "idle",    "staging",
                                                       "prepared", "holding",  "promised"};
 
-time_point Now() {
-  return std::chrono::steady_clock::now();
-}
-
 }  // namespace
 
 rank_driver::rank_driver(engine_client engine, map_records& records)
--- a/libs/expert_group/src/switch_runner.cc
+++ b/libs/expert_group/src/switch_runner.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "overloaded.h"
+#include "quincebank/base/clock.h"
 
 namespace quincebank {
 namespace {
@@ -15,10 +16,6 @@
 /// Times that a decision is told; agents that miss it read the record themselves.
 constexpr int kTellings = 3;
 
-time_point Now() {
-  return std::chrono::steady_clock::now();
-}
-
 }  // namespace
 
 std::vector<std::optional<boost::json::value>> CallAll(rpc_client& rpc,
--- a/libs/node/src/node_control.cc
+++ b/libs/node/src/node_control.cc
@@ -4,6 +4,7 @@
 #include <boost/json/array.hpp>
 #include <utility>
 
+#include "quincebank/base/clock.h"
 #include "quincebank/base/log.h"
 #include "quincebank/net/run_on.h"
 #include "quincebank/platform/consul_kv.h"
@@ -16,10 +17,6 @@
 constexpr milliseconds kTick{50};
 constexpr milliseconds kHostListTimeout{2'000};
 
-time_point Now() {
-  return std::chrono::steady_clock::now();
-}
-
 config_peer SelfAsPeer(const node_settings& settings, peer_role role) {
   return {settings.host, settings.region, role, settings.listen.address, settings.listen.port};
 }
