Fix the callers of bench_recovery; end child processes with their test

Cause: a caller held a mutex while its fiber slept, and the first run hung; ended by a timeout, it left its processes running. Change: the lock covers the counting alone; child processes get SIGKILL when the process that started them ends.

--- a/bench/recovery/callers.cc
+++ b/bench/recovery/callers.cc
@@ -13,6 +13,7 @@
 constexpr int kMaxRepeats = 20;
 constexpr milliseconds kRepeatDelay{100};
 constexpr int kTokens = 20;
+constexpr milliseconds kOrderPause{20};
 
 bool IsRefusal(const result<http_response>& answer) {
   return answer && answer.value().headers.Get(kVerdictField) == "not-run";
@@ -79,12 +80,13 @@
   call.idle_timeout = kPatience;
   const time_point start = Now();
   BOOST_OUTCOME_TRY(const std::unique_ptr<http_stream> stream, client_.Open(call));
-  first_byte = std::chrono::duration_cast<milliseconds>(Now() - start);
   http_response response{stream->status(), stream->headers(), {}};
   for (;;) {
     BOOST_OUTCOME_TRY(const std::optional<std::string> piece, stream->ReadSome());
     if (!piece)
       return response;
+    if (response.body.empty())
+      first_byte = std::chrono::duration_cast<milliseconds>(Now() - start);
     response.body += *piece;
   }
 }
@@ -101,7 +103,7 @@
     milliseconds first_byte{0};
     auto answer = Send(request, random, first_byte);
     int refusals = 0;
-    for (int i = 0; i < kMaxRepeats && !(answer && answer.value().status == 200); ++i) {
+    for (int i = 0; i < kMaxRepeats && !stop_ && !(answer && answer.value().status == 200); ++i) {
       refusals += IsRefusal(answer) ? 1 : 0;
       boost::this_fiber::sleep_for(kRepeatDelay);
       answer = Send(request, random, first_byte);
@@ -127,24 +129,30 @@
     auto answer = Send(request, random, first_byte);
     request.headers.Remove(kFirstSendField);
     int refusals = 0;
-    for (int i = 0; i < kMaxRepeats && !(answer && answer.value().status == 201); ++i) {
+    for (int i = 0; i < kMaxRepeats && !stop_ && !(answer && answer.value().status == 201); ++i) {
       refusals += IsRefusal(answer) ? 1 : 0;
       boost::this_fiber::sleep_for(kRepeatDelay);
       answer = Send(request, random, first_byte);
     }
-    const std::lock_guard lock(mutex_);
-    ++counts_.orders;
-    counts_.refusals += refusals;
-    if (answer && answer.value().status == 201) {
-      answered_.push_back(order);
-    } else if (IsRefusal(answer)) {
-      ++counts_.orders_failed;
-      refused_.push_back(order);
-    } else {
-      counts_.orders_unsure += IsUnsure(answer) ? 1 : 0;
-      counts_.orders_failed += IsUnsure(answer) ? 0 : 1;
-    }
-    boost::this_fiber::sleep_for(milliseconds(20));
+    CountOrder(order, answer, refusals);
+    boost::this_fiber::sleep_for(kOrderPause);
+  }
+}
+
+void callers::CountOrder(const std::string& order,
+                         const result<http_response>& answer,
+                         int refusals) {
+  const std::lock_guard lock(mutex_);
+  ++counts_.orders;
+  counts_.refusals += refusals;
+  if (answer && answer.value().status == 201) {
+    answered_.push_back(order);
+  } else if (IsRefusal(answer)) {
+    ++counts_.orders_failed;
+    refused_.push_back(order);
+  } else {
+    counts_.orders_unsure += IsUnsure(answer) ? 1 : 0;
+    counts_.orders_failed += IsUnsure(answer) ? 0 : 1;
   }
 }
 
--- a/bench/recovery/callers.h
+++ b/bench/recovery/callers.h
@@ -43,6 +43,7 @@
  private:
   void DraftLoop(random_source random);
   void OrderLoop(random_source random);
+  void CountOrder(const std::string& order, const result<http_response>& answer, int refusals);
   [[nodiscard]] result<http_response> Send(const http_request& request,
                                            random_source& random,
                                            milliseconds& first_byte);
--- a/bench/recovery/main.cc
+++ b/bench/recovery/main.cc
@@ -180,5 +180,6 @@
 
 int main() {
   quincebank::InitLogging(false);
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
   return quincebank::Run();
 }
--- a/libs/testing/src/child_process.cc
+++ b/libs/testing/src/child_process.cc
@@ -1,7 +1,7 @@
 #include "quincebank/testing/child_process.h"
 
 #include <fcntl.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int kSignalBase = 128;
+constexpr int kExecFailed = 127;
 constexpr milliseconds kPollInterval{5};
 
 }  // namespace
@@ -23,14 +24,22 @@
   for (const std::string& argument : arguments)
     argv.push_back(const_cast<char*>(argument.c_str()));
   argv.push_back(nullptr);
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
-  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-  if (posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ) != 0)
+  pid_ = ::fork();
+  if (pid_ < 0) {
     exit_code_ = -1;
-  posix_spawn_file_actions_destroy(&actions);
+    return;
+  }
+  if (pid_ != 0)
+    return;
+  // In the child: only calls that are safe after a fork of a process with threads. The signal ends
+  // the child with the test that started it, however that ends.
+  constexpr int kLogMode = 0644;
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  const int log = ::open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, kLogMode);
+  ::dup2(log, STDOUT_FILENO);
+  ::dup2(log, STDERR_FILENO);
+  ::execv(argv[0], argv.data());
+  ::_exit(kExecFailed);
 }
 
 child_process::~child_process() {
