Answer cut and malformed requests with 400 and 'not run'

Cause: a request whose body ended early got a closed connection and no answer. Change: every parse failure is answered; four raw cases in a table. Before: the cut cases got nothing.

--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -271,8 +271,7 @@
     const http_request request = read.ec ? http_request{} : ToRequest(parser.release());
     beast_exchange exchange(peer, request, server_.limits_, keep_alive);
     if (read.ec) {
-      if (read.ec.category() == http::make_error_code(http::error::body_limit).category() &&
-          read.ec != http::error::partial_message) {
+      if (read.ec.category() == http::make_error_code(http::error::body_limit).category()) {
         exchange.Respond(RefuseParse(read.ec));
         DiscardRest(peer);
       }
--- a/libs/net/tests/http_test.cc
+++ b/libs/net/tests/http_test.cc
@@ -1,5 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/fiber/operations.hpp>
 #include <optional>
 #include <string>
@@ -130,6 +133,37 @@
   EXPECT_EQ(answer.value().body, "2");
 }
 
+struct raw_case {
+  const char* name;
+  const char* text;
+};
+
+class malformed_request_test : public http_test, public testing::WithParamInterface<raw_case> {};
+
+// Guards against a request that is cut or malformed and gets no answer, or runs.
+TEST_P(malformed_request_test, IsRefusedAsNotRun) {
+  namespace asio = boost::asio;
+  asio::io_context io;
+  asio::ip::tcp::socket socket(io);
+  socket.connect({asio::ip::make_address(server_->address().address), server_->address().port});
+  asio::write(socket, asio::buffer(std::string_view(GetParam().text)));
+  socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+  std::string answer;
+  boost::system::error_code ec;
+  asio::read(socket, asio::dynamic_buffer(answer), ec);
+  EXPECT_NE(answer.find("400 Bad Request"), std::string::npos) << answer;
+  EXPECT_NE(answer.find("not-run"), std::string::npos) << answer;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests,
+    malformed_request_test,
+    testing::Values(raw_case{"cut_body", "POST /echo HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc"},
+                    raw_case{"cut_header", "POST /echo HTTP/1.1\r\nContent-Le"},
+                    raw_case{"no_http", "hello\r\n\r\n"},
+                    raw_case{"bad_length", "POST /echo HTTP/1.1\r\nContent-Length: ten\r\n\r\n"}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against two processes that share an address and split its connections.
 TEST_F(http_test, RefusesAnAddressInUse) {
   const auto second = http_server::Listen({&server_thread_}, server_->address(), Handle);
