--- a/libs/experts/include/quincebank/experts/load_split.h
+++ b/libs/experts/include/quincebank/experts/load_split.h
@@ -63,6 +63,7 @@
   const std::vector<double> speeds_;
   std::vector<int> first_;  // Replicas of expert e: slots_[first_[e]] to slots_[first_[e + 1] - 1].
   std::vector<int> slots_;
+  std::vector<std::size_t> replicated_;  // Experts with several replicas.
   std::vector<replica> scratch_;
 };
 
--- a/libs/experts/src/layer_search.cc
+++ b/libs/experts/src/layer_search.cc
@@ -136,6 +136,8 @@
   layer_peak peak = splitter_.Peak(start);
   layer_change best{start, peak.level, 0};
   layer_load current = std::move(start);
+  layer_load trial;  // Kept over all rounds, so that their memory is allocated once.
+  layer_load next;
   int weights = 0;
   while (weights < limits.max_moves && peak.level > limits.good_enough) {
     ListMoves(current, peak);
@@ -143,10 +145,9 @@
     // progress on one of them.
     double best_level = peak.level * (1 + kProgress);
     double best_potential = Potential(current) * (1 - kProgress);
-    layer_load next;
     int next_weights = 0;
     for (const move& candidate : moves_) {
-      layer_load trial = current;
+      trial = current;
       Apply(trial, candidate);
       const double level = splitter_.Improve(trial, loads, kTrialSweeps, kTolerance).level;
       const double potential = Potential(trial);
@@ -155,12 +156,12 @@
         continue;
       best_level = level;
       best_potential = potential;
-      next = std::move(trial);
+      std::swap(next, trial);
       next_weights = candidate.swap ? 2 : 1;
     }
     if (next_weights == 0)
       break;
-    current = std::move(next);
+    std::swap(current, next);
     weights += next_weights;
     peak = splitter_.Improve(current, loads, kFinalSweeps, kTolerance);
     const double price = limits.cost_per_weight * (weights - best.weights);
--- a/libs/experts/src/load_split.cc
+++ b/libs/experts/src/load_split.cc
@@ -21,6 +21,11 @@
   for (std::size_t e = 0; e + 1 < first_.size(); ++e)
     first_[e] = first_[e + 1];
   first_.back() = static_cast<int>(layer.experts.size());
+  replicated_.clear();
+  for (std::size_t e = 0; e + 1 < first_.size(); ++e) {
+    if (first_[e + 1] - first_[e] > 1)
+      replicated_.push_back(e);
+  }
 }
 
 void load_splitter::Start(layer_load& layer, std::span<const double> loads) {
@@ -98,10 +103,8 @@
   IndexReplicas(layer);
   layer_peak peak = Peak(layer);
   for (int sweep = 0; sweep < max_sweeps; ++sweep) {
-    for (std::size_t e = 0; e < loads.size(); ++e) {
+    for (const std::size_t e : replicated_) {
       const auto count = static_cast<std::size_t>(first_[e + 1] - first_[e]);
-      if (count < 2)
-        continue;
       Fill(layer, std::span(slots_).subspan(static_cast<std::size_t>(first_[e]), count), loads[e]);
     }
     const layer_peak next = Peak(layer);
