Repeat refused requests in the test of concurrent callers

Cause: the test sends 12 streams to three cold engines, which take two at a time, and repeats those that are refused as "not run", but sends its control request only once, while other streams still wait for room. Under load that request was refused with 503 "overloaded", verdict not-run: a true refusal, which the test compared as if it were an answer. Ruled out: mixed or lost answers; the answer printed by the added check is the refusal itself.

Change: the control request is repeated like the others, and its status must be 200, which the test did not check.

--- a/tests/process/streams_test.cc
+++ b/tests/process/streams_test.cc
@@ -186,8 +186,9 @@
     const auto streamed = call.get();
     ASSERT_TRUE(streamed.has_value());
     ASSERT_EQ(streamed.value().status, 200) << streamed.value().body;
-    const auto alone = system().Call("entry-0", DraftRequest(prompt, 20, false), kPatience);
+    const auto alone = CallUntilServed("entry-0", DraftRequest(prompt, 20, false));
     ASSERT_TRUE(alone.has_value());
+    ASSERT_EQ(alone.value().status, 200) << alone.value().body;
     EXPECT_EQ(TokensOf(streamed.value().body), TokensOf(alone.value().body));
   }
 }
