Start process tests only when the entries have heard from all agents

Two process tests failed once each in three rounds of all process tests on a busy machine: orders were refused as "draining" with all upstreams closed, right after the start. Cause: an agent without a configuration reports that it takes no work. The deployment waited for the agents' own readiness and for the entries' configuration, but not for a newer report at the entries, so that the first request met the old one. The refusals were true.

/readyz of an entry now counts as usable only upstreams whose last report is open, and tells of how many it has no report (unheard); the deployment waits for both. Its start limit is 60 s, since 20 s is near what a busy machine needs. After: the order, stream and lost-write tests 6 times each on a machine with a load of 20 to 28 on 10 cores, no failure.

--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -31,10 +31,17 @@
     if (!view.table)
       continue;
     std::size_t usable = 0;
-    for (const upstream& known : view.table->upstreams())
-      usable += known.state == upstream_state::kUsable ? 1 : 0;
-    services[view.table->service()] =
-        boost::json::object{{"upstreams", view.table->size()}, {"usable", usable}};
+    std::size_t unheard = 0;  // No agent's report yet.
+    std::size_t index = 0;
+    for (const upstream& known : view.table->upstreams()) {
+      // The agent's own word may be newer than the snapshot.
+      const upstream_slot& slot = *view.slots[index++];
+      const bool open = !slot.draining() && !slot.leaving();
+      unheard += slot.heard_at() == time_point() ? 1 : 0;
+      usable += open && known.state == upstream_state::kUsable ? 1 : 0;
+    }
+    services[view.table->service()] = boost::json::object{
+        {"upstreams", view.table->size()}, {"usable", usable}, {"unheard", unheard}};
   }
   return services;
 }
--- a/libs/testing/src/deployment.cc
+++ b/libs/testing/src/deployment.cc
@@ -58,7 +58,10 @@
   return {{"owner", owner}, {"kind", kind}, {kind, std::move(list)}};
 }
 
-/// Whether the entry that answered `/readyz` may use all upstreams.
+/// Far above what a start takes on a busy machine.
+constexpr milliseconds kStartLimit{60'000};
+
+/// Whether the entry that answered `/readyz` has heard from all upstreams and may use them.
 bool AllUsable(const std::string& ready) {
   const auto parsed = ParseJson(ready);
   const json::object* const object = parsed ? parsed.value().if_object() : nullptr;
@@ -67,7 +70,7 @@
     return false;
   for (const json::key_value_pair& service : services->get_object()) {
     const json::object& counts = service.value().as_object();
-    if (counts.at("usable") != counts.at("upstreams"))
+    if (counts.at("usable") != counts.at("upstreams") || counts.at("unheard") != 0)
       return false;
   }
   return true;
@@ -287,7 +290,7 @@
           &output) != 0) {
     return MakeError(error_code::kInternal, "apply failed: " + output);
   }
-  if (!WaitUntil([this] { return EntriesRoute(); }))
+  if (!WaitUntil([this] { return EntriesRoute(); }, kStartLimit))
     return MakeError(error_code::kTimeout, "the entries do not route");
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
