Let an expert group go on after a restart of all its engines

Cause: engines that have restarted use their initial map, which no decision record names, so each agent reported its engine as lost and the group never changed its map again until operators formed it under another name.

The coordinator now creates a record with the verdict 'restart' and the boot numbers of all engines once every agent reports a lost engine on the initial map. Agents take it for the map in use only with the engine's own boot number. A change under way ends at a rank whose engine has restarted.

--- a/libs/expert_group/include/quincebank/expert_group/group_coordinator.h
+++ b/libs/expert_group/include/quincebank/expert_group/group_coordinator.h
@@ -44,6 +44,10 @@
   void RunWindow();
   /// \brief Reads the counts of all agents; false unless all answered and all ranks are idle.
   [[nodiscard]] bool Collect();
+  /// \brief Lets a group go on whose engines have all restarted, by a restart record.
+  /// \param answers  of all agents to `experts.status`.
+  /// \returns False if a rank still has the map of the records.
+  bool RestartGroup(const std::vector<std::optional<boost::json::value>>& answers);
   void Observe(const token_counts& sum);
   void Plan();
   [[nodiscard]] result<plan_input> PlanInput();
--- a/libs/expert_group/include/quincebank/expert_group/messages_json.h
+++ b/libs/expert_group/include/quincebank/expert_group/messages_json.h
@@ -3,11 +3,13 @@
 #include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "quincebank/base/error.h"
+#include "quincebank/experts/group_restart.h"
 #include "quincebank/experts/switch_messages.h"
 
 namespace quincebank {
@@ -42,6 +44,10 @@
 /// \brief Body of an order to an engine, without the map of a `stage`.
 [[nodiscard]] boost::json::object ToJson(const engine_order& order);
 
+/// \brief Reads the condition of a rank from the answer to `experts.status`.
+/// \returns Nothing if the agent hasn't read its engine yet.
+[[nodiscard]] std::optional<rank_condition> RankConditionFromJson(const boost::json::value& status);
+
 /// \brief Tokens that one rank has sent to each expert since its engine started.
 struct token_counts {
   step_number steps = 0;
--- a/libs/expert_group/include/quincebank/expert_group/rank_driver.h
+++ b/libs/expert_group/include/quincebank/expert_group/rank_driver.h
@@ -19,7 +19,7 @@
 /// read back before the next. Used by the fibers of one thread.
 class rank_driver {
  public:
-  rank_driver(engine_client engine, map_records& records);
+  rank_driver(engine_client engine, map_records& records, int rank);
 
   [[nodiscard]] rank_answer Prepare(const prepare_message& message);
   [[nodiscard]] rank_answer Promise(const promise_request& message);
@@ -48,9 +48,9 @@
   std::map<map_epoch, map_digest> maps_;  ///< Named by `prepare`; for the `stage` order.
   std::optional<engine_view> view_;       ///< As read last.
   time_point heard_;                      ///< When a coordinator last called.
-  std::uint64_t lost_boot_ = 0;           ///< Boot of an engine whose map doesn't fit the records.
-  bool lost_ = false;
-  map_epoch failed_ = 0;  ///< Epoch of the last order if it got no good answer.
+  std::uint64_t lost_boot_ = 0;           ///< Boot of the engine that was reported last as lost.
+  bool lost_ = false;                     ///< The engine's map doesn't fit the records.
+  map_epoch failed_ = 0;                  ///< Epoch of the last order if it got no good answer.
 };
 
 }  // namespace quincebank
--- a/libs/expert_group/src/expert_group_service.cc
+++ b/libs/expert_group/src/expert_group_service.cc
@@ -26,7 +26,7 @@
       : group(config),
         rank(index),
         records(service.node_.kv(), config.name),
-        driver(engine_client(service.node_.http(), std::move(engine), index), records),
+        driver(engine_client(service.node_.http(), std::move(engine), index), records, index),
         coordinator(service.node_, records, service.plans_, service.self_, config, index) {}
 
   const expert_group_config group;
--- a/libs/expert_group/src/group_coordinator.cc
+++ b/libs/expert_group/src/group_coordinator.cc
@@ -6,6 +6,7 @@
 #include "quincebank/base/json_reader.h"
 #include "quincebank/base/log.h"
 #include "quincebank/expert_group/switch_runner.h"
+#include "quincebank/experts/group_restart.h"
 #include "quincebank/experts/plan_json.h"
 #include "quincebank/experts/switch_json.h"
 
@@ -23,6 +24,12 @@
 /// Windows that the popularity estimate needs before a plan is made of it.
 constexpr int kMinWindows = 3;
 
+result<switch_decision> LastRecord(const switch_history& history) {
+  if (history.committed.epoch == history.decided)
+    return history.committed;
+  return switch_decision{history.decided, switch_verdict::kAbort, 0, {}, {}};
+}
+
 }  // namespace
 
 group_coordinator::group_coordinator(node_control& node,
@@ -130,7 +137,10 @@
   const boost::json::object params{{"group", group_.name}, {"tokens", true}};
   token_counts sum;
   std::size_t rank = 0;
-  for (const auto& answer : CallAll(rpc_, agents, "experts.status", params)) {
+  const auto answers = CallAll(rpc_, agents, "experts.status", params);
+  if (RestartGroup(answers))
+    return false;
+  for (const auto& answer : answers) {
     const std::string& name = group_.ranks[rank++];
     const boost::json::object* const status = answer ? answer->if_object() : nullptr;
     const boost::json::value* const tokens = status ? status->if_contains("tokens") : nullptr;
@@ -170,6 +180,34 @@
   return true;
 }
 
+bool group_coordinator::RestartGroup(
+    const std::vector<std::optional<boost::json::value>>& answers) {
+  std::vector<rank_condition> ranks;
+  for (const auto& answer : answers) {
+    const auto condition = answer ? RankConditionFromJson(*answer) : std::nullopt;
+    if (!condition || !condition->engine_lost)
+      return false;
+    ranks.push_back(*condition);
+  }
+  if (ranks.empty())
+    return false;
+  hindrance_ = "the engines of all ranks have other maps than the records say";
+  const auto history = records_.ReadHistory();
+  if (!history)
+    return true;
+  const auto wanted = PlanGroupRestart(history.value(), ranks);
+  // Without a plan, some agents may not have heard of the last record.
+  const auto record = wanted ? records_.Create(*wanted) : LastRecord(history.value());
+  if (!record)
+    return true;
+  if (wanted && record.value() == *wanted)
+    kLog.Info("group ", group_.name, " has restarted and goes on at epoch ", wanted->epoch);
+  boost::json::object message = ToJson(decision_message{record.value()});
+  message["group"] = group_.name;
+  (void)CallAll(rpc_, Agents(), "experts.decision", message);
+  return true;
+}
+
 void group_coordinator::Observe(const token_counts& sum) {
   const auto ranks = static_cast<std::int64_t>(group_.ranks.size());
   next_step_ = sum.steps / static_cast<step_number>(ranks);
@@ -193,7 +231,10 @@
 
 result<plan_input> group_coordinator::PlanInput() {
   BOOST_OUTCOME_TRY(const switch_history history, records_.ReadHistory());
-  if (history.committed.epoch != 0 && history.committed.map != current_digest_) {
+  if (history.committed.verdict == switch_verdict::kRestart) {
+    current_ = {};
+    current_digest_ = {};
+  } else if (history.committed.epoch != 0 && history.committed.map != current_digest_) {
     BOOST_OUTCOME_TRY(const std::string body, records_.FetchMap(history.committed.map));
     BOOST_OUTCOME_TRY(const boost::json::value value, ParseJson(body));
     BOOST_OUTCOME_TRY(current_, ExpertMapFromJson(value));
--- a/libs/expert_group/src/map_records.cc
+++ b/libs/expert_group/src/map_records.cc
@@ -42,7 +42,7 @@
     BOOST_OUTCOME_TRY(const std::optional<switch_decision> record, Read(epoch));
     if (!record)
       return MakeError(error_code::kInternal, "record of a decided epoch is missing");
-    if (record->verdict != switch_verdict::kCommit)
+    if (record->verdict == switch_verdict::kAbort)
       continue;
     history.committed = *record;
     break;
--- a/libs/expert_group/src/messages_json.cc
+++ b/libs/expert_group/src/messages_json.cc
@@ -161,6 +161,24 @@
           {"fence", order.fence}};
 }
 
+std::optional<rank_condition> RankConditionFromJson(const json::value& status) {
+  std::vector<error> errors;
+  json_reader reader(status, "", errors);
+  rank_condition condition;
+  condition.engine_lost = reader.Bool("engine_lost", false);
+  condition.decided = ReadCount(reader, "decided");
+  if (!reader.Has("engine"))
+    return std::nullopt;
+  reader.Child("engine", [&condition](json_reader& engine) {
+    condition.boot = ReadCount(engine, "boot");
+    condition.map = ReadCount(engine, "map");
+    condition.pending = ReadCount(engine, "pending");
+  });
+  if (!errors.empty())
+    return std::nullopt;
+  return condition;
+}
+
 json::object ToJson(const token_counts& counts) {
   json::array layers;
   for (const std::vector<std::int64_t>& layer : counts.layers)
--- a/libs/expert_group/src/rank_driver.cc
+++ b/libs/expert_group/src/rank_driver.cc
@@ -22,8 +22,8 @@
 
 }  // namespace
 
-rank_driver::rank_driver(engine_client engine, map_records& records)
-    : engine_(std::move(engine)), records_(records) {}
+rank_driver::rank_driver(engine_client engine, map_records& records, int rank)
+    : engine_(std::move(engine)), records_(records), agent_(static_cast<std::size_t>(rank)) {}
 
 bool rank_driver::TakesPart() const noexcept {
   return agent_.state().phase >= agent_phase::kStaging;
@@ -132,14 +132,13 @@
   if (!view)
     return {};
   view_ = std::move(view).value();
-  lost_ = lost_ && view_->boot == lost_boot_ && view_->map != agent_.state().committed.epoch;
+  lost_ = false;
   return agent_.OnView(*view_);
 }
 
 rank_driver::actions rank_driver::ReportLost(std::uint64_t boot) {
-  if (!lost_) {
-    kLog.Error("the engine's map isn't that of the records; its group must be formed again");
-  }
+  if (boot != lost_boot_)
+    kLog.Error("the engine's map isn't that of the records; waiting for a restart of its group");
   lost_ = true;
   lost_boot_ = boot;
   return {};
--- a/libs/expert_group/tests/map_records_test.cc
+++ b/libs/expert_group/tests/map_records_test.cc
@@ -53,8 +53,8 @@
 
 switch_decision Decision(map_epoch epoch, bool commit) {
   if (!commit)
-    return {epoch, switch_verdict::kAbort, 0, {}};
-  return {epoch, switch_verdict::kCommit, 100 * epoch, DigestOfMap(std::to_string(epoch))};
+    return {epoch, switch_verdict::kAbort, 0, {}, {}};
+  return {epoch, switch_verdict::kCommit, 100 * epoch, DigestOfMap(std::to_string(epoch)), {}};
 }
 
 struct history_case {
--- a/libs/expert_group/tests/messages_json_test.cc
+++ b/libs/expert_group/tests/messages_json_test.cc
@@ -25,7 +25,7 @@
   EXPECT_EQ(PromiseFromJson(Transport(ToJson(promise)).get_object()).value(), promise);
   const withdraw_message withdraw{kChange};
   EXPECT_EQ(WithdrawFromJson(Transport(ToJson(withdraw)).get_object()).value(), withdraw);
-  const decision_message decision{{7, switch_verdict::kCommit, 99, DigestOfMap("{}")}};
+  const decision_message decision{{7, switch_verdict::kCommit, 99, DigestOfMap("{}"), {}}};
   EXPECT_EQ(DecisionFromJson(Transport(ToJson(decision)).get_object()).value(), decision);
   const token_counts counts{12, {{1, 2}, {3, 4}}};
   EXPECT_EQ(TokenCountsFromJson(Transport(ToJson(counts))).value(), counts);
@@ -47,6 +47,21 @@
   EXPECT_EQ(view.value().epochs[1].hold, step_number{12});
 }
 
+TEST(expert_messages_test, ReadsTheConditionOfARank) {
+  const auto condition =
+      RankConditionFromJson(ParseJson(
+                                R"({"phase": "settling", "decided": 4, "engine_lost": true,
+          "engine": {"boot": 3, "next_step": 10, "map": 1, "pending": 2}})")
+                                .value());
+  ASSERT_TRUE(condition.has_value());
+  EXPECT_TRUE(condition->engine_lost);
+  EXPECT_EQ(condition->decided, 4U);
+  EXPECT_EQ(condition->boot, 3U);
+  EXPECT_EQ(condition->map, 1U);
+  EXPECT_EQ(condition->pending, 2U);
+  EXPECT_FALSE(RankConditionFromJson(ParseJson(R"({"decided": 4})").value()).has_value());
+}
+
 struct bad_params {
   const char* name;
   const char* text;
--- a/libs/experts/include/quincebank/experts/switch_agent.h
+++ b/libs/experts/include/quincebank/experts/switch_agent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <vector>
 
 #include "quincebank/experts/switch_messages.h"
@@ -18,9 +19,10 @@
 
 struct agent_state {
   agent_phase phase = agent_phase::kStarting;
-  change_id change;       ///< From `kStaging` to `kPromised`.
-  step_number step = 0;   ///< Reported as prepared, then held.
-  map_epoch decided = 0;  ///< Highest epoch known to be decided.
+  change_id change;        ///< From `kStaging` to `kPromised`.
+  std::uint64_t boot = 0;  ///< Of the engine when the change began.
+  step_number step = 0;    ///< Reported as prepared, then held.
+  map_epoch decided = 0;   ///< Highest epoch known to be decided.
   switch_decision committed;
   map_epoch refused = 0;    ///< Takes part only in epochs above this one.
   map_epoch withdrawn = 0;  ///< Can't be committed any more, though no record may exist.
@@ -39,6 +41,8 @@
 ///  - Orders to stage and to hold are sent once. If one isn't confirmed, the agent refuses the
 ///  epoch.
 ///    Orders to commit and to release repeat a decision, so late copies do no harm.
+///  - A change ends at a rank whose engine restarts before the promise: what was staged and held
+///    is gone, and orders that were sent before may still arrive.
 ///  - A restarted agent takes part only in epochs above all that its predecessor may have seen.
 ///    Therefore a commit order and a late stage order of the same epoch never coexist.
 ///
@@ -48,6 +52,9 @@
  public:
   using actions = std::vector<agent_action>;
 
+  /// \param rank  place of the engine's boot number in a restart record.
+  explicit switch_agent(std::size_t rank = 0) noexcept : rank_(rank) {}
+
   [[nodiscard]] actions Start();
   [[nodiscard]] actions OnTick();
   [[nodiscard]] actions OnView(const engine_view& view);
@@ -61,10 +68,13 @@
   [[nodiscard]] actions OnRecord(const switch_decision& record);
   [[nodiscard]] actions OnHistory(const switch_history& history);
 
+  [[nodiscard]] std::size_t rank() const noexcept { return rank_; }
   [[nodiscard]] const agent_state& state() const noexcept { return state_; }
 
  private:
   [[nodiscard]] bool TakesPart() const noexcept { return state_.phase >= agent_phase::kStaging; }
+  /// \brief Whether the engine uses the map that the records say.
+  [[nodiscard]] bool UsesCommittedMap(const engine_view& view) const noexcept;
   [[nodiscard]] engine_order Order(engine_order_kind kind, map_epoch epoch, step_number step) const;
   [[nodiscard]] actions Reconcile(const engine_view& view);
   [[nodiscard]] actions ReconcileEpoch(const engine_epoch& entry, const engine_view& view);
@@ -74,6 +84,7 @@
   [[nodiscard]] actions Conclude(const switch_decision& record);
   [[nodiscard]] actions Abandon();
 
+  std::size_t rank_;
   agent_state state_;
 };
 
--- a/libs/experts/include/quincebank/experts/switch_messages.h
+++ b/libs/experts/include/quincebank/experts/switch_messages.h
@@ -32,7 +32,11 @@
   [[nodiscard]] auto operator<=>(const change_id&) const noexcept = default;
 };
 
-enum class switch_verdict : std::uint8_t { kAbort, kCommit };
+enum class switch_verdict : std::uint8_t {
+  kAbort,
+  kCommit,
+  kRestart,  ///< All engines of the group have restarted and use their initial map.
+};
 
 /// \brief Decision record of an epoch, created once in the key-value service under
 /// `experts/<group>/<epoch>`. The first one created is the decision.
@@ -41,11 +45,13 @@
   switch_verdict verdict = switch_verdict::kAbort;
   step_number step = 0;  ///< First step that uses the map.
   map_digest map;
+  std::vector<std::uint64_t> boots;  ///< Of the engines in the order of the ranks; for `kRestart`.
 
   [[nodiscard]] bool operator==(const switch_decision&) const noexcept = default;
 };
 
-/// \brief What the records of a group say: the highest decided epoch and the last committed map.
+/// \brief What the records of a group say: the highest decided epoch and the last record that says
+/// which map is in use: a commit or a restart.
 ///
 /// A cleaner of old records must keep both, or a late create of an old epoch could succeed and look
 /// like the newest one.
@@ -123,7 +129,7 @@
 struct engine_view {
   std::uint64_t boot = 0;     ///< Changes when the engine restarts.
   step_number next_step = 0;  ///< First step not started yet.
-  map_epoch map = 0;          ///< Map of the last started step.
+  map_epoch map = 0;          ///< Map of the last started step; 0 is the initial map.
   map_epoch pending = 0;      ///< Committed map that waits for its step; 0 if none.
   std::vector<engine_epoch> epochs;
 
@@ -144,7 +150,8 @@
 struct create_record {
   switch_decision record;
 };
-/// \brief The engine has another map than the records say; it must be restarted with its group.
+/// \brief The engine has another map than the records say. Once all engines of the group have
+/// restarted, a restart record lets it take part again.
 struct report_engine_lost {
   std::uint64_t boot = 0;
 };
--- a/libs/experts/src/switch_agent.cc
+++ b/libs/experts/src/switch_agent.cc
@@ -29,7 +29,7 @@
 
 switch_agent::actions switch_agent::Ask(map_epoch epoch) {
   state_.asking = epoch;
-  return {create_record{{epoch, switch_verdict::kAbort, 0, {}}}};
+  return {create_record{{epoch, switch_verdict::kAbort, 0, {}, {}}}};
 }
 
 switch_agent::actions switch_agent::Settle() {
@@ -50,7 +50,7 @@
 switch_agent::actions switch_agent::Conclude(const switch_decision& record) {
   if (record.epoch > state_.decided) {
     state_.decided = record.epoch;
-    if (record.verdict == switch_verdict::kCommit)
+    if (record.verdict != switch_verdict::kAbort)
       state_.committed = record;
   }
   state_.asking = 0;
@@ -58,6 +58,9 @@
 }
 
 switch_agent::actions switch_agent::OnView(const engine_view& view) {
+  const bool open = TakesPart() && state_.phase != agent_phase::kPromised;
+  if (open && view.boot != state_.boot)
+    return Abandon();
   switch (state_.phase) {
     case agent_phase::kSettling:
     case agent_phase::kIdle:
@@ -99,14 +102,23 @@
   }
   // The engine keeps one pending map. A new change would replace it before its step, so the agent
   // takes part in none until the committed map is in use.
-  const map_epoch committed = state_.committed.epoch;
-  const bool in_use = view.map == committed && view.pending == 0;
+  const bool in_use = UsesCommittedMap(view);
   state_.phase = in_use ? agent_phase::kIdle : agent_phase::kSettling;
-  if (!in_use && view.pending != committed)
+  state_.boot = view.boot;
+  if (!in_use && (view.pending == 0 || view.pending != state_.committed.epoch))
     return {report_engine_lost{view.boot}};
   return {};
 }
 
+bool switch_agent::UsesCommittedMap(const engine_view& view) const noexcept {
+  const switch_decision& committed = state_.committed;
+  if (view.pending != 0)
+    return false;
+  if (committed.verdict != switch_verdict::kRestart)
+    return view.map == committed.epoch;
+  return view.map == 0 && rank_ < committed.boots.size() && view.boot == committed.boots[rank_];
+}
+
 switch_agent::actions switch_agent::ReconcileEpoch(const engine_epoch& entry,
                                                    const engine_view& view) {
   if (!entry.staged && !entry.hold)
@@ -116,7 +128,8 @@
     // A predecessor may have promised; only the record can end its hold.
     return epoch == state_.decided + 1 ? Ask(epoch) : ReadHistory();
   }
-  const bool committed = epoch <= state_.decided && epoch == state_.committed.epoch;
+  const bool committed = epoch <= state_.decided && epoch == state_.committed.epoch &&
+                         state_.committed.verdict == switch_verdict::kCommit;
   if (committed && entry.staged && view.map != epoch && view.pending != epoch) {
     return {Order(engine_order_kind::kCommit, epoch, state_.committed.step), read_engine{}};
   }
--- a/libs/experts/src/switch_coordinator.cc
+++ b/libs/experts/src/switch_coordinator.cc
@@ -18,8 +18,8 @@
 
 switch_decision switch_coordinator::Record(switch_verdict verdict) const {
   if (verdict == switch_verdict::kAbort)
-    return {state_.change.epoch, verdict, 0, {}};
-  return {state_.change.epoch, verdict, state_.step, state_.map};
+    return {state_.change.epoch, verdict, 0, {}, {}};
+  return {state_.change.epoch, verdict, state_.step, state_.map, {}};
 }
 
 switch_coordinator::actions switch_coordinator::Start() const {
--- a/libs/experts/src/switch_json.cc
+++ b/libs/experts/src/switch_json.cc
@@ -1,7 +1,10 @@
 #include "quincebank/experts/switch_json.h"
 
+#include <array>
+#include <boost/json/array.hpp>
 #include <boost/json/value.hpp>
 #include <limits>
+#include <utility>
 #include <vector>
 
 #include "quincebank/base/digest.h"
@@ -11,6 +14,7 @@
 namespace {
 
 constexpr std::string_view kDigits = "0123456789abcdef";
+constexpr std::array<std::string_view, 3> kVerdictNames{"abort", "commit", "restart"};
 
 /// Reads 64 hexadecimal digits; false if the text is malformed.
 bool ReadHex(std::string_view text, map_digest& digest) {
@@ -57,11 +61,17 @@
 boost::json::object ToJson(const switch_decision& record) {
   boost::json::object object{
       {"epoch", record.epoch},
-      {"verdict", record.verdict == switch_verdict::kCommit ? "commit" : "abort"}};
+      {"verdict", kVerdictNames.at(static_cast<std::size_t>(record.verdict))}};
   if (record.verdict == switch_verdict::kCommit) {
     object["step"] = record.step;
     object["map"] = ToHex(record.map);
   }
+  if (record.verdict == switch_verdict::kRestart) {
+    boost::json::array engines;
+    for (const std::uint64_t boot : record.boots)
+      engines.push_back(boost::json::object{{"boot", boot}});
+    object["engines"] = std::move(engines);
+  }
   return object;
 }
 
@@ -77,8 +87,16 @@
     record.step = static_cast<step_number>(reader.Int("step", any));
     if (!ReadHex(reader.String("map"), record.map))
       reader.Fail("map", "expected 64 hexadecimal digits");
+  } else if (verdict == "restart") {
+    record.verdict = switch_verdict::kRestart;
+    if (!reader.Has("engines"))
+      reader.Fail("engines", "missing");
+    reader.Each("engines", [&](json_reader& engine) {
+      record.boots.push_back(static_cast<std::uint64_t>(engine.Int("boot", any)));
+      engine.Finish();
+    });
   } else if (verdict != "abort") {
-    reader.Fail("verdict", "expected \"commit\" or \"abort\"");
+    reader.Fail("verdict", "expected \"commit\", \"restart\" or \"abort\"");
   }
   reader.Finish();
   if (!errors.empty())
--- a/libs/experts/tests/switch_explorer.cc
+++ b/libs/experts/tests/switch_explorer.cc
@@ -105,6 +105,7 @@
     settled_.push_back(Settled(w, bounds_));
     ++found_.states;
     found_.new_map_used += UsesNewMap(w) ? 1 : 0;
+    found_.new_map_after_reboot += w.reboots > 0 && UsesNewMap(w) ? 1 : 0;
     found_.aborted += Aborted(w) ? 1 : 0;
     if (!w.violation.empty()) {
       found_.violation = w.violation;
--- a/libs/experts/tests/switch_explorer.h
+++ b/libs/experts/tests/switch_explorer.h
@@ -17,8 +17,9 @@
   std::vector<std::string> trace;  ///< Shortest sequence of events to the violation.
   std::size_t stuck = 0;           ///< States from which the group can't settle any more.
   std::vector<std::string> stuck_trace;
-  std::size_t new_map_used = 0;  ///< States in which a rank has run a step with a new map.
-  std::size_t aborted = 0;       ///< States with an abort record of a change.
+  std::size_t new_map_used = 0;          ///< States in which a rank has run a step with a new map.
+  std::size_t new_map_after_reboot = 0;  ///< The same after all engines have restarted.
+  std::size_t aborted = 0;               ///< States with an abort record of a change.
 };
 
 /// \brief Visits every reachable state, breadth first.
--- a/libs/experts/tests/switch_moves.cc
+++ b/libs/experts/tests/switch_moves.cc
@@ -26,15 +26,18 @@
   sent.what = what;
   sent.epoch = Small(record.epoch);
   sent.step = Small(record.step);
-  sent.commit = record.verdict == switch_verdict::kCommit;
+  sent.verdict = record.verdict;
   sent.map = record.map.bytes[0];
+  for (std::size_t i = 0; i < record.boots.size(); ++i)
+    sent.boots[i] = Small(record.boots[i]);
   return sent;
 }
 
-switch_decision RecordOf(const message& sent) {
-  switch_decision record{
-      sent.epoch, sent.commit ? switch_verdict::kCommit : switch_verdict::kAbort, sent.step, {}};
+switch_decision RecordOf(const message& sent, const limits& bounds) {
+  switch_decision record{sent.epoch, sent.verdict, sent.step, {}, {}};
   record.map.bytes[0] = sent.map;
+  if (sent.verdict == switch_verdict::kRestart)
+    record.boots.assign(sent.boots.begin(), sent.boots.begin() + bounds.ranks);
   return record;
 }
 
@@ -72,7 +75,13 @@
     w.Send(About(kind::kCreate, request.record));
   }
   void operator()(const report_engine_lost&) const {
-    w.violation = "an agent finds a map in its engine that the records don't explain";
+    rank_model& rank = w.ranks[r];
+    if (rank.engine.boot == 0) {
+      w.violation = "an agent finds a map in its engine that the records don't explain";
+      return;
+    }
+    const engine_model& engine = rank.engine;
+    rank.reported = {true, rank.agent.state().decided, engine.boot, engine.active, engine.pending};
   }
   // Reads are answered at any time while the state waits for them.
   void operator()(const read_engine&) const {}
@@ -129,13 +138,42 @@
     for (const message& sent : from_.messages) {
       if (sent.what == kind::kCreate) {
         Add("the service executes a create of epoch " + std::to_string(sent.epoch),
-            [&](world& w) { rules_.Create(w.records[sent.epoch], RecordOf(sent)); });
+            [&](world& w) { rules_.Create(w.records[sent.epoch], RecordOf(sent, bounds_)); });
       }
     }
+    Reboot();
     return std::move(found_);
   }
 
  private:
+  /// All engines restart at once, and later a restart record is made of what the agents reported.
+  /// Orders and messages that are on the way stay.
+  void Reboot() {
+    if (from_.reboots < bounds_.group_reboots) {
+      Add("all engines restart", [&](world& w) {
+        ++w.reboots;
+        for (rank_model& rank : w.ranks) {
+          rank.engine = engine_model{};
+          rank.engine.boot = Small(static_cast<std::uint64_t>(w.reboots));
+        }
+        w.last_step = 0;
+        w.last_map = 0;
+      });
+    }
+    if (from_.restart_records >= from_.reboots)
+      return;
+    std::vector<rank_condition> ranks;
+    for (int r = 0; r < bounds_.ranks; ++r)
+      ranks.push_back(from_.ranks[r].reported.value_or(rank_condition{}));
+    const auto record = PlanGroupRestart(from_.History(), ranks);
+    if (!record)
+      return;
+    Add("a restart record of epoch " + std::to_string(record->epoch) + " is sent", [&](world& w) {
+      ++w.restart_records;
+      w.Send(About(kind::kCreate, *record));
+    });
+  }
+
   template <typename Change>
   void Add(std::string event, const Change& change) {
     found_.push_back({from_, std::move(event)});
@@ -192,6 +230,10 @@
     ToAgent(r, "view", rank.engine.View());
     for (const message& sent : from_.messages)
       MessageToAgent(r, sent);
+    for (const switch_decision& record : from_.records) {
+      if (record.verdict == switch_verdict::kRestart)
+        ToAgent(r, "restart record", decision_message{record});
+    }
     if (state.reading)
       ToAgent(r, "history", from_.History());
     if (state.asking != 0 && from_.records[state.asking].epoch != 0)
@@ -231,11 +273,11 @@
   void MessageToAgent(int r, const message& sent) {
     const change_id change{sent.epoch, {sent.coordinator}};
     if (sent.what == kind::kPrepare) {
-      ToAgent(r, "prepare", prepare_message{change, RecordOf(sent).map});
+      ToAgent(r, "prepare", prepare_message{change, RecordOf(sent, bounds_).map});
     } else if (sent.what == kind::kPromiseRequest) {
       ToAgent(r, "promise request", promise_request{change, sent.step});
     } else if (sent.what == kind::kDecision) {
-      ToAgent(r, "decision", decision_message{RecordOf(sent)});
+      ToAgent(r, "decision", decision_message{RecordOf(sent, bounds_)});
     } else if (sent.what == kind::kWithdraw) {
       ToAgent(r, "withdraw", withdraw_message{change});
     }
@@ -333,9 +375,10 @@
         switch_coordinator({static_cast<std::uint64_t>(c) + 1}, bounds.ranks, map, 1);
   }
   // A started agent refuses the next epoch, so the group begins after epoch 1 has been aborted.
-  first.records[1] = {1, switch_verdict::kAbort, 0, {}};
+  first.records[1] = {1, switch_verdict::kAbort, 0, {}, {}};
   for (int r = 0; r < bounds.ranks; ++r) {
     rank_model& rank = first.ranks[r];
+    rank.agent = switch_agent(static_cast<std::size_t>(r));
     (void)rules.Agent(rank.agent, start_event{});
     (void)rules.Agent(rank.agent, switch_history{});
     (void)rules.Agent(rank.agent, decision_message{first.records[1]});
--- a/libs/experts/tests/switch_protocol_test.cc
+++ b/libs/experts/tests/switch_protocol_test.cc
@@ -40,6 +40,9 @@
   // Without these the enumeration would prove nothing.
   EXPECT_GT(found.new_map_used, 0U);
   const limits& bounds = GetParam().bounds;
+  if (bounds.group_reboots > 0 && bounds.coordinators > 1) {
+    EXPECT_GT(found.new_map_after_reboot, 0U);
+  }
   if (bounds.give_ups != 0 || bounds.coordinator_crashes > 0) {
     EXPECT_GT(found.aborted, 0U);
   }
@@ -83,6 +86,12 @@
                     .coordinator_crashes = 2,
                     .rank_losses = 1,
                     .give_ups = 0}},
+        group_case{"two_ranks_reboot", {.steps = 2, .group_reboots = 1}},
+        group_case{"two_ranks_reboot_and_restart",
+                   {.steps = 2, .agent_restarts = 1, .group_reboots = 1, .give_ups = 0}},
+        group_case{
+            "two_changes_in_turn_reboot",
+            {.coordinators = 2, .steps = 2, .group_reboots = 1, .give_ups = 0, .in_turn = true}},
         group_case{"three_ranks_two_changes_in_turn",
                    {.ranks = 3,
                     .coordinators = 2,
--- a/libs/experts/tests/switch_steps_test.cc
+++ b/libs/experts/tests/switch_steps_test.cc
@@ -14,8 +14,8 @@
 const change_id kChange{4, {7}};
 
 switch_decision Record(switch_verdict verdict) {
-  return verdict == switch_verdict::kAbort ? switch_decision{4, verdict, 0, {}}
-                                           : switch_decision{4, verdict, 12, {}};
+  return verdict == switch_verdict::kAbort ? switch_decision{4, verdict, 0, {}, {}}
+                                           : switch_decision{4, verdict, 12, {}, {}};
 }
 
 struct coordinator_case {
@@ -133,7 +133,8 @@
 };
 
 constexpr std::size_t kNoAction = 99;
-const switch_decision kCommitted{4, switch_verdict::kCommit, 12, {}};
+const switch_decision kRestarted{4, switch_verdict::kRestart, 0, {}, {2}};
+const switch_decision kCommitted{4, switch_verdict::kCommit, 12, {}, {}};
 
 class leftover_test : public testing::TestWithParam<leftover_case> {};
 
@@ -183,6 +184,17 @@
                       {1, 10, 0, 4, {}},
                       kNoAction,
                       {}},
+        leftover_case{"initial_map_after_a_restart",
+                      {4, kRestarted},
+                      {2, 10, 0, 0, {}},
+                      kNoAction,
+                      {}},
+        leftover_case{"restarted_once_more", {4, kRestarted}, {3, 0, 0, 0, {}}, kLost, {}},
+        leftover_case{"staged_before_the_restart",
+                      {4, kRestarted},
+                      {2, 10, 0, 0, {{4, true, {}}}},
+                      kOrder,
+                      engine_order_kind::kRelease},
         leftover_case{"engine_without_the_map", {4, kCommitted}, {2, 0, 0, 0, {}}, kLost, {}}),
     [](const auto& info) { return info.param.name; });
 
@@ -221,16 +233,22 @@
 INSTANTIATE_TEST_SUITE_P(
     Records,
     record_json_test,
-    testing::Values(record_case{"abort", R"({"epoch":4,"verdict":"abort"})", ""},
-                    record_case{"unknown_verdict", R"({"epoch":4,"verdict":"no"})", "/verdict"},
-                    record_case{"short_digest",
-                                R"({"epoch":4,"verdict":"commit","step":1,"map":"00"})", "/map"},
-                    record_case{"abort_with_step", R"({"epoch":4,"verdict":"abort","step":1})",
-                                "/step"}),
+    testing::Values(
+        record_case{"abort", R"({"epoch":4,"verdict":"abort"})", ""},
+        record_case{"restart", R"({"epoch":4,"verdict":"restart","engines":[{"boot":7}]})", ""},
+        record_case{"restart_without_engines", R"({"epoch":4,"verdict":"restart"})", "/engines"},
+        record_case{"restart_without_boot", R"({"epoch":4,"verdict":"restart","engines":[{}]})",
+                    "/engines/0/boot"},
+        record_case{"unknown_verdict", R"({"epoch":4,"verdict":"no"})", "/verdict"},
+        record_case{"short_digest", R"({"epoch":4,"verdict":"commit","step":1,"map":"00"})",
+                    "/map"},
+        record_case{"abort_with_step", R"({"epoch":4,"verdict":"abort","step":1})", "/step"}),
     [](const auto& info) { return info.param.name; });
 
 TEST(record_json_round_trip_test, KeepsTheDecision) {
-  switch_decision record{9, switch_verdict::kCommit, 77, DigestOfMap("{}")};
+  switch_decision record{9, switch_verdict::kCommit, 77, DigestOfMap("{}"), {}};
+  EXPECT_EQ(SwitchDecisionFromJson(ToJson(record)).value(), record);
+  record = {9, switch_verdict::kRestart, 0, {}, {7, 8}};
   EXPECT_EQ(SwitchDecisionFromJson(ToJson(record)).value(), record);
   EXPECT_EQ(DecisionKey("g1", 9), "experts/g1/9");
 }
--- a/libs/experts/tests/switch_variants_test.cc
+++ b/libs/experts/tests/switch_variants_test.cc
@@ -167,7 +167,7 @@
   [[nodiscard]] std::vector<agent_action> Restart(switch_agent& agent,
                                                   const switch_history& history,
                                                   const switch_decision& last) const override {
-    agent = switch_agent();
+    agent = switch_agent(agent.rank());
     (void)agent.Start();
     (void)agent.OnHistory({history.decided - 1, {}});
     return agent.OnDecision({last});
@@ -189,6 +189,20 @@
   }
 };
 
+/// The agent doesn't notice that its engine has restarted in the middle of a change.
+class ignores_boot : public protocol {
+ public:
+  [[nodiscard]] std::vector<agent_action> Agent(switch_agent& agent,
+                                                const agent_event& event) const override {
+    const auto* const view = std::get_if<engine_view>(&event);
+    if (view == nullptr || agent.state().phase < agent_phase::kStaging)
+      return Deliver(agent, event);
+    engine_view changed = *view;
+    changed.boot = agent.state().boot;
+    return Deliver(agent, changed);
+  }
+};
+
 enum class fault { kTwoMaps, kStuck };
 
 struct variant_case {
@@ -250,7 +264,8 @@
                                 .in_turn = true}),
         Variant<repeats_stage>(
             "repeats_stage",
-            {.coordinators = 2, .steps = 4, .order_copies = 2, .give_ups = 0, .in_turn = true})),
+            {.coordinators = 2, .steps = 4, .order_copies = 2, .give_ups = 0, .in_turn = true}),
+        Variant<ignores_boot>("ignores_boot", {.steps = 2, .group_reboots = 1, .give_ups = 0})),
     [](const auto& info) { return info.param.name; });
 
 }  // namespace
--- a/libs/experts/tests/switch_world.cc
+++ b/libs/experts/tests/switch_world.cc
@@ -16,26 +16,34 @@
   out += static_cast<char>(value);
 }
 
-void Put(std::string& out, const switch_decision& record) {
+void Put(std::string& out,
+         const switch_decision& record,
+         const std::array<std::uint8_t, kMaxRanks>& order) {
   Put(out, record.epoch);
   Put(out, static_cast<std::uint64_t>(record.verdict));
   Put(out, record.step);
   Put(out, record.map.bytes[0]);
+  for (std::size_t i = 0; i < record.boots.size(); ++i)
+    Put(out, record.boots[order[i]]);
 }
 
-void Put(std::string& out, const agent_state& state) {
+void Put(std::string& out,
+         const agent_state& state,
+         const std::array<std::uint8_t, kMaxRanks>& order) {
   // Values of decided epochs play no part any more.
   const auto open = [&state](map_epoch epoch) { return epoch > state.decided ? epoch : 0; };
   for (const std::uint64_t value :
        {static_cast<std::uint64_t>(state.phase), state.change.epoch, state.change.coordinator.value,
-        state.step, state.decided, open(state.refused), open(state.withdrawn), state.asking,
+        state.phase >= agent_phase::kStaging ? state.boot : 0, state.step, state.decided,
+        open(state.refused), open(state.withdrawn), state.asking,
         static_cast<std::uint64_t>(state.reading)})
     Put(out, value);
-  Put(out, state.committed);
+  Put(out, state.committed, order);
 }
 
 void Put(std::string& out, const engine_model& engine) {
-  for (const std::uint64_t value : {engine.active, engine.pending, engine.pending_step})
+  for (const std::uint64_t value : {static_cast<std::uint64_t>(engine.boot), engine.active,
+                                    engine.pending, engine.pending_step})
     Put(out, value);
   Put(out, engine.fence);
   for (int epoch = 0; epoch < kMaxEpochs; ++epoch)
@@ -109,6 +117,7 @@
 
 engine_view engine_model::View() const {
   engine_view view;
+  view.boot = boot;
   view.next_step = next_step;
   view.map = active;
   view.pending = pending;
@@ -135,7 +144,7 @@
     if (record.epoch == 0)
       continue;
     history.decided = record.epoch;
-    if (record.verdict == switch_verdict::kCommit)
+    if (record.verdict != switch_verdict::kAbort)
       history.committed = record;
   }
   return history;
@@ -167,8 +176,9 @@
     Put(out, rank.engine.next_step);
     if (rank.lost)
       continue;
-    Put(out, rank.agent.state());
+    Put(out, rank.agent.state(), order);
     Put(out, rank.engine);
+    Put(out, rank.reported ? (rank.reported->boot * 16) + rank.reported->decided + 1 : 0);
     Put(out, rank.orders.size());
     for (const engine_order& sent : rank.orders) {
       for (const std::uint64_t value :
@@ -194,13 +204,16 @@
                                       counts ? reorder(state.prepared) : 0,
                                       counts ? reorder(state.promised) : 0, steps ? state.step : 0})
       Put(out, value);
-    Put(out, state.outcome);
+    Put(out, state.outcome, order);
   }
   std::array<message, 48> sorted;
   const auto end =
       std::transform(messages.begin(), messages.end(), sorted.begin(), [&](message sent) {
         if (sent.what == message::kind::kPrepared || sent.what == message::kind::kPromised)
           sent.rank = place[sent.rank];
+        const auto boots = sent.boots;
+        for (int i = 0; i < bounds.ranks; ++i)
+          sent.boots[i] = boots[order[i]];
         return sent;
       });
   std::sort(sorted.begin(), end);
@@ -208,16 +221,19 @@
     for (const std::uint64_t value :
          {static_cast<std::uint64_t>(sent->what), static_cast<std::uint64_t>(sent->rank),
           static_cast<std::uint64_t>(sent->epoch), static_cast<std::uint64_t>(sent->coordinator),
-          static_cast<std::uint64_t>(sent->step), static_cast<std::uint64_t>(sent->commit),
+          static_cast<std::uint64_t>(sent->step), static_cast<std::uint64_t>(sent->verdict),
           static_cast<std::uint64_t>(sent->map)})
       Put(out, value);
+    for (int i = 0; i < bounds.ranks; ++i)
+      Put(out, sent->boots[i]);
   }
   Put(out, 255);
   for (const switch_decision& record : records)
-    Put(out, record);
+    Put(out, record, order);
   for (const std::uint64_t value :
        {static_cast<std::uint64_t>(crashes), static_cast<std::uint64_t>(restarts),
         static_cast<std::uint64_t>(losses), static_cast<std::uint64_t>(suspicions),
+        static_cast<std::uint64_t>(reboots), static_cast<std::uint64_t>(restart_records),
         static_cast<std::uint64_t>(give_ups), last_step, last_map})
     Put(out, value);
 }
--- a/libs/experts/tests/switch_world.h
+++ b/libs/experts/tests/switch_world.h
@@ -3,11 +3,13 @@
 #include <array>
 #include <boost/container/static_vector.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <variant>
 #include <vector>
 
+#include "quincebank/experts/group_restart.h"
 #include "quincebank/experts/switch_agent.h"
 #include "quincebank/experts/switch_coordinator.h"
 
@@ -27,6 +29,7 @@
   int agent_restarts = 0;
   int rank_losses = 0;
   int wrong_suspicions = 0;  ///< Agents that take a live coordinator for gone.
+  int group_reboots = 0;     ///< Restarts of all engines at once.
   int order_copies = 1;      ///< Copies of one order that are in flight at a time.
   bool engines_check_fences = false;
   /// Deadlines that pass; refusals count as such. Only without a bound do all groups settle.
@@ -66,6 +69,7 @@
 
 /// \brief Engine that executes orders in the order of arrival.
 struct engine_model {
+  std::uint8_t boot = 0;
   step_number next_step = 0;
   map_epoch active = 0;
   map_epoch pending = 0;
@@ -96,14 +100,15 @@
   std::uint8_t epoch = 0;
   std::uint8_t coordinator = 0;
   std::uint8_t step = 0;
-  bool commit = false;
+  switch_verdict verdict = switch_verdict::kAbort;
   std::uint8_t map = 0;
+  std::array<std::uint8_t, kMaxRanks> boots{};  ///< In a restart record, by rank.
 
   [[nodiscard]] bool operator==(const message&) const noexcept = default;
   [[nodiscard]] bool operator<(const message& other) const noexcept {
-    return std::tie(what, rank, epoch, coordinator, step, commit, map) <
+    return std::tie(what, rank, epoch, coordinator, step, verdict, map, boots) <
            std::tie(other.what, other.rank, other.epoch, other.coordinator, other.step,
-                    other.commit, other.map);
+                    other.verdict, other.map, other.boots);
   }
 };
 
@@ -112,6 +117,7 @@
   engine_model engine;
   boost::container::static_vector<engine_order, 10> orders;  // In flight; each arrives once.
   bool lost = false;
+  std::optional<rank_condition> reported;  ///< Last report of a lost engine.
 };
 
 struct coordinator_model {
@@ -130,6 +136,8 @@
   int restarts = 0;
   int losses = 0;
   int suspicions = 0;
+  int reboots = 0;
+  int restart_records = 0;    // Create requests for restart records.
   int give_ups = 0;           // Counted only if bounded.
   step_number last_step = 0;  // Highest step started plus 1, and the map that it uses.
   map_epoch last_map = 0;
@@ -170,7 +178,7 @@
       switch_agent& agent,
       const switch_history& /*history*/,
       const switch_decision& /*last_record*/) const {
-    agent = switch_agent();
+    agent = switch_agent(agent.rank());
     return Agent(agent, start_event{});
   }
 };
--- a/libs/standins/src/rank_group_standin.cc
+++ b/libs/standins/src/rank_group_standin.cc
@@ -61,7 +61,16 @@
   }
 
  private:
-  [[nodiscard]] std::uint64_t Boot() const noexcept { return settings_.seed + 1; }
+  [[nodiscard]] std::uint64_t Boot() const noexcept { return settings_.seed + 1 + reboots_; }
+
+  /// All engines start again with their initial map. Orders under way are executed later.
+  void Reboot() {
+    ++reboots_;
+    steps_ = 0;
+    ranks_.assign(ranks_.size(), rank_model());
+    for (std::vector<std::int64_t>& layer : tokens_)
+      std::fill(layer.begin(), layer.end(), 0);
+  }
 
   template <typename Task>
   void Spawn(Task task) {
@@ -221,6 +230,8 @@
       late_ = reader.Millis("late_ms", {0, 60'000}, late_);
       hot_expert_ = reader.Int("hot_expert", kCount, hot_expert_);
       hot_tokens_ = reader.Int("hot_tokens", kCount, hot_tokens_);
+      if (reader.Bool("reboot", false))
+        Reboot();
     });
   }
 
@@ -231,6 +242,7 @@
   std::atomic<int> fibers_{0};
   bool running_ = false;
   bool stalled_ = false;
+  std::uint64_t reboots_ = 0;
   std::uint64_t steps_ = 0;
   std::uint64_t mixed_ = 0;
   std::uint64_t stalls_ = 0;
--- a/tests/process/experts_test.cc
+++ b/tests/process/experts_test.cc
@@ -151,6 +151,47 @@
   }
 }
 
+struct reboot_case {
+  const char* name;
+  const char* phase;     ///< Of some rank when the engines restart; empty for no change under way.
+  const char* switches;  ///< For the rank group, before the restart.
+
+  friend void PrintTo(const reboot_case& c, std::ostream* out) { *out << c.name; }
+};
+
+class reboot_process_test : public experts_process_test,
+                            public testing::WithParamInterface<reboot_case> {};
+
+// Guards against a group that never changes its map again after all its engines have restarted, and
+// against orders from before the restart that change the map of some ranks.
+TEST_P(reboot_process_test, GroupGoesOnAfterARestartOfAllEngines) {
+  StartGroup({"--ignores-fencing"});
+  ASSERT_TRUE(WaitForEpochAbove(0));
+  const std::int64_t before = Epoch();
+  system().Control("ranks", GetParam().switches);
+  if (*GetParam().phase != '\0') {
+    Shift();
+    ASSERT_TRUE(WaitForPhase({GetParam().phase}));
+  }
+  system().Control("ranks", R"({"reboot": true, "late_answers": 0})");
+  ASSERT_EQ(Epoch(), 0);
+  // The next epoch of the group is that of the restart record.
+  ASSERT_TRUE(deployment::WaitUntil([&] { return Phase(0) == "idle" && Epoch() == 0; }, kPatience))
+      << boost::json::serialize(Status(0));
+  ExpectLaterChange();
+  EXPECT_GT(Epoch(), before + 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Restarts,
+    reboot_process_test,
+    testing::Values(reboot_case{"idle", "", "{}"},
+                    reboot_case{"staging", "staging", R"({"late_answers": 1000, "late_ms": 800})"},
+                    reboot_case{"holding", "holding", R"({"late_answers": 1000, "late_ms": 800})"},
+                    reboot_case{"late_orders", "staging",
+                                R"({"late_orders": 3, "late_ms": 1500})"}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 struct engine_fault {
   const char* name;
   const char* switches;
