--- a/libs/experts/tests/switch_moves.cc
+++ b/libs/experts/tests/switch_moves.cc
@@ -163,6 +163,7 @@
     if (from_.restart_records >= from_.reboots)
       return;
     std::vector<rank_condition> ranks;
+    ranks.reserve(kMaxRanks);
     for (int r = 0; r < bounds_.ranks; ++r)
       ranks.push_back(from_.ranks[r].reported.value_or(rank_condition{}));
     const auto record = PlanGroupRestart(from_.History(), ranks);
