Estimate the speed of each rank from its step times

The planner could use unequal speeds, but nothing measured them. Engines now report the time of their own part of the steps; the rank-group stand-in does so from the tokens that its experts handle under the map in use, with a slow rank by option and by control call. Counts are those of the experts of a rank and no longer those of its batch: the sum over the ranks is the same.

AddSamples and EstimateSpeed (rank_speed.h) compare each rank with the median rank. Medians withstand stalls, the noise is the larger one of the rank's and the group's, and the estimate stays unless the samples differ by five standard errors.

--- a/bench/experts/main.cc
+++ b/bench/experts/main.cc
@@ -5,33 +5,43 @@
 
 #include "capacity_table.h"
 #include "drift_table.h"
+#include "straggler_table.h"
 
 namespace {
 
 constexpr int kLayers = 4;
 
 constexpr const char* kUsage =
-    "Usage: bench_experts [--capacity]\n"
+    "Usage: bench_experts [--capacity | --stragglers]\n"
     "  (none)      balance and moved bytes under drift, against the baselines\n"
-    "  --capacity  planning time, memory and size of the map for several group sizes\n";
+    "  --capacity  planning time, memory and size of the map for several group sizes\n"
+    "  --stragglers  estimated against equal and known speeds of the ranks\n";
 
 }  // namespace
 
 int main(int argc, char** argv) {
   bool capacity = false;
+  bool stragglers = false;
   const option options[] = {{"capacity", no_argument, nullptr, 'c'},
+                            {"stragglers", no_argument, nullptr, 's'},
                             {"help", no_argument, nullptr, 'h'},
                             {nullptr, 0, nullptr, 0}};
-  for (int choice = 0; (choice = getopt_long(argc, argv, "ch", options, nullptr)) != -1;) {
+  for (int choice = 0; (choice = getopt_long(argc, argv, "csh", options, nullptr)) != -1;) {
     if (choice == 'c') {
       capacity = true;
       continue;
     }
+    if (choice == 's') {
+      stragglers = true;
+      continue;
+    }
     std::fputs(kUsage, choice == 'h' ? stdout : stderr);
     return choice == 'h' ? 0 : 2;
   }
   if (capacity) {
     quincebank::bench::PrintCapacityTable();
+  } else if (stragglers) {
+    quincebank::bench::PrintStragglerTable(kLayers);
   } else {
     quincebank::bench::PrintDriftTable(kLayers);
   }
--- a/libs/experts/include/quincebank/experts/rebalance.h
+++ b/libs/experts/include/quincebank/experts/rebalance.h
@@ -7,6 +7,7 @@
 #include "quincebank/base/error.h"
 #include "quincebank/base/time.h"
 #include "quincebank/experts/expert_map.h"
+#include "quincebank/experts/rank_speed.h"
 
 namespace quincebank {
 
@@ -38,6 +39,8 @@
   rebalance_settings settings;
   expert_map current;                ///< No layers if the group has no map yet.
   std::vector<std::int64_t> speeds;  ///< Of each rank, in `kSpeedUnit` parts; 0 takes no load.
+  /// What `speeds` were estimated from; empty if they were not.
+  std::vector<speed_history> speed_histories;
   std::vector<layer_popularity> popularity;
   std::int64_t steps_since_change = 0;
 
--- a/libs/experts/src/plan_json.cc
+++ b/libs/experts/src/plan_json.cc
@@ -14,6 +14,7 @@
 
 constexpr std::int64_t kMaxInt = std::numeric_limits<std::int64_t>::max();
 constexpr std::int64_t kMaxDimension = 65'535;
+constexpr std::int64_t kMaxSpeedSample = 1'000'000;
 
 template <typename T>
 json::array ToArray(const std::vector<T>& values) {
@@ -89,6 +90,43 @@
   return map;
 }
 
+json::array HistoriesToJson(const std::vector<speed_history>& histories) {
+  json::array array;
+  for (const speed_history& history : histories) {
+    array.push_back(json::object{{"samples", ToArray(history.samples)},
+                                 {"before", history.before},
+                                 {"missed", history.missed},
+                                 {"noise", history.noise},
+                                 {"group_noise", history.group_noise},
+                                 {"after_jump", history.after_jump}});
+  }
+  return array;
+}
+
+std::vector<speed_history> ReadHistories(const json::object& object, json_reader& parent) {
+  std::vector<speed_history> histories;
+  parent.Each("speed_histories", [&](json_reader& reader) {
+    const json::value& entry = object.at("speed_histories").get_array()[histories.size()];
+    speed_history& history = histories.emplace_back();
+    if (!entry.is_object())
+      return;
+    history.samples =
+        ReadArray<std::int64_t>(entry.get_object(), "samples", reader, kMaxSpeedSample);
+    history.before = reader.Int("before", {0, kMaxSpeedSample});
+    history.missed = reader.Int("missed", {0, kMaxInt});
+    history.noise = reader.Int("noise", {1, kMaxSpeedSample});
+    history.group_noise = reader.Int("group_noise", {0, kMaxSpeedSample});
+    history.after_jump = reader.Bool("after_jump", false);
+  });
+  return histories;
+}
+
+/// The estimate is a part of the decision, so it is replayed and compared as well.
+void AddEstimatedSpeeds(json::object& outcome, const plan_input& input) {
+  if (!input.speed_histories.empty())
+    outcome["speeds"] = ToArray(input.speeds);
+}
+
 /// One number of the settings, found by a pointer to its member.
 struct count_field {
   const char* key;
@@ -152,6 +190,8 @@
                       {"speeds", ToArray(input.speeds)},
                       {"popularity", std::move(popularity)},
                       {"steps_since_change", input.steps_since_change}};
+  if (!input.speed_histories.empty())
+    object["speed_histories"] = HistoriesToJson(input.speed_histories);
   if (!input.current.layers.empty())
     object["current"] = ToJson(input.current);
   return object;
@@ -185,6 +225,7 @@
     settings.Finish();
   });
   plan.input.speeds = ReadArray<std::int64_t>(object, "speeds", reader, kMaxInt);
+  plan.input.speed_histories = ReadHistories(object, reader);
   EachObject(object, "popularity", [&](const json::object& layer) {
     plan.input.popularity.push_back({ReadArray<std::int64_t>(layer, "smoothed", reader, kMaxInt),
                                      ReadArray<std::int64_t>(layer, "recent", reader, kMaxInt),
@@ -208,15 +249,20 @@
   record.kind = kPlanRecordKind;
   record.input = ToJson(shape, input);
   record.outcome = ToJson(outcome);
+  AddEstimatedSpeeds(record.outcome, input);
   return record;
 }
 
 result<json::object> ReplayPlan(const decision_record& record) {
   if (record.kind != kPlanRecordKind)
     return MakeError(error_code::kInvalidArgument, "not a record of an expert map decision");
-  BOOST_OUTCOME_TRY(const recorded_plan plan, PlanInputFromJson(record.input));
+  BOOST_OUTCOME_TRY(recorded_plan plan, PlanInputFromJson(record.input));
+  if (!plan.input.speed_histories.empty())
+    plan.input.speeds = EstimateSpeeds(plan.input.speed_histories);
   BOOST_OUTCOME_TRY(const plan_outcome outcome, PlanRebalance(plan.shape, plan.input));
-  return ToJson(outcome);
+  json::object replayed = ToJson(outcome);
+  AddEstimatedSpeeds(replayed, plan.input);
+  return replayed;
 }
 
 }  // namespace quincebank
--- a/libs/experts/tests/rebalance_test.cc
+++ b/libs/experts/tests/rebalance_test.cc
@@ -217,5 +217,29 @@
         rate_case{"trend", [](int window) { return 50.0 + window; }, 109, 2}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against records from which the estimated speeds can't be computed again, and against a
+// replay that takes the recorded speeds for granted.
+TEST(plan_record_test, SpeedsAreReplayedFromTheirHistories) {
+  plan_input input = Settled();
+  for (const std::int64_t speed : input.speeds)
+    input.speed_histories.push_back(
+        {std::vector<std::int64_t>(24, speed), 990, 0, 900, 1000, true});
+  input.speed_histories[2].missed = 1;
+  input.speeds = EstimateSpeeds(input.speed_histories);
+  const decision_record record =
+      RecordPlan("g", kShape, input, PlanRebalance(kShape, input).value());
+  decision_record read =
+      RecordFromJson(ParseJson(boost::json::serialize(ToJson(record))).value().get_object());
+  EXPECT_EQ(PlanInputFromJson(read.input).value().input, input);
+  EXPECT_EQ(ReplayPlan(read).value(), record.outcome);
+  read.input["speeds"] = boost::json::array(8, 1000);
+  EXPECT_EQ(ReplayPlan(read).value(), record.outcome);
+  read.input["speed_histories"].get_array()[2].get_object()["samples"] =
+      boost::json::array(24, 1000);
+  EXPECT_NE(ReplayPlan(read).value(), record.outcome);
+  read.input["speed_histories"].get_array()[2].get_object()["samples"] = "none";
+  EXPECT_FALSE(ReplayPlan(read).has_value());
+}
+
 }  // namespace
 }  // namespace quincebank
--- a/libs/standins/include/quincebank/standins/standin.h
+++ b/libs/standins/include/quincebank/standins/standin.h
@@ -24,6 +24,8 @@
   int layers = 2;                  ///< Rank group: layers with experts.
   int experts = 16;                ///< Rank group: experts of a layer.
   milliseconds step_time{2};       ///< Rank group: time of one step.
+  int slow_rank = 0;               ///< Rank group: rank that `slow_permille` is about.
+  int slow_permille = 1000;        ///< Rank group: speed of that rank, in thousandths.
   bool checks_fencing = true;  ///< Engine, rank group: refuses orders with an old fencing token.
 };
 
--- a/libs/standins/src/rank_group_standin.cc
+++ b/libs/standins/src/rank_group_standin.cc
@@ -12,6 +12,7 @@
 #include "http_reply.h"
 #include "quincebank/net/net.h"
 #include "quincebank/standins/standin.h"
+#include "rank_load.h"
 #include "rank_model.h"
 
 namespace quincebank {
@@ -22,7 +23,10 @@
 constexpr std::string_view kRanksPrefix = "/ranks/";
 constexpr int_range kAny{};
 constexpr int_range kCount{0, 1'000'000};
+constexpr int_range kPermille{1, 10'000};
+constexpr int_range kRankOrNone{-1, 1'000'000};
 constexpr std::int64_t kBaseTokens = 100;  // Of each rank, step and expert.
+constexpr std::int64_t kNormalPermille = 1'000;
 
 /// All ranks of one group in lock-step. A step begins at a rank once all ranks have ended the one
 /// before, so that ranks differ by at most one started step.
@@ -32,7 +36,15 @@
       : settings_(settings),
         ranks_(static_cast<std::size_t>(settings.ranks)),
         tokens_(static_cast<std::size_t>(settings.layers),
-                std::vector<std::int64_t>(static_cast<std::size_t>(settings.experts))) {}
+                std::vector<std::int64_t>(static_cast<std::size_t>(settings.experts))),
+        slow_rank_(settings.slow_rank),
+        slow_permille_(settings.slow_permille) {
+    for (std::size_t rank = 0; rank < ranks_.size(); ++rank) {
+      loads_.emplace_back(tokens_.size(), tokens_.front().size(), settings.seed + rank);
+      first_shares_.push_back(
+          FirstShares(rank, ranks_.size(), tokens_.size(), tokens_.front().size()));
+    }
+  }
 
   ~rank_group_standin() override {
     stop_.Set();
@@ -100,11 +112,19 @@
       return rank.active() != first.active() || rank.active_map() != first.active_map();
     });
     mixed_ += mixed ? 1 : 0;
+    const auto ranks = static_cast<std::int64_t>(ranks_.size());
     for (std::vector<std::int64_t>& layer : tokens_) {
-      for (std::int64_t& count : layer)
-        count += kBaseTokens;
+      std::fill(layer.begin(), layer.end(), kBaseTokens * ranks);
       if (hot_tokens_ > 0)
-        layer[static_cast<std::size_t>(hot_expert_) % layer.size()] += hot_tokens_;
+        layer[static_cast<std::size_t>(hot_expert_) % layer.size()] += hot_tokens_ * ranks;
+    }
+    for (std::size_t rank = 0; rank < ranks_.size(); ++rank) {
+      const rank_shares* const shares = ranks_[rank].active_shares();
+      const bool slow = static_cast<std::int64_t>(rank) == slow_rank_;
+      loads_[rank].AddStep(shares == nullptr ? first_shares_[rank] : *shares, tokens_,
+                           slow ? slow_permille_ : kNormalPermille);
+      if (slow && stall_ns_ > 0)
+        loads_[rank].Stall(std::exchange(stall_ns_, 0));
     }
   }
 
@@ -121,7 +141,7 @@
     if (what == "/view" && method == "GET") {
       ReplyJson(exchange, 200, View(ranks_[index]));
     } else if (what == "/tokens" && method == "GET") {
-      ReplyJson(exchange, 200, Tokens());
+      ReplyJson(exchange, 200, Tokens(index));
     } else if (what == "/orders" && method == "POST") {
       Order(exchange, index);
     } else {
@@ -144,12 +164,26 @@
             {"epochs", std::move(epochs)}};
   }
 
-  /// Tokens of the rank's own batch by layer and expert, since the start.
-  [[nodiscard]] json::object Tokens() const {
+  /// Tokens that the rank's experts have handled since the start, and the time that it took.
+  [[nodiscard]] json::object Tokens(std::size_t rank) const {
     json::array layers;
-    for (const std::vector<std::int64_t>& layer : tokens_)
+    for (const std::vector<std::int64_t>& layer : loads_[rank].Tokens())
       layers.push_back(json::array(layer.begin(), layer.end()));
-    return {{"steps", steps_}, {"layers", std::move(layers)}};
+    json::object object{{"steps", steps_}, {"layers", std::move(layers)}};
+    if (static_cast<std::int64_t>(rank) != untimed_rank_)
+      object["busy_ns"] = loads_[rank].busy_ns();
+    return object;
+  }
+
+  /// Reads the map of a stage order, if it has one that fits.
+  [[nodiscard]] std::shared_ptr<const rank_shares> ReadPlacement(const json::value& body,
+                                                                 std::size_t rank) const {
+    const json::object* const object = body.if_object();
+    const json::value* const map = object ? object->if_contains("placement") : nullptr;
+    if (map == nullptr)
+      return nullptr;
+    auto shares = ReadShares(*map, rank, ranks_.size(), tokens_.size(), tokens_.front().size());
+    return shares ? std::make_shared<const rank_shares>(std::move(*shares)) : nullptr;
   }
 
   void Order(http_exchange& exchange, std::size_t index) {
@@ -166,6 +200,7 @@
     order.step = static_cast<std::uint64_t>(reader.Int("step", kAny));
     order.fence = static_cast<std::uint64_t>(reader.Int("fence", kAny));
     order.map = reader.String("map", "");
+    order.shares = ReadPlacement(parsed.value(), index);
     if (!errors.empty()) {
       ReplyError(exchange, 400, Describe(JoinErrors(errors)));
       return;
@@ -199,10 +234,16 @@
     if (exchange.request().method == "GET") {
       json::array maps;
       json::array since;
+      json::array handled;
+      json::array busy;
       for (const rank_model& rank : ranks_) {
         maps.push_back(rank.active());
         since.push_back(rank.active_since());
       }
+      for (const rank_load& load : loads_) {
+        handled.push_back(load.handled());
+        busy.push_back(load.busy_ns());
+      }
       ReplyJson(exchange, 200,
                 json::object{{"steps", steps_},
                              {"mixed_steps", mixed_},
@@ -210,7 +251,9 @@
                              {"stalled_ticks", stalled_ticks_},
                              {"orders", orders_},
                              {"maps", std::move(maps)},
-                             {"since", std::move(since)}});
+                             {"since", std::move(since)},
+                             {"handled", std::move(handled)},
+                             {"busy_ns", std::move(busy)}});
       return;
     }
     ReadControl(exchange, [&](json_reader& reader) {
@@ -221,12 +264,18 @@
       late_ = reader.Millis("late_ms", {0, 60'000}, late_);
       hot_expert_ = reader.Int("hot_expert", kCount, hot_expert_);
       hot_tokens_ = reader.Int("hot_tokens", kCount, hot_tokens_);
+      slow_rank_ = reader.Int("slow_rank", kCount, slow_rank_);
+      slow_permille_ = reader.Int("slow_permille", kPermille, slow_permille_);
+      untimed_rank_ = reader.Int("untimed_rank", kRankOrNone, untimed_rank_);
+      stall_ns_ = std::chrono::nanoseconds(reader.Millis("stall_ms", {0, 60'000}, {})).count();
     });
   }
 
   const standin_settings settings_;
   std::vector<rank_model> ranks_;
-  std::vector<std::vector<std::int64_t>> tokens_;
+  std::vector<std::vector<std::int64_t>> tokens_;  // Of one step, for each layer and expert.
+  std::vector<rank_load> loads_;
+  std::vector<rank_shares> first_shares_;
   stop_signal stop_;
   std::atomic<int> fibers_{0};
   bool running_ = false;
@@ -243,6 +292,10 @@
   milliseconds late_{0};
   std::int64_t hot_expert_ = 0;
   std::int64_t hot_tokens_ = 0;
+  std::int64_t slow_rank_;
+  std::int64_t slow_permille_;
+  std::int64_t untimed_rank_ = -1;  // Reports no times, like an engine that can't measure them.
+  std::int64_t stall_ns_ = 0;       // Added to the next step of the slow rank.
 };
 
 }  // namespace
--- a/libs/standins/src/rank_model.cc
+++ b/libs/standins/src/rank_model.cc
@@ -12,6 +12,7 @@
     epoch_state& entry = epochs_[order.epoch];
     entry.staged = true;
     entry.map = order.map;
+    entry.shares = order.shares;
     return true;
   }
   if (order.kind == "hold") {
@@ -27,6 +28,7 @@
     pending_ = order.epoch;
     pending_step_ = order.step;
     pending_map_ = found->second.map;
+    pending_shares_ = found->second.shares;
     epochs_.erase(found);
     return true;
   }
@@ -44,6 +46,7 @@
   if (pending_ != 0 && next_step_ >= pending_step_) {
     active_ = pending_;
     active_map_ = pending_map_;
+    active_shares_ = pending_shares_;
     active_since_ = next_step_;
     pending_ = 0;
   }
--- a/libs/standins/src/rank_model.h
+++ b/libs/standins/src/rank_model.h
@@ -2,10 +2,13 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "rank_load.h"
+
 namespace quincebank {
 
 /// \brief Order to the engine of one rank.
@@ -14,7 +17,8 @@
   std::uint64_t epoch = 0;
   std::uint64_t step = 0;
   std::uint64_t fence = 0;
-  std::string map;  ///< Digest of the map; for `stage`.
+  std::string map;                            ///< Digest of the map; for `stage`.
+  std::shared_ptr<const rank_shares> shares;  ///< Of this rank under the map; for `stage`.
 };
 
 /// \brief Engine of one rank: staged maps and holds by epoch, the map in use, and the next one.
@@ -26,6 +30,7 @@
   struct epoch_state {
     bool staged = false;
     std::string map;
+    std::shared_ptr<const rank_shares> shares;
     std::optional<std::uint64_t> hold;
   };
 
@@ -40,6 +45,8 @@
   [[nodiscard]] std::uint64_t active() const noexcept { return active_; }
   [[nodiscard]] std::uint64_t active_since() const noexcept { return active_since_; }
   [[nodiscard]] const std::string& active_map() const noexcept { return active_map_; }
+  /// \brief Shares under the active map; null before the first one.
+  [[nodiscard]] const rank_shares* active_shares() const noexcept { return active_shares_.get(); }
   [[nodiscard]] std::uint64_t pending() const noexcept { return pending_; }
   [[nodiscard]] const std::map<std::uint64_t, epoch_state>& epochs() const noexcept {
     return epochs_;
@@ -50,9 +57,11 @@
   std::uint64_t active_ = 0;
   std::uint64_t active_since_ = 0;  // First step on the active map.
   std::string active_map_;
+  std::shared_ptr<const rank_shares> active_shares_;
   std::uint64_t pending_ = 0;
   std::uint64_t pending_step_ = 0;
   std::string pending_map_;
+  std::shared_ptr<const rank_shares> pending_shares_;
   std::uint64_t fence_ = 0;
   std::map<std::uint64_t, epoch_state> epochs_;
 };
--- a/programs/standin/main.cc
+++ b/programs/standin/main.cc
@@ -17,6 +17,7 @@
 constexpr long long kMostRequests = 1'000'000;
 constexpr long long kMostRanks = 64;
 constexpr long long kMostExperts = 4'096;
+constexpr long long kMostPermille = 10'000;
 
 struct standin_options {
   std::string role;
@@ -34,6 +35,8 @@
   long long layers = 2;
   long long experts = 16;
   long long step_ms = 2;
+  long long slow_rank = 0;
+  long long slow_permille = 1'000;
   bool ignores_fencing = false;
 };
 
@@ -60,6 +63,10 @@
       NumberOption("layers", "rank-group: layers with experts", 1, kMostExperts, options.layers),
       NumberOption("experts", "rank-group: experts of a layer", 1, kMostExperts, options.experts),
       NumberOption("step-ms", "rank-group: time of one step", 1, kLongestMs, options.step_ms),
+      NumberOption("slow-rank", "rank-group: rank with a speed of its own", 0, kMostRanks - 1,
+                   options.slow_rank),
+      NumberOption("slow-permille", "rank-group: speed of that rank in thousandths", 1,
+                   kMostPermille, options.slow_permille),
       FlagOption("ignores-fencing", "engine, rank-group: accepts orders with an old fencing token",
                  options.ignores_fencing),
   };
@@ -79,6 +86,8 @@
   settings.layers = static_cast<int>(options.layers);
   settings.experts = static_cast<int>(options.experts);
   settings.step_time = milliseconds(options.step_ms);
+  settings.slow_rank = static_cast<int>(options.slow_rank);
+  settings.slow_permille = static_cast<int>(options.slow_permille);
   settings.checks_fencing = !options.ignores_fencing;
   return settings;
 }
