Bring token counts to the coordinator in bounded reports

The counts of all layers travelled at once, so windows grew to 32 s at 4 layers and 464 s at 58 (32 ranks x 256 experts). Each agent now answers experts.counts with a report of at most 384 bytes: the largest significant changes first, all counters in rotation, rates in one byte, exact totals of steps, tokens and busy time. Receipts make lost reports good; a new agent, engine, coordinator or map starts a new series. A plan waits up to two windows for a sudden change to show in full.

Speeds of the ranks now come from the totals in the reports; a process test slows one rank and sees its share fall and come back.

--- a/bench/experts/main.cc
+++ b/bench/experts/main.cc
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "capacity_table.h"
+#include "counts_table.h"
 #include "drift_table.h"
 #include "straggler_table.h"
 
@@ -12,21 +13,24 @@
 constexpr int kLayers = 4;
 
 constexpr const char* kUsage =
-    "Usage: bench_experts [--capacity | --stragglers]\n"
+    "Usage: bench_experts [--capacity | --stragglers | --counts]\n"
     "  (none)      balance and moved bytes under drift, against the baselines\n"
     "  --capacity  planning time, memory and size of the map for several group sizes\n"
-    "  --stragglers  estimated against equal and known speeds of the ranks\n";
+    "  --stragglers  estimated against equal and known speeds of the ranks\n"
+    "  --counts      bytes, delay and error of the token counts at the coordinator\n";
 
 }  // namespace
 
 int main(int argc, char** argv) {
   bool capacity = false;
   bool stragglers = false;
+  bool counts = false;
   const option options[] = {{"capacity", no_argument, nullptr, 'c'},
                             {"stragglers", no_argument, nullptr, 's'},
+                            {"counts", no_argument, nullptr, 'n'},
                             {"help", no_argument, nullptr, 'h'},
                             {nullptr, 0, nullptr, 0}};
-  for (int choice = 0; (choice = getopt_long(argc, argv, "csh", options, nullptr)) != -1;) {
+  for (int choice = 0; (choice = getopt_long(argc, argv, "csnh", options, nullptr)) != -1;) {
     if (choice == 'c') {
       capacity = true;
       continue;
@@ -35,6 +39,10 @@
       stragglers = true;
       continue;
     }
+    if (choice == 'n') {
+      counts = true;
+      continue;
+    }
     std::fputs(kUsage, choice == 'h' ? stdout : stderr);
     return choice == 'h' ? 0 : 2;
   }
@@ -42,6 +50,8 @@
     quincebank::bench::PrintCapacityTable();
   } else if (stragglers) {
     quincebank::bench::PrintStragglerTable(kLayers);
+  } else if (counts) {
+    quincebank::bench::PrintCountsTable();
   } else {
     quincebank::bench::PrintDriftTable(kLayers);
   }
--- a/libs/expert_group/include/quincebank/expert_group/expert_group_service.h
+++ b/libs/expert_group/include/quincebank/expert_group/expert_group_service.h
@@ -26,8 +26,8 @@
   expert_group_service(const expert_group_service&) = delete;
   expert_group_service& operator=(const expert_group_service&) = delete;
 
-  /// \brief Adds `experts.prepare`, `experts.promise`, `experts.decision`, `experts.withdraw` and
-  /// `experts.status`. Calls may come from any thread but the control thread.
+  /// \brief Adds `experts.prepare`, `experts.promise`, `experts.decision`, `experts.withdraw`,
+  /// `experts.counts` and `experts.status`. Calls may come from any thread but the control thread.
   void AddMethods(rpc_server& rpc);
   /// \brief Called on the control thread.
   void OnConfig(const effective_config& config);
@@ -37,6 +37,7 @@
 
   void Join(const effective_config& config, const expert_group_config& group, int rank);
   [[nodiscard]] result<boost::json::value> Status(const boost::json::object& params);
+  [[nodiscard]] result<boost::json::value> Counts(const boost::json::object& params);
   [[nodiscard]] result<void> CheckGroup(const boost::json::object& params) const;
 
   node_control& node_;
--- a/libs/expert_group/include/quincebank/expert_group/group_coordinator.h
+++ b/libs/expert_group/include/quincebank/expert_group/group_coordinator.h
@@ -9,7 +9,9 @@
 #include "quincebank/config/effective_config.h"
 #include "quincebank/expert_group/map_records.h"
 #include "quincebank/expert_group/messages_json.h"
+#include "quincebank/experts/count_report.h"
 #include "quincebank/experts/popularity.h"
+#include "quincebank/experts/rank_speed.h"
 #include "quincebank/experts/rebalance.h"
 #include "quincebank/node/node_control.h"
 
@@ -39,12 +41,18 @@
 
  private:
   [[nodiscard]] bool HoldLease();
-  /// \brief Time between two collections of token counts.
-  [[nodiscard]] milliseconds Window() const;
   void RunWindow();
-  /// \brief Reads the counts of all agents; false unless all answered and all ranks are idle.
+  /// \brief Reads the reports of all agents; false unless all answered, all ranks are idle on one
+  /// map, and each counter was told since that map is in use.
   [[nodiscard]] bool Collect();
-  void Observe(const token_counts& sum);
+  /// \brief Takes one agent's answer in; false unless it has a report and the rank is idle.
+  [[nodiscard]] bool Take(std::size_t rank, const boost::json::value& answer);
+  /// \brief Adds what the last reports told to the popularity estimate.
+  void Observe();
+  /// \brief Adds the step times of a window to the speed estimates.
+  /// \param reported  ranks with a new report.
+  void ObserveTimes(const std::vector<bool>& reported);
+  void ForgetReports();
   void Plan();
   [[nodiscard]] result<plan_input> PlanInput();
   void Change(const plan_outcome& outcome);
@@ -53,6 +61,13 @@
   /// \brief The group as configured now; its shape and ranks are those of the start.
   [[nodiscard]] expert_group_config Settings() const;
 
+  /// Sums since the start of a rank's engine; no time if it measures none.
+  struct rank_totals {
+    step_number steps = 0;
+    std::uint64_t tokens = 0;
+    std::optional<std::int64_t> busy_ns;
+  };
+
   node_control& node_;
   map_records& records_;
   record_log& plans_;
@@ -63,9 +78,12 @@
   std::string lease_;
   bool leads_ = false;
   std::string hindrance_;  ///< Why the last window made no plan.
-  std::optional<token_counts> last_;
+  std::vector<count_reader> readers_;
+  std::vector<rank_totals> last_totals_;  ///< Of each rank, as read last.
+  std::vector<speed_history> speeds_;
   popularity_estimate estimate_;
   int windows_ = 0;
+  int deferrals_ = 0;  ///< Successive plans put off for a sudden change.
   step_number next_step_ = 0;
   map_digest current_digest_;
   expert_map current_;
--- a/libs/expert_group/include/quincebank/expert_group/messages_json.h
+++ b/libs/expert_group/include/quincebank/expert_group/messages_json.h
@@ -3,11 +3,13 @@
 #include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "quincebank/base/error.h"
+#include "quincebank/experts/count_report.h"
 #include "quincebank/experts/switch_messages.h"
 
 namespace quincebank {
@@ -42,9 +44,11 @@
 /// \brief Body of an order to an engine, without the map of a `stage`.
 [[nodiscard]] boost::json::object ToJson(const engine_order& order);
 
-/// \brief Tokens that one rank has sent to each expert since its engine started.
+/// \brief Tokens that the experts of one rank have handled since its engine started.
 struct token_counts {
   step_number steps = 0;
+  /// Time of the rank's own part of these steps, without waiting for other ranks.
+  std::optional<std::int64_t> busy_ns;
   std::vector<std::vector<std::int64_t>> layers;
 
   [[nodiscard]] bool operator==(const token_counts&) const = default;
@@ -52,4 +56,14 @@
 [[nodiscard]] boost::json::object ToJson(const token_counts& counts);
 [[nodiscard]] result<token_counts> TokenCountsFromJson(const boost::json::value& value);
 
+/// \brief Asks for the next report of token counts.
+struct counts_request {
+  count_receipt receipt;
+  std::int64_t bytes = 0;  ///< Limit of the report, before its text form.
+
+  [[nodiscard]] bool operator==(const counts_request&) const noexcept = default;
+};
+[[nodiscard]] boost::json::object ToJson(const counts_request& request);
+[[nodiscard]] result<counts_request> CountsRequestFromJson(const boost::json::object& params);
+
 }  // namespace quincebank
--- a/libs/expert_group/include/quincebank/expert_group/rank_driver.h
+++ b/libs/expert_group/include/quincebank/expert_group/rank_driver.h
@@ -29,6 +29,8 @@
   void Tick(time_point now);
 
   [[nodiscard]] result<token_counts> Tokens() { return engine_.Tokens(); }
+  /// \brief Epoch of the map that the engine used when it was read last.
+  [[nodiscard]] map_epoch map_in_use() const noexcept { return view_ ? view_->map : 0; }
   /// \brief State for `experts.status`.
   [[nodiscard]] boost::json::object Status() const;
 
--- a/libs/expert_group/include/quincebank/expert_group/switch_runner.h
+++ b/libs/expert_group/include/quincebank/expert_group/switch_runner.h
@@ -21,6 +21,13 @@
     const std::string& method,
     const boost::json::object& params);
 
+/// \brief As above, with other parameters for each agent.
+[[nodiscard]] std::vector<std::optional<boost::json::value>> CallAll(
+    rpc_client& rpc,
+    const std::vector<endpoint>& agents,
+    const std::string& method,
+    const std::vector<boost::json::object>& params);
+
 /// \brief Carries out the actions of one `switch_coordinator`. Used by one fiber.
 class switch_runner {
  public:
--- a/libs/expert_group/src/expert_group_service.cc
+++ b/libs/expert_group/src/expert_group_service.cc
@@ -1,10 +1,14 @@
 #include "quincebank/expert_group/expert_group_service.h"
 
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <utility>
+#include <vector>
 
+#include "quincebank/base/digest.h"
 #include "quincebank/base/json_reader.h"
 #include "quincebank/base/log.h"
+#include "quincebank/experts/count_report.h"
 #include "quincebank/net/run_on.h"
 
 namespace quincebank {
@@ -27,12 +31,14 @@
         rank(index),
         records(service.node_.kv(), config.name),
         driver(engine_client(service.node_.http(), std::move(engine), index), records),
+        encoder(service.self_.value),
         coordinator(service.node_, records, service.plans_, service.self_, config, index) {}
 
   const expert_group_config group;
   const int rank;
   map_records records;
   rank_driver driver;
+  count_encoder encoder;
   group_coordinator coordinator;
 };
 
@@ -119,6 +125,25 @@
   return boost::json::value(std::move(status));
 }
 
+result<boost::json::value> expert_group_service::Counts(const boost::json::object& params) {
+  BOOST_OUTCOME_TRY(const counts_request request, CountsRequestFromJson(params));
+  BOOST_OUTCOME_TRY(token_counts counts, member_->driver.Tokens());
+  const expert_group_config& group = member_->group;
+  const auto fits = [&](const std::vector<std::int64_t>& layer) {
+    return layer.size() == static_cast<std::size_t>(group.experts);
+  };
+  if (counts.layers.size() != static_cast<std::size_t>(group.layers) ||
+      !std::all_of(counts.layers.begin(), counts.layers.end(), fits))
+    return MakeError(error_code::kConflict, "the engine counts other layers or experts");
+  count_reading reading{member_->driver.map_in_use(), counts.steps, counts.busy_ns, {}};
+  for (const std::vector<std::int64_t>& layer : counts.layers)
+    reading.tokens.insert(reading.tokens.end(), layer.begin(), layer.end());
+  const count_report report =
+      member_->encoder.Next(reading, request.receipt, static_cast<std::size_t>(request.bytes));
+  return boost::json::value(boost::json::object{{"phase", member_->driver.Status().at("phase")},
+                                                {"counts", Base64Encode(EncodeReport(report))}});
+}
+
 void expert_group_service::AddMethods(rpc_server& rpc) {
   const auto add = [&](std::string_view name, auto handler) {
     rpc.Add(name, [this, handler](const boost::json::object& params) {
@@ -146,6 +171,7 @@
     member_->driver.Withdraw(message);
     return boost::json::value(boost::json::object{});
   });
+  add("experts.counts", [this](const auto& params) { return Counts(params); });
   add("experts.status", [this](const auto& params) { return Status(params); });
 }
 
--- a/libs/expert_group/src/group_coordinator.cc
+++ b/libs/expert_group/src/group_coordinator.cc
@@ -1,11 +1,15 @@
 #include "quincebank/expert_group/group_coordinator.h"
 
+#include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
+#include <cmath>
 #include <utility>
 
+#include "quincebank/base/digest.h"
 #include "quincebank/base/json_reader.h"
 #include "quincebank/base/log.h"
 #include "quincebank/expert_group/switch_runner.h"
+#include "quincebank/experts/count_budget.h"
 #include "quincebank/experts/plan_json.h"
 #include "quincebank/experts/switch_json.h"
 
@@ -15,13 +19,16 @@
 constexpr logger kLog{"experts"};
 constexpr milliseconds kLeaseTime{10'000};
 constexpr milliseconds kLeaseRenewal{3'000};
-constexpr milliseconds kMinWindow{1'000};
-// A coordinator gets the counts of all ranks in each window. They may take half of the 16 KB/s that
-// control may use on a node, so large groups have longer windows.
-constexpr std::int64_t kCountBytesPerSecond = 8'192;
-constexpr std::int64_t kBytesPerCount = 8;
+/// Rates are whole numbers of tokens in this many steps.
+constexpr std::int64_t kRateSteps = 1'000;
+constexpr std::int64_t kNotTold = -1;
 /// Windows that the popularity estimate needs before a plan is made of it.
 constexpr int kMinWindows = 3;
+/// Windows before a present map is changed: a new coordinator must know a straggler again first.
+constexpr int kMinWindowsWithMap = 6;
+/// Windows that a plan waits for a sudden change to show in full. A plan made too early would put
+/// the rest of the change off by the least time between two changes.
+constexpr int kMaxDeferrals = 2;
 
 }  // namespace
 
@@ -38,7 +45,10 @@
       group_(group),
       rank_(rank),
       rpc_(node.http()),
-      estimate_(group.layers, group.experts) {}
+      speeds_(group.ranks.size()),
+      estimate_(group.layers, group.experts) {
+  ForgetReports();
+}
 
 group_shape group_coordinator::Shape() const noexcept {
   return {group_.layers, static_cast<int>(group_.ranks.size()), group_.experts,
@@ -82,12 +92,6 @@
   }
 }
 
-milliseconds group_coordinator::Window() const {
-  const std::int64_t counts = static_cast<std::int64_t>(group_.ranks.size()) * group_.layers *
-                              static_cast<std::int64_t>(group_.experts);
-  return std::max(kMinWindow, milliseconds(counts * kBytesPerCount * 1'000 / kCountBytesPerSecond));
-}
-
 bool group_coordinator::HoldLease() {
   if (leads_ && node_.kv().RenewLease(lease_))
     return true;
@@ -108,9 +112,9 @@
 }
 
 void group_coordinator::PlanLoop() {
-  while (!node_.WaitOrStop(Window())) {
+  while (!node_.WaitOrStop(BudgetFor(Shape()).window)) {
     if (!leads_) {
-      last_.reset();
+      ForgetReports();
       hindrance_ = "another agent coordinates";
       continue;
     }
@@ -125,70 +129,102 @@
   Plan();
 }
 
+void group_coordinator::ForgetReports() {
+  const auto counters =
+      static_cast<std::size_t>(group_.layers) * static_cast<std::size_t>(group_.experts);
+  readers_.assign(group_.ranks.size(), count_reader(self_.value, counters));
+  last_totals_.assign(group_.ranks.size(), {});
+}
+
 bool group_coordinator::Collect() {
   const std::vector<endpoint> agents = Agents();
-  const boost::json::object params{{"group", group_.name}, {"tokens", true}};
-  token_counts sum;
-  std::size_t rank = 0;
-  for (const auto& answer : CallAll(rpc_, agents, "experts.status", params)) {
-    const std::string& name = group_.ranks[rank++];
-    const boost::json::object* const status = answer ? answer->if_object() : nullptr;
-    const boost::json::value* const tokens = status ? status->if_contains("tokens") : nullptr;
-    if (tokens == nullptr) {
-      hindrance_ = "no token counts of " + name;
-      return false;
-    }
-    const auto counts = TokenCountsFromJson(*tokens);
-    const boost::json::value* const phase = status->if_contains("phase");
-    if (!counts || phase == nullptr || *phase != "idle") {
-      hindrance_ = name + " is not idle";
-      return false;
-    }
-    if (sum.layers.empty())
-      sum.layers.assign(counts.value().layers.size(),
-                        std::vector<std::int64_t>(static_cast<std::size_t>(group_.experts)));
-    if (counts.value().layers.size() != static_cast<std::size_t>(group_.layers)) {
-      hindrance_ = name + " counts other layers than configured";
-      return false;
-    }
-    sum.steps += counts.value().steps;
-    for (std::size_t layer = 0; layer < sum.layers.size(); ++layer) {
-      const std::vector<std::int64_t>& from = counts.value().layers[layer];
-      if (from.size() != sum.layers[layer].size()) {
-        hindrance_ = name + " counts other experts than configured";
-        return false;
-      }
-      for (std::size_t expert = 0; expert < from.size(); ++expert)
-        sum.layers[layer][expert] += from[expert];
-    }
-  }
   if (agents.empty()) {
     hindrance_ = "a rank is not in the configuration";
     return false;
   }
-  Observe(sum);
+  const std::int64_t bytes = BudgetFor(Shape()).report_bytes;
+  std::vector<boost::json::object> requests;
+  for (const count_reader& reader : readers_) {
+    requests.push_back(ToJson(counts_request{reader.receipt(), bytes}));
+    requests.back()["group"] = group_.name;
+  }
+  std::vector<bool> reported(readers_.size(), false);
+  std::size_t rank = 0;
+  for (const auto& answer : CallAll(rpc_, agents, "experts.counts", requests)) {
+    if (!answer)
+      hindrance_ = "no token counts of " + group_.ranks[rank];
+    else
+      reported[rank] = Take(rank, *answer);
+    ++rank;
+  }
+  ObserveTimes(reported);
+  const std::uint64_t epoch = readers_.front().last().epoch;
+  for (rank = 0; rank < readers_.size(); ++rank) {
+    next_step_ = std::max(next_step_, readers_[rank].last().steps);
+    if (!readers_[rank].complete() && hindrance_.empty())
+      hindrance_ = "not all counts of " + group_.ranks[rank] + " are known yet";
+    if (readers_[rank].last().epoch != epoch && hindrance_.empty())
+      hindrance_ = group_.ranks[rank] + " uses another map";
+  }
+  if (!hindrance_.empty())
+    return false;
+  Observe();
   return true;
 }
 
-void group_coordinator::Observe(const token_counts& sum) {
-  const auto ranks = static_cast<std::int64_t>(group_.ranks.size());
-  next_step_ = sum.steps / static_cast<step_number>(ranks);
-  if (last_ && sum.steps < last_->steps)
-    last_.reset();  // An engine has restarted.
-  if (last_) {
-    // Ranks are read at slightly different steps; the mean number of steps fits the sum.
-    const auto steps = static_cast<std::int64_t>(sum.steps - last_->steps) / ranks;
-    if (steps < 1)
-      return;
-    for (int layer = 0; layer < group_.layers; ++layer) {
-      std::vector<std::int64_t> tokens = sum.layers[static_cast<std::size_t>(layer)];
-      for (std::size_t expert = 0; expert < tokens.size(); ++expert)
-        tokens[expert] -= last_->layers[static_cast<std::size_t>(layer)][expert];
-      estimate_.Observe(layer, tokens, steps);
+bool group_coordinator::Take(std::size_t rank, const boost::json::value& answer) {
+  const std::string& name = group_.ranks[rank];
+  const boost::json::object* const object = answer.if_object();
+  const boost::json::value* const counts = object ? object->if_contains("counts") : nullptr;
+  const boost::json::value* const phase = object ? object->if_contains("phase") : nullptr;
+  const auto bytes = counts != nullptr && counts->is_string()
+                         ? Base64Decode(std::string_view(counts->get_string()))
+                         : std::nullopt;
+  const auto report = bytes ? DecodeReport(*bytes, readers_[rank].rates().size())
+                            : result<count_report>(MakeError(error_code::kInvalidArgument,
+                                                             "no report of token counts"));
+  if (!report) {
+    hindrance_ = name + ": " + report.error().message;
+    return false;
+  }
+  if (phase == nullptr || *phase != "idle")
+    hindrance_ = name + " is not idle";
+  return readers_[rank].Take(report.value());
+}
+
+void group_coordinator::ObserveTimes(const std::vector<bool>& reported) {
+  std::vector<rank_time> times(readers_.size());
+  for (std::size_t rank = 0; rank < times.size(); ++rank) {
+    if (!reported[rank])
+      continue;
+    const count_report& now = readers_[rank].last();
+    const rank_totals before =
+        std::exchange(last_totals_[rank], rank_totals{now.steps, now.tokens, now.busy_ns});
+    // A restarted engine counts from 0; its first window tells nothing.
+    if (!now.busy_ns || !before.busy_ns || now.steps <= before.steps || now.tokens < before.tokens)
+      continue;
+    times[rank] = {*now.busy_ns - *before.busy_ns,
+                   static_cast<std::int64_t>(now.tokens - before.tokens)};
+  }
+  AddSamples(speeds_, MeasureSpeeds(times));
+}
+
+void group_coordinator::Observe() {
+  std::size_t index = 0;
+  for (int layer = 0; layer < group_.layers; ++layer) {
+    std::vector<std::int64_t> tokens;
+    for (int expert = 0; expert < group_.experts; ++expert, ++index) {
+      double rate = 0;
+      bool told = false;
+      for (const count_reader& reader : readers_) {
+        rate += reader.rates()[index];
+        told = told || (reader.fresh()[index] && reader.rates()[index] > 0);
+      }
+      tokens.push_back(told || rate <= 0 ? std::llround(rate * kRateSteps) : kNotTold);
     }
-    ++windows_;
+    estimate_.Observe(layer, tokens, kRateSteps);
   }
-  last_ = sum;
+  ++windows_;
 }
 
 result<plan_input> group_coordinator::PlanInput() {
@@ -206,7 +242,8 @@
   input.settings.horizon_steps = settings.horizon_steps;
   input.settings.min_steps_between_changes = settings.min_steps_between_changes;
   input.current = current_;
-  input.speeds.assign(group_.ranks.size(), kSpeedUnit);
+  input.speed_histories = speeds_;
+  input.speeds = EstimateSpeeds(input.speed_histories);
   for (int layer = 0; layer < group_.layers; ++layer) {
     input.popularity.push_back(
         {estimate_.Smoothed(layer), estimate_.Recent(layer), estimate_.StandardError(layer)});
@@ -222,6 +259,14 @@
     hindrance_ = "no plan: " + input.error().message;
     return;
   }
+  if (!current_.layers.empty() && windows_ < kMinWindowsWithMap)
+    return;
+  if (!current_.layers.empty() && estimate_.expects_jump() && deferrals_ < kMaxDeferrals) {
+    ++deferrals_;
+    hindrance_ = "a sudden change of popularity is not confirmed yet";
+    return;
+  }
+  deferrals_ = 0;
   const auto outcome = PlanRebalance(Shape(), input.value());
   if (!outcome) {
     hindrance_ = "no plan: " + outcome.error().message;
@@ -252,7 +297,9 @@
 }
 
 boost::json::object group_coordinator::Status() const {
-  return {{"leads", leads_},
+  const std::vector<std::int64_t> speeds = EstimateSpeeds(speeds_);
+  return {{"speeds", boost::json::array(speeds.begin(), speeds.end())},
+          {"leads", leads_},
           {"windows", windows_},
           {"hindrance", hindrance_},
           {"last_plan", last_plan_},
--- a/libs/expert_group/src/messages_json.cc
+++ b/libs/expert_group/src/messages_json.cc
@@ -13,6 +13,7 @@
 namespace json = boost::json;
 
 constexpr int_range kAny{};
+constexpr int_range kReportBytes{kMinReportBytes, 65'536};
 constexpr std::array<std::string_view, 4> kAnswerNames{"none", "prepared", "promised", "refused"};
 constexpr std::array<std::string_view, 4> kOrderNames{"stage", "hold", "commit", "release"};
 
@@ -165,7 +166,10 @@
   json::array layers;
   for (const std::vector<std::int64_t>& layer : counts.layers)
     layers.push_back(json::array(layer.begin(), layer.end()));
-  return {{"steps", counts.steps}, {"layers", std::move(layers)}};
+  json::object object{{"steps", counts.steps}, {"layers", std::move(layers)}};
+  if (counts.busy_ns)
+    object["busy_ns"] = *counts.busy_ns;
+  return object;
 }
 
 result<token_counts> TokenCountsFromJson(const json::value& value) {
@@ -176,6 +180,8 @@
   json_reader reader(value, "", errors);
   token_counts counts;
   counts.steps = ReadCount(reader, "steps");
+  if (reader.Has("busy_ns"))
+    counts.busy_ns = reader.Int("busy_ns", kAny);
   if (!errors.empty())
     return JoinErrors(errors);
   const json::value* const layers = value.get_object().if_contains("layers");
@@ -195,4 +201,28 @@
   return counts;
 }
 
+json::object ToJson(const counts_request& request) {
+  return {{"coordinator", ToString(incarnation{request.receipt.coordinator})},
+          {"sender", ToString(incarnation{request.receipt.sender})},
+          {"series", request.receipt.series},
+          {"number", request.receipt.number},
+          {"bytes", request.bytes}};
+}
+
+result<counts_request> CountsRequestFromJson(const json::object& params) {
+  return ReadParams<counts_request>(params, [](json_reader& reader, counts_request& request) {
+    const auto read = [&reader](std::string_view key) -> std::uint64_t {
+      const auto id = ParseIncarnation(reader.String(key));
+      if (!id)
+        reader.Fail(key, "expected 16 hexadecimal digits");
+      return id ? id->value : 0;
+    };
+    request.receipt.coordinator = read("coordinator");
+    request.receipt.sender = read("sender");
+    request.receipt.series = ReadCount(reader, "series");
+    request.receipt.number = ReadCount(reader, "number");
+    request.bytes = reader.Int("bytes", kReportBytes);
+  });
+}
+
 }  // namespace quincebank
--- a/libs/expert_group/src/switch_runner.cc
+++ b/libs/expert_group/src/switch_runner.cc
@@ -22,11 +22,19 @@
                                                        const std::vector<endpoint>& agents,
                                                        const std::string& method,
                                                        const boost::json::object& params) {
+  return CallAll(rpc, agents, method, std::vector<boost::json::object>(agents.size(), params));
+}
+
+std::vector<std::optional<boost::json::value>> CallAll(
+    rpc_client& rpc,
+    const std::vector<endpoint>& agents,
+    const std::string& method,
+    const std::vector<boost::json::object>& params) {
   std::vector<std::optional<boost::json::value>> answers(agents.size());
   std::vector<boost::fibers::fiber> calls;
   for (std::size_t rank = 0; rank < agents.size(); ++rank) {
     calls.emplace_back([&, rank] {
-      auto answer = rpc.Call(agents[rank], method, params, kCallTimeout);
+      auto answer = rpc.Call(agents[rank], method, params[rank], kCallTimeout);
       if (answer)
         answers[rank] = std::move(answer).value();
     });
--- a/libs/expert_group/tests/messages_json_test.cc
+++ b/libs/expert_group/tests/messages_json_test.cc
@@ -27,8 +27,12 @@
   EXPECT_EQ(WithdrawFromJson(Transport(ToJson(withdraw)).get_object()).value(), withdraw);
   const decision_message decision{{7, switch_verdict::kCommit, 99, DigestOfMap("{}")}};
   EXPECT_EQ(DecisionFromJson(Transport(ToJson(decision)).get_object()).value(), decision);
-  const token_counts counts{12, {{1, 2}, {3, 4}}};
+  const token_counts counts{12, 99, {{1, 2}, {3, 4}}};
   EXPECT_EQ(TokenCountsFromJson(Transport(ToJson(counts))).value(), counts);
+  const token_counts untimed{12, std::nullopt, {{1, 2}}};
+  EXPECT_EQ(TokenCountsFromJson(Transport(ToJson(untimed))).value(), untimed);
+  const counts_request request{{0xabcULL, 0xdefULL, 3, 4}, 300};
+  EXPECT_EQ(CountsRequestFromJson(Transport(ToJson(request)).get_object()).value(), request);
   for (const rank_answer_kind kind : {rank_answer_kind::kNone, rank_answer_kind::kPrepared,
                                       rank_answer_kind::kPromised, rank_answer_kind::kRefused}) {
     const rank_answer answer{kind, kChange, 5};
--- a/libs/experts/include/quincebank/experts/popularity.h
+++ b/libs/experts/include/quincebank/experts/popularity.h
@@ -26,6 +26,7 @@
   popularity_estimate(int layers, int experts, popularity_settings settings = {});
 
   /// \brief Adds the token counts of one layer in a window of `steps` steps.
+  /// \param tokens  of each expert; a negative count means that the window told nothing of it.
   void Observe(int layer, std::span<const std::int64_t> tokens, std::int64_t steps);
 
   /// \brief Thousandths of a token per step, smoothed.
@@ -34,6 +35,9 @@
   [[nodiscard]] std::vector<std::int64_t> Recent(int layer) const;
   /// \brief Standard error of the smoothed estimate, in thousandths of a token per step.
   [[nodiscard]] std::vector<std::int64_t> StandardError(int layer) const;
+  /// \brief Returns whether an expert's last window may begin a sudden change, which the next one
+  /// will tell. A plan made now would rest on an estimate halfway between.
+  [[nodiscard]] bool expects_jump() const noexcept;
 
  private:
   struct estimate {
--- a/libs/experts/src/popularity.cc
+++ b/libs/experts/src/popularity.cc
@@ -34,8 +34,11 @@
   if (steps <= 0)
     return;
   const auto first = static_cast<std::size_t>(layer) * static_cast<std::size_t>(experts_);
-  for (std::size_t e = 0; e < tokens.size(); ++e)
+  for (std::size_t e = 0; e < tokens.size(); ++e) {
+    if (tokens[e] < 0)
+      continue;
     Observe(estimates_[first + e], static_cast<double>(tokens[e]) / static_cast<double>(steps));
+  }
 }
 
 void popularity_estimate::Observe(estimate& expert, double rate) const {
@@ -75,6 +78,11 @@
   expert.recent += std::max(alpha_recent_, equal) * (rate - expert.recent);
 }
 
+bool popularity_estimate::expects_jump() const noexcept {
+  return std::any_of(estimates_.begin(), estimates_.end(),
+                     [](const estimate& expert) { return expert.surprises != 0; });
+}
+
 template <typename Read>
 std::vector<std::int64_t> popularity_estimate::Units(int layer, const Read& read) const {
   std::vector<std::int64_t> units;
--- a/libs/experts/tests/rebalance_test.cc
+++ b/libs/experts/tests/rebalance_test.cc
@@ -241,5 +241,23 @@
   EXPECT_FALSE(ReplayPlan(read).has_value());
 }
 
+// Guards against plans from the first window of a sudden change, of which it may show a part only,
+// and against experts that a window tells nothing of.
+TEST(popularity_jump_test, IsExpectedAfterOneSurprise) {
+  popularity_estimate popularity(1, 2);
+  random_source random(3);
+  for (int window = 0; window < 20; ++window) {
+    const std::int64_t noise = static_cast<std::int64_t>(random.Below(20));
+    popularity.Observe(0, std::vector<std::int64_t>{1'000 + noise, 1'000 - noise}, 10);
+  }
+  EXPECT_FALSE(popularity.expects_jump());
+  popularity.Observe(0, std::vector<std::int64_t>{3'000, -1}, 10);
+  EXPECT_TRUE(popularity.expects_jump());
+  popularity.Observe(0, std::vector<std::int64_t>{5'000, -1}, 10);
+  EXPECT_FALSE(popularity.expects_jump());
+  EXPECT_EQ(popularity.Smoothed(0)[0], 500'000);
+  EXPECT_NEAR(static_cast<double>(popularity.Smoothed(0)[1]), 100'000, 2'000);
+}
+
 }  // namespace
 }  // namespace quincebank
--- a/tests/process/experts_test.cc
+++ b/tests/process/experts_test.cc
@@ -1,5 +1,6 @@
 // Expert maps of a rank group, through the running system.
 
+#include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 #include <set>
 
@@ -151,6 +152,76 @@
   }
 }
 
+class straggler_process_test : public experts_process_test {
+ protected:
+  /// Part of the group's tokens that a rank handles in the next 100 steps, in thousandths.
+  [[nodiscard]] std::int64_t Share(int rank) {
+    const std::vector<std::int64_t> before = Numbers("handled");
+    const std::int64_t steps = Counter(system(), "ranks", "steps");
+    if (!deployment::WaitUntil([&] { return Counter(system(), "ranks", "steps") > steps + 100; },
+                               kPatience))
+      return -1;
+    const std::vector<std::int64_t> after = Numbers("handled");
+    std::int64_t all = 0;
+    for (std::size_t i = 0; i < after.size(); ++i)
+      all += after[i] - before[i];
+    return 1000 * (after[rank] - before[rank]) / all;
+  }
+
+  [[nodiscard]] bool WaitForShare(int rank, std::int64_t least, std::int64_t most) {
+    return deployment::WaitUntil(
+        [&] {
+          const std::int64_t share = Share(rank);
+          return share >= least && share <= most;
+        },
+        kPatience);
+  }
+};
+
+// Guards against a slow rank that keeps its full share, so that all ranks wait for it in every
+// step, and against one that has recovered and doesn't get its share back.
+TEST_F(straggler_process_test, SlowRankGetsLessLoadUntilItRecovers) {
+  StartGroup();
+  ASSERT_TRUE(WaitForEpochAbove(0));
+  ASSERT_TRUE(WaitForShare(1, 310, 360)) << boost::json::serialize(Status(0));
+  const std::int64_t before = Epoch();
+  system().Control("ranks", R"({"slow_rank": 1, "slow_permille": 500})");
+  // Speeds 1, 0.5 and 1 make shares of 40, 20 and 40%.
+  ASSERT_TRUE(WaitForShare(1, 180, 230)) << boost::json::serialize(Status(0));
+  EXPECT_GT(Epoch(), before);
+  system().Control("ranks", R"({"slow_permille": 1000})");
+  EXPECT_TRUE(WaitForShare(1, 310, 360)) << boost::json::serialize(Status(0));
+  EXPECT_EQ(Counter(system(), "ranks", "mixed_steps"), 0);
+  const int leader = Leader();
+  ASSERT_GE(leader, 0);
+  const boost::json::object status = Status(leader, R"({"records_since": 0})");
+  for (const boost::json::value& record : status.at("records").get_array()) {
+    const decision_record read = RecordFromJson(record.get_object());
+    EXPECT_TRUE(read.input.contains("speed_histories"));
+    EXPECT_EQ(ReplayPlan(read).value(), read.outcome);
+  }
+}
+
+// Guards against load taken from a rank whose engine reports no times, or that stalled once.
+TEST_F(straggler_process_test, StallsAndMissingTimesChangeNothing) {
+  StartGroup();
+  ASSERT_TRUE(WaitForEpochAbove(0));
+  system().Control("ranks", R"({"slow_rank": 2, "stall_ms": 20000, "untimed_rank": 0})");
+  const int leader = Leader();
+  ASSERT_GE(leader, 0);
+  const auto windows = [&] {
+    const boost::json::object status = Status(leader);
+    const boost::json::value* const part = status.if_contains("coordinator");
+    return part == nullptr ? -1 : part->get_object().at("windows").to_number<std::int64_t>();
+  };
+  const std::int64_t first = windows();
+  ASSERT_GE(first, 0);
+  const std::int64_t epoch = Epoch();
+  ASSERT_TRUE(deployment::WaitUntil([&] { return windows() > first + 8; }, kPatience));
+  EXPECT_EQ(Epoch(), epoch);
+  EXPECT_EQ(Status(leader).at("coordinator").at("speeds"), (boost::json::array{1000, 1000, 1000}));
+}
+
 struct engine_fault {
   const char* name;
   const char* switches;
