--- a/libs/experts/tests/rebalance_test.cc
+++ b/libs/experts/tests/rebalance_test.cc
@@ -217,5 +217,47 @@
         rate_case{"trend", [](int window) { return 50.0 + window; }, 109, 2}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against records from which the estimated speeds can't be computed again, and against a
+// replay that takes the recorded speeds for granted.
+TEST(plan_record_test, SpeedsAreReplayedFromTheirHistories) {
+  plan_input input = Settled();
+  for (const std::int64_t speed : input.speeds)
+    input.speed_histories.push_back(
+        {std::vector<std::int64_t>(24, speed), 990, 0, 900, 1000, true});
+  input.speed_histories[2].missed = 1;
+  input.speeds = EstimateSpeeds(input.speed_histories);
+  const decision_record record =
+      RecordPlan("g", kShape, input, PlanRebalance(kShape, input).value());
+  decision_record read =
+      RecordFromJson(ParseJson(boost::json::serialize(ToJson(record))).value().get_object());
+  EXPECT_EQ(PlanInputFromJson(read.input).value().input, input);
+  EXPECT_EQ(ReplayPlan(read).value(), record.outcome);
+  read.input["speeds"] = boost::json::array(8, 1000);
+  EXPECT_EQ(ReplayPlan(read).value(), record.outcome);
+  read.input["speed_histories"].get_array()[2].get_object()["samples"] =
+      boost::json::array(24, 1000);
+  EXPECT_NE(ReplayPlan(read).value(), record.outcome);
+  read.input["speed_histories"].get_array()[2].get_object()["samples"] = "none";
+  EXPECT_FALSE(ReplayPlan(read).has_value());
+}
+
+// Guards against plans from the first window of a sudden change, of which it may show a part only,
+// and against experts that a window tells nothing of.
+TEST(popularity_jump_test, IsExpectedAfterOneSurprise) {
+  popularity_estimate popularity(1, 2);
+  random_source random(3);
+  for (int window = 0; window < 20; ++window) {
+    const std::int64_t noise = static_cast<std::int64_t>(random.Below(20));
+    popularity.Observe(0, std::vector<std::int64_t>{1'000 + noise, 1'000 - noise}, 10);
+  }
+  EXPECT_FALSE(popularity.expects_jump());
+  popularity.Observe(0, std::vector<std::int64_t>{3'000, -1}, 10);
+  EXPECT_TRUE(popularity.expects_jump());
+  popularity.Observe(0, std::vector<std::int64_t>{5'000, -1}, 10);
+  EXPECT_FALSE(popularity.expects_jump());
+  EXPECT_EQ(popularity.Smoothed(0)[0], 500'000);
+  EXPECT_NEAR(static_cast<double>(popularity.Smoothed(0)[1]), 100'000, 2'000);
+}
+
 }  // namespace
 }  // namespace quincebank
