Apply the claim retention of the configuration and reduce old claims

Entries, agents, the claim writer and forwarded claims now follow the setting. Nodes hold different versions for a while, so erasing and accepting keys no longer depend on the same value: a sweeper raises a durable floor by compare-and-swap and erases time slices only below it, and an entry accepts a key older than 1 h only if the floor, read after its claim was written, lies below the key. Claims of keys without a time carry the end of the retention that they were promised. An agent shortens its horizon only once the claims made under the longer one can be gone, and never takes an attempt that it may have dropped for one never seen. The setting is limited to 1 h to 7 days in whole seconds.

The sweeper also reduces claims whose attempt is older than 90 min to 32 bits that say 'used'.

Replaced tests: the erasure on creation of a bucket is gone with its two tests; the sweeper's tests cover the same failures (a young slice erased, an old one left behind, one erased again and again). The test on an old key looks for the new message. Expiry of single claims is tested on the stored end, and the writer's test shows that it never touches time slices.

--- a/bench/claims/main.cc
+++ b/bench/claims/main.cc
@@ -8,6 +8,7 @@
 #include "outage.h"
 #include "quincebank/idempotency/claim_bucket.h"
 #include "quincebank/idempotency/retention.h"
+#include "space.h"
 #include "store_load.h"
 
 namespace quincebank::bench {
@@ -96,6 +97,24 @@
       layout.timed_buckets, static_cast<long long>(layout.slice.count()));
 }
 
+void PrintSpace() {
+  std::printf(
+      "\nSpace of the claims of 24 h 10 min in the service, UUIDv7 keys, one pass of the sweeper "
+      "every 10 s; calls of the sweeper in the last hour\n");
+  std::printf("%8s %8s | %9s %8s %8s %8s %8s\n", "orders/s", "reduced", "claims", "MB", "B/claim",
+              "reads/s", "writes/s");
+  for (const std::uint64_t rate : {10U, 60U, 240U}) {
+    for (const bool reduce : {false, true}) {
+      const space_result result = MeasureSpace(rate, reduce, kSeed);
+      std::printf("%8llu %8s | %9zu %8.1f %8.2f %8.2f %8.2f\n",
+                  static_cast<unsigned long long>(rate), reduce ? "yes" : "no", result.claims,
+                  result.bytes / 1e6, result.bytes / static_cast<double>(result.claims),
+                  result.reads, result.writes);
+      std::fflush(stdout);
+    }
+  }
+}
+
 void CompareOutageRules() {
   std::printf("\nOne outage: reject all orders, or serve them from agent memory alone\n");
   std::printf("%10s %8s %12s | %14s %13s | %12s\n", "outage", "orders/s", "lost answers",
@@ -128,6 +147,7 @@
   quincebank::bench::CompareModes();
   quincebank::bench::CompareLayouts();
   quincebank::bench::PrintCapacity();
+  quincebank::bench::PrintSpace();
   quincebank::bench::CompareOutageRules();
   return 0;
 }
--- a/libs/agent/include/quincebank/agent/agent_service.h
+++ b/libs/agent/include/quincebank/agent/agent_service.h
@@ -22,7 +22,8 @@
   admission_settings admission;
   milliseconds connect_timeout{500};
   milliseconds first_byte_timeout{10'000};
-  milliseconds silence_timeout{60'000};  ///< Between two reads of the upstream's answer.
+  seconds claim_retention = kKeyRetention;  ///< Of its service.
+  milliseconds silence_timeout{60'000};     ///< Between two reads of the upstream's answer.
   /// Short against the shortest restart of an upstream, so that one between two requests is seen.
   milliseconds probe_interval{100};
 };
--- a/libs/agent/src/agent_config.cc
+++ b/libs/agent/src/agent_config.cc
@@ -40,6 +40,7 @@
     settings.connect_timeout = owner.connect_timeout;
     settings.first_byte_timeout = owner.first_byte_timeout;
     settings.silence_timeout = owner.total_timeout;
+    settings.claim_retention = std::chrono::ceil<seconds>(owner.claim_retention);
   }
   return settings;
 }
--- a/libs/agent/src/agent_impl.cc
+++ b/libs/agent/src/agent_impl.cc
@@ -262,6 +262,7 @@
   gate_->SetLimits(settings.admission.cold_limit, settings.admission.full_limit,
                    settings.admission.queue_limit);
   gate_->SetWarmRequests(settings.admission.ramp.warm_requests);
+  ledger_.SetHorizon(AttemptHorizon(settings.claim_retention), Now());
   ApplyQueue();
   if (settings.upstream != settings_.upstream)
     probe_ = MakeHttpProbe(http_, settings.upstream, kProbeTimeout);
--- a/libs/config/include/quincebank/config/effective_config.h
+++ b/libs/config/include/quincebank/config/effective_config.h
@@ -115,4 +115,8 @@
   std::vector<bool> drained_;
 };
 
+/// \brief Returns the longest claim retention of the services that have a route that is not
+/// repeatable, or the default if there are none.
+[[nodiscard]] milliseconds LongestClaimRetention(const effective_config& config) noexcept;
+
 }  // namespace quincebank
--- a/libs/config/src/effective_config.cc
+++ b/libs/config/src/effective_config.cc
@@ -182,4 +182,15 @@
   return bytes;
 }
 
+milliseconds LongestClaimRetention(const effective_config& config) noexcept {
+  std::optional<milliseconds> longest;
+  for (const service_config& service : config.services()) {
+    const bool claims = std::any_of(service.routes.begin(), service.routes.end(),
+                                    [](const route_config& route) { return !route.repeatable; });
+    if (claims && (!longest || *longest < service.claim_retention))
+      longest = service.claim_retention;
+  }
+  return longest.value_or(service_config().claim_retention);
+}
+
 }  // namespace quincebank
--- a/libs/config/src/section_reader.cc
+++ b/libs/config/src/section_reader.cc
@@ -15,8 +15,9 @@
 constexpr int_range kPort{1, 65535};
 constexpr int_range kLimit{1, 1'000'000};
 constexpr int_range kTimeoutMs{1, 86'400'000};
-/// Claims are kept up to a week, so that work that is put off over a weekend keeps its claim.
-constexpr int_range kRetentionMs{1'000, 604'800'000};
+/// At least 1 h, since the claims of younger keys are taken for complete without a check; up to a
+/// week, so that work that is put off over a weekend keeps its claim.
+constexpr int_range kRetentionMs{3'600'000, 604'800'000};
 
 constexpr int_range kLayers{1, 1'024};
 constexpr int_range kExperts{1, 4'096};
@@ -91,6 +92,8 @@
     reader.Fail("total_timeout_ms", "shorter than first_byte_timeout_ms");
   if (service.claim_retention < service.total_timeout)
     reader.Fail("claim_retention_ms", "shorter than total_timeout_ms");
+  if (service.claim_retention % seconds(1) != milliseconds(0))
+    reader.Fail("claim_retention_ms", "expected whole seconds");
   reader.Each("routes", [&service](json_reader& child) {
     Read(child, service.routes.emplace_back());
     child.Finish();
--- a/libs/entry/include/quincebank/entry/claim_service.h
+++ b/libs/entry/include/quincebank/entry/claim_service.h
@@ -5,8 +5,11 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "quincebank/entry/entry_snapshot.h"
+#include "quincebank/idempotency/claim_floor.h"
+#include "quincebank/idempotency/claim_sweeper.h"
 #include "quincebank/idempotency/claim_writer.h"
 #include "quincebank/idempotency/request_key.h"
 #include "quincebank/node/node_control.h"
@@ -26,6 +29,8 @@
                 std::string self,
                 std::uint64_t seed);
 
+  /// \brief Starts the sweeps of old claims.
+  void Start();
   /// \brief Adds `claims.decide`, by which other entries forward claims.
   void AddMethods(rpc_server& rpc);
 
@@ -51,6 +56,12 @@
   /// \returns The preferred entry's decision, or nothing if this entry must decide.
   [[nodiscard]] std::optional<claim_decision> Forward(const std::string& bucket,
                                                       const claim_request& request);
+  /// \brief Confirms a decision about an old key by a read of the claim floor.
+  [[nodiscard]] claim_decision CheckFloor(const request_key& key, const claim_decision& decision);
+  /// \brief Names and addresses of the entries that are not draining.
+  void ListEntries(std::vector<std::string>& names, std::vector<endpoint>& addresses) const;
+  void SweepLoop();
+  void Sweep();
   void Drive(bucket_state& bucket);
   void Call(bucket_state& bucket, const store_action& action);
   [[nodiscard]] store_reply Perform(const store_action& action);
@@ -60,7 +71,10 @@
   node_control& node_;
   const snapshot_box& snapshots_;
   const std::string self_;
+  const bucket_layout layout_;
   claim_writer_options options_;
+  claim_sweeper sweeper_{{.layout = layout_}};
+  std::uint64_t floor_slice_ = 0;  ///< Highest floor read so far.
   std::map<std::string, std::unique_ptr<bucket_state>, std::less<>> buckets_;
 };
 
--- a/libs/entry/src/claim_json.cc
+++ b/libs/entry/src/claim_json.cc
@@ -11,17 +11,17 @@
 
 namespace json = boost::json;
 
-constexpr std::array<std::string_view, 4> kOutcomes{"owned", "held", "absent", "not-run"};
+constexpr std::array<std::string_view, 5> kOutcomes{"owned", "held", "absent", "used", "not-run"};
 constexpr int_range kDeadlineMs{0, 86'400'000};
 
 json::object ToJson(const claim& value) {
-  const auto created = std::chrono::duration_cast<seconds>(value.created.time_since_epoch());
+  const auto expires = std::chrono::duration_cast<seconds>(value.expires.time_since_epoch());
   return {{"key", ToString(attempt_id{value.key.high, value.key.low})},
           {"request", ToString(incarnation{value.request_digest})},
           {"attempt", ToString(value.attempt)},
           {"agent", value.target.agent},
           {"incarnation", ToString(value.target.life)},
-          {"created", created.count()}};
+          {"expires", expires.count()}};
 }
 
 claim ReadClaim(json_reader& reader) {
@@ -31,7 +31,7 @@
   const auto attempt = ParseAttemptId(reader.String("attempt"));
   const auto life = ParseIncarnation(reader.String("incarnation"));
   value.target.agent = reader.String("agent", "");
-  value.created = wall_time(seconds(reader.Int("created", {0})));
+  value.expires = wall_time(seconds(reader.Int("expires", {0})));
   if (!key || !request || !attempt || !life) {
     reader.Fail("key", "claim with a malformed id");
     return value;
--- a/libs/entry/src/claim_service.cc
+++ b/libs/entry/src/claim_service.cc
@@ -1,6 +1,6 @@
 #include "quincebank/entry/claim_service.h"
 
-#include <array>
+#include <algorithm>
 #include <utility>
 
 #include "claim_json.h"
@@ -14,6 +14,8 @@
 constexpr milliseconds kIdleLimit{60'000};
 // A preferred entry that does not answer within this time is paused, cut off or gone.
 constexpr milliseconds kForwardTimeout{300};
+// A pass keeps up with one time slice, and catches up by several.
+constexpr milliseconds kSweepInterval{10'000};
 
 }  // namespace
 
@@ -36,26 +38,75 @@
 
 claim_decision claim_service::Decide(const request_key& key, const claim_request& request) {
   return RunOn(node_.thread(), [&] {
-    const std::string bucket = BucketName(options_.layout, key);
+    claim_decision decided;
+    // The floor never decreases, so one that was read earlier is proof enough against a key.
+    if (IsBelow(layout_, key, floor_slice_)) {
+      decided.outcome = claim_outcome::kUsed;
+      return decided;
+    }
+    const std::string bucket = BucketName(layout_, key);
     // A look-up needs a value that is read after it was asked for, so it gains nothing elsewhere.
-    auto decision = request.look ? std::nullopt : Forward(bucket, request);
-    return decision ? *decision : DecideHere(bucket, request);
+    auto forwarded = request.look ? std::nullopt : Forward(bucket, request);
+    decided = forwarded ? *forwarded : DecideHere(bucket, request);
+    return NeedsFloor(key, decided, std::chrono::system_clock::now()) ? CheckFloor(key, decided)
+                                                                      : decided;
   });
 }
 
-std::optional<claim_decision> claim_service::Forward(const std::string& bucket,
-                                                     const claim_request& request) {
+claim_decision claim_service::CheckFloor(const request_key& key, const claim_decision& decision) {
+  store_action read;
+  read.key = std::string(kClaimFloorKey);
+  const store_reply reply = Perform(read);
+  if (const auto floor = claim_floor::Parse(reply.value))
+    floor_slice_ = std::max(floor_slice_, floor.value().slice);
+  return ApplyFloor(layout_, key, decision, reply);
+}
+
+void claim_service::Start() {
+  node_.SpawnTracked([this] { SweepLoop(); });
+}
+
+void claim_service::SweepLoop() {
+  while (!node_.WaitOrStop(kSweepInterval))
+    Sweep();
+}
+
+void claim_service::Sweep() {
   const auto snapshot = snapshots_.Get();
-  if (!snapshot)
-    return std::nullopt;
   std::vector<std::string> names;
   std::vector<endpoint> addresses;
+  ListEntries(names, addresses);
+  // One entry sweeps to save calls; several do no harm.
+  if (names.empty() || names[PreferredEntry(kClaimFloorKey, names)] != self_)
+    return;
+  sweeper_.Begin(std::chrono::system_clock::now(),
+                 std::chrono::ceil<seconds>(LongestClaimRetention(*snapshot->config)));
+  while (const auto call = sweeper_.Next()) {
+    if (node_.WaitOrStop(milliseconds(0)))
+      return;
+    sweeper_.OnReply(Perform(*call));
+  }
+  floor_slice_ = std::max(floor_slice_, sweeper_.floor().slice);
+}
+
+void claim_service::ListEntries(std::vector<std::string>& names,
+                                std::vector<endpoint>& addresses) const {
+  const auto snapshot = snapshots_.Get();
+  if (!snapshot)
+    return;
   for (const entry_address& entry : snapshot->entries) {
     if (entry.draining)
       continue;
     names.push_back(entry.host);
     addresses.push_back({entry.address, entry.port});
   }
+}
+
+std::optional<claim_decision> claim_service::Forward(const std::string& bucket,
+                                                     const claim_request& request) {
+  std::vector<std::string> names;
+  std::vector<endpoint> addresses;
+  ListEntries(names, addresses);
   if (names.empty())
     return std::nullopt;
   const std::size_t preferred = PreferredEntry(bucket, names);
@@ -76,7 +127,7 @@
 
 void claim_service::Release(const request_key& key, const claim& released) {
   RunOn(node_.thread(), [&] {
-    bucket_state& bucket = Bucket(BucketName(options_.layout, key));
+    bucket_state& bucket = Bucket(BucketName(layout_, key));
     bucket.writer.Release(released.key, released.attempt);
     Drive(bucket);
   });
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -108,6 +108,7 @@
   observers.on_hosts = [this](const auto& hosts) { directory_.OnHosts(hosts); };
   node_.Start(std::move(observers));
   directory_.Start();
+  claims_.Start();
   kLog.Info("listens on ", ToString(server_->address()));
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/libs/entry/src/request_flow.cc
+++ b/libs/entry/src/request_flow.cc
@@ -254,7 +254,8 @@
 }
 
 void request_flow::RecordClaim(const request_action& action, const claim_decision& decision) {
-  static constexpr std::array<std::string_view, 4> kOutcomes{"owned", "held", "absent", "not-run"};
+  static constexpr std::array<std::string_view, 5> kOutcomes{"owned", "held", "absent", "used",
+                                                             "not-run"};
   decision_record record;
   record.at = WallNow();
   record.request = id_;
--- a/libs/entry/src/request_prepare.cc
+++ b/libs/entry/src/request_prepare.cc
@@ -124,7 +124,9 @@
   if (!key)
     return spec;
   spec.kind = request_kind::kKeyed;
-  BOOST_OUTCOME_TRY(spec.key, ParseRequestKey(service_->name, workspace_, *key, WallNow()));
+  spec.retention = std::chrono::duration_cast<seconds>(service_->claim_retention);
+  BOOST_OUTCOME_TRY(spec.key,
+                    ParseRequestKey(service_->name, workspace_, *key, WallNow(), spec.retention));
   spec.first_send = request.headers.Get(kFirstSendField) == "true";
   spec.request_digest = RequestDigest(request.method, path_, request.body);
   return spec;
--- a/libs/idempotency/include/quincebank/idempotency/attempt_ledger.h
+++ b/libs/idempotency/include/quincebank/idempotency/attempt_ledger.h
@@ -24,7 +24,7 @@
   std::size_t max_total_bytes = std::size_t{24} << 20U;  ///< All held answers.
   seconds answer_retention = std::chrono::hours(1);      ///< Counted from completion.
   seconds repeatable_retention{60};   ///< Of a repeatable attempt, counted from its end.
-  seconds horizon = kAttemptHorizon;  ///< Other attempts are known this long.
+  seconds horizon = kAttemptHorizon;  ///< Other attempts are known this long; see `SetHorizon`.
 };
 
 /// \brief Part of a held answer. Views are valid until the next non-const call of the ledger.
@@ -94,12 +94,18 @@
   /// \brief Reads the answer from a byte offset on, complete or not.
   [[nodiscard]] answer_part Read(attempt_id attempt, std::uint64_t offset, time_point now) const;
 
+  /// \brief Changes how long attempts are known.
+  ///
+  /// A longer horizon holds from now on; attempts that are older than the former one stay
+  /// forgotten. A shorter one holds once all claims made under the former one can be gone.
+  void SetHorizon(seconds horizon, time_point now);
   /// \brief Drops old answers and records beyond the horizon. Other calls do so as well.
   void Expire(time_point now);
 
   [[nodiscard]] incarnation self() const noexcept { return self_; }
   [[nodiscard]] std::size_t records() const noexcept { return records_.size() + archive_.size(); }
   [[nodiscard]] std::size_t held_bytes() const noexcept { return held_bytes_; }
+  [[nodiscard]] seconds horizon() const noexcept { return horizon_; }
   [[nodiscard]] std::size_t running() const noexcept { return running_; }
 
  private:
@@ -107,6 +113,7 @@
   using hook = boost::intrusive::list_member_hook<>;
 
   [[nodiscard]] wall_time WallTime(time_point now) const noexcept;
+  void ApplyHorizon(time_point now);
   [[nodiscard]] bool BeyondHorizon(attempt_id attempt, time_point now) const noexcept;
   [[nodiscard]] record* FindRunning(attempt_id attempt) noexcept;
   [[nodiscard]] record* Insert(attempt_id attempt, attempt_state state, time_point now);
@@ -136,6 +143,10 @@
 
   const incarnation self_;
   const ledger_limits limits_;
+  seconds horizon_;
+  seconds next_horizon_;        ///< Differs from `horizon_` while a shorter one waits.
+  time_point next_horizon_at_;  ///< When it holds.
+  wall_time forgotten_before_;  ///< Older attempts may have been dropped; never decreases.
   const time_point started_;
   const wall_time wall_started_;
   std::size_t held_bytes_ = 0;
--- a/libs/idempotency/include/quincebank/idempotency/claim.h
+++ b/libs/idempotency/include/quincebank/idempotency/claim.h
@@ -26,7 +26,7 @@
   std::uint64_t request_digest = 0;
   attempt_id attempt;
   attempt_target target;
-  wall_time created;  ///< Whole seconds on the wire.
+  wall_time expires;  ///< End of the retention promised to its key; whole seconds on the wire.
 
   [[nodiscard]] bool operator==(const claim&) const = default;
 };
--- a/libs/idempotency/include/quincebank/idempotency/claim_writer.h
+++ b/libs/idempotency/include/quincebank/idempotency/claim_writer.h
@@ -27,6 +27,7 @@
   kOwned,   ///< The claim is in the store and names the requested attempt.
   kHeld,    ///< The store holds `holder` for this key.
   kAbsent,  ///< Only for `look`: there is no claim.
+  kUsed,    ///< An earlier request with this key may have run, and no more is on record.
   /// Not claimed in time; a write under way may still claim it. The writer does not remove it,
   /// since the request may have got the same claim through another entry. `keyed_request` releases
   /// it.
@@ -74,7 +75,6 @@
   milliseconds release_delay{200};
   std::size_t max_pending = 4096;
   std::size_t max_bytes = kMaxBucketBytes;
-  bucket_layout layout;
   std::uint64_t seed = 0;  ///< Spreads the retries of several writers after a conflict.
 };
 
@@ -82,8 +82,8 @@
 ///
 /// Pending claims share one compare-and-swap. A swap whose outcome is unknown is resolved by
 /// reading back. Every retry carries the same attempts under a compare-and-swap, so a delayed
-/// earlier write either loses by its index or writes the same claims. The bucket is never deleted
-/// while its keys are accepted, since a delayed create could succeed again after a deletion.
+/// earlier write either loses by its index or writes the same claims. A bucket is only deleted
+/// below the claim floor, since a delayed create could succeed again after a deletion.
 class claim_writer {
  public:
   claim_writer(std::string bucket, claim_writer_options options);
@@ -138,8 +138,6 @@
   std::vector<released_claim> released_;
   std::size_t released_in_swap_ = 0;  ///< The first ones, which the swap under way removes.
   std::vector<claim_decision> decisions_;
-  std::optional<store_action> erase_;
-
   random_source random_;
   bool cached_ = false;  ///< `stored_` is the value at `index_`.
   claim_bucket stored_;  ///< Last known value; the proposed one while a swap is under way.
--- a/libs/idempotency/include/quincebank/idempotency/idempotency.h
+++ b/libs/idempotency/include/quincebank/idempotency/idempotency.h
@@ -9,6 +9,8 @@
 #include "quincebank/idempotency/attempt_state.h"
 #include "quincebank/idempotency/claim.h"
 #include "quincebank/idempotency/claim_bucket.h"
+#include "quincebank/idempotency/claim_floor.h"
+#include "quincebank/idempotency/claim_sweeper.h"
 #include "quincebank/idempotency/claim_writer.h"
 #include "quincebank/idempotency/keyed_request.h"
 #include "quincebank/idempotency/request_action.h"
--- a/libs/idempotency/include/quincebank/idempotency/keyed_request.h
+++ b/libs/idempotency/include/quincebank/idempotency/keyed_request.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "quincebank/base/random.h"
@@ -11,6 +12,7 @@
 #include "quincebank/idempotency/claim_writer.h"
 #include "quincebank/idempotency/request_action.h"
 #include "quincebank/idempotency/request_key.h"
+#include "quincebank/idempotency/retention.h"
 
 namespace quincebank {
 
@@ -26,6 +28,7 @@
   std::uint64_t request_digest = 0;  ///< For `kKeyed`.
   /// The caller says that it sends this key for the first time, so no earlier request can have run.
   bool first_send = false;
+  seconds retention = kKeyRetention;  ///< For `kKeyed`: how long the key can be retried.
   time_point deadline;
   std::uint32_t max_attempts = 3;  ///< Attempts that this request sends.
   milliseconds poll{100};          ///< Between two questions to an agent that does not answer.
@@ -95,6 +98,7 @@
   [[nodiscard]] request_action OnUncertain(std::string reason);
   [[nodiscard]] request_action NewAttempt(std::string reason);
   [[nodiscard]] request_action Gone();
+  [[nodiscard]] request_action Used(std::string_view reason);
   [[nodiscard]] request_action Finish(error_code code, std::string message);
   [[nodiscard]] verdict Verdict() const noexcept;
   [[nodiscard]] bool Keyed() const noexcept { return spec_.kind == request_kind::kKeyed; }
--- a/libs/idempotency/include/quincebank/idempotency/request_key.h
+++ b/libs/idempotency/include/quincebank/idempotency/request_key.h
@@ -6,6 +6,7 @@
 
 #include "quincebank/base/error.h"
 #include "quincebank/base/time.h"
+#include "quincebank/idempotency/retention.h"
 
 namespace quincebank {
 
@@ -32,11 +33,12 @@
 /// \brief Checks the `Idempotency-Key` header and computes its digest.
 ///
 /// \returns The key, or an error: an empty or oversized key, or one issued in the future, has not
-///          run; a UUIDv7 older than `kKeyRetention` may have run, since its claim may be gone.
+///          run; a UUIDv7 older than `retention` may have run, since its claim may be gone.
 [[nodiscard]] result<request_key> ParseRequestKey(std::string_view service,
                                                   std::string_view workspace,
                                                   std::string_view key,
-                                                  wall_time now);
+                                                  wall_time now,
+                                                  seconds retention = kKeyRetention);
 
 /// \brief Digest of method, path and body, to detect a key that is reused for another request.
 [[nodiscard]] std::uint64_t RequestDigest(std::string_view method,
--- a/libs/idempotency/src/attempt_ledger.cc
+++ b/libs/idempotency/src/attempt_ledger.cc
@@ -29,7 +29,12 @@
                                ledger_limits limits,
                                time_point started,
                                wall_time wall_started)
-    : self_(self), limits_(limits), started_(started), wall_started_(wall_started) {}
+    : self_(self),
+      limits_(limits),
+      horizon_(limits.horizon),
+      next_horizon_(limits.horizon),
+      started_(started),
+      wall_started_(wall_started) {}
 
 attempt_ledger::~attempt_ledger() {
   held_.clear();
@@ -43,7 +48,25 @@
 }
 
 bool attempt_ledger::BeyondHorizon(attempt_id attempt, time_point now) const noexcept {
-  return AttemptTime(attempt) < WallTime(now) - limits_.horizon;
+  return AttemptTime(attempt) < std::max(forgotten_before_, WallTime(now) - horizon_);
+}
+
+void attempt_ledger::SetHorizon(seconds horizon, time_point now) {
+  ApplyHorizon(now);
+  if (horizon >= horizon_ || records() == 0) {
+    horizon_ = next_horizon_ = horizon;
+  } else if (horizon != next_horizon_) {
+    next_horizon_ = horizon;
+    next_horizon_at_ = now + horizon_;
+  }
+  Expire(now);
+}
+
+void attempt_ledger::ApplyHorizon(time_point now) {
+  // What the present horizon no longer covers stays forgotten under a longer one.
+  forgotten_before_ = std::max(forgotten_before_, WallTime(now) - horizon_);
+  if (next_horizon_ != horizon_ && now >= next_horizon_at_)
+    horizon_ = next_horizon_;
 }
 
 attempt_ledger::record* attempt_ledger::FindRunning(attempt_id attempt) noexcept {
@@ -249,7 +272,8 @@
     DropOldest();
   if (gone_.size() >= kArchiveBatch)
     Archive();
-  archive_.DropBefore(WallTime(now) - limits_.horizon);
+  ApplyHorizon(now);
+  archive_.DropBefore(WallTime(now) - horizon_);
   // A running attempt stays on record whatever its age.
   for (auto next = ages_.begin(); next != ages_.end() && BeyondHorizon(next->id, now);) {
     record& entry = *next++;
--- a/libs/idempotency/src/claim_bucket.cc
+++ b/libs/idempotency/src/claim_bucket.cc
@@ -1,18 +1,21 @@
 #include "quincebank/idempotency/claim_bucket.h"
 
-#include <charconv>
-#include <vector>
+#include <algorithm>
 
 #include "quincebank/base/digest.h"
 #include "quincebank/idempotency/retention.h"
+#include "quincebank/idempotency/timed_attempt.h"
 
 namespace quincebank {
 namespace {
 
-constexpr std::string_view kMagic = "QC1\n";
+constexpr std::string_view kMagic = "QC2\n";
+// Earlier format: no reduced claims, and the time at which a claim was made instead of its end.
+constexpr std::string_view kOldMagic = "QC1\n";
 constexpr std::size_t kCountBytes = 4;
-constexpr std::size_t kHeaderBytes = kMagic.size() + 2 * kCountBytes;
+constexpr std::size_t kHeaderBytes = kMagic.size() + 3 * kCountBytes;
 constexpr std::size_t kClaimBytes = 46;
+constexpr std::size_t kUsedBytes = 4;
 constexpr std::size_t kTargetBytes = 9;  // Length byte and incarnation, without the address.
 constexpr std::size_t kMaxTargets = 65'535;
 constexpr std::size_t kMaxAddressBytes = 255;
@@ -54,6 +57,10 @@
   bool failed_ = false;
 };
 
+std::uint32_t UsedMark(const claim_key& key) noexcept {
+  return static_cast<std::uint32_t>(key.high >> 32U);
+}
+
 error Malformed(std::string message) {
   return MakeError(error_code::kInternal, "claim bucket is malformed: " + std::move(message));
 }
@@ -68,26 +75,20 @@
 std::string BucketName(const bucket_layout& layout, const request_key& key) {
   if (!key.issued)
     return "claims/p" + std::to_string(key.digest.low % layout.plain_buckets);
-  const std::uint64_t slice =
-      UnixSeconds(*key.issued) / static_cast<std::uint64_t>(layout.slice.count());
-  return std::string(kTimedPrefix) + std::to_string(slice) + "-" +
-         std::to_string(key.digest.low % layout.timed_buckets);
-}
-
-std::optional<std::string> ErasableBucket(const bucket_layout& layout, std::string_view name) {
-  if (!name.starts_with(kTimedPrefix))
-    return std::nullopt;
-  const std::string_view rest = name.substr(kTimedPrefix.size());
-  const std::size_t dash = rest.find('-');
-  std::uint64_t slice = 0;
-  if (dash == std::string_view::npos ||
-      std::from_chars(rest.data(), rest.data() + dash, slice).ec != std::errc())
-    return std::nullopt;
-  const auto kept =
-      static_cast<std::uint64_t>((kClaimRetention + 2 * kClockMargin) / layout.slice + 2);
-  if (slice < kept)
-    return std::nullopt;
-  return std::string(kTimedPrefix) + std::to_string(slice - kept) + std::string(rest.substr(dash));
+  return TimedBucketName(SliceOf(layout, *key.issued),
+                         static_cast<std::uint32_t>(key.digest.low % layout.timed_buckets));
+}
+
+std::uint64_t SliceOf(const bucket_layout& layout, wall_time issued) noexcept {
+  return UnixSeconds(issued) / static_cast<std::uint64_t>(layout.slice.count());
+}
+
+std::string TimedBucketName(std::uint64_t slice, std::uint32_t bucket) {
+  return std::string(kTimedPrefix) + std::to_string(slice) + "-" + std::to_string(bucket);
+}
+
+bool IsTimedBucket(std::string_view name) noexcept {
+  return name.starts_with(kTimedPrefix);
 }
 
 std::size_t PreferredEntry(std::string_view bucket,
@@ -109,17 +110,20 @@
   if (value.empty())
     return bucket;
   byte_reader reader(value);
-  if (reader.Text(kMagic.size()) != kMagic)
+  const std::string_view magic = reader.Text(kMagic.size());
+  const bool old = magic == kOldMagic;
+  if (!old && magic != kMagic)
     return Malformed("unknown format");
   const std::uint64_t target_count = reader.Number(kCountBytes);
   const std::uint64_t claim_count = reader.Number(kCountBytes);
+  const std::uint64_t used_count = old ? 0 : reader.Number(kCountBytes);
   std::vector<attempt_target> targets;
   for (std::uint64_t i = 0; i < target_count && !reader.failed(); ++i) {
     const std::uint64_t length = reader.Number(1);
     std::string agent(reader.Text(length));
     targets.push_back({std::move(agent), incarnation{reader.Number(8)}});
   }
-  if (reader.failed() || reader.left() != claim_count * kClaimBytes)
+  if (reader.failed() || reader.left() != claim_count * kClaimBytes + used_count * kUsedBytes)
     return Malformed("length does not match the counts");
   for (std::uint64_t i = 0; i < claim_count; ++i) {
     claim entry;
@@ -128,7 +132,9 @@
     entry.request_digest = reader.Number(8);
     entry.attempt.high = reader.Number(8);
     entry.attempt.low = reader.Number(8);
-    entry.created = wall_time(seconds(reader.Number(4)));
+    entry.expires = wall_time(seconds(reader.Number(4)));
+    if (old)
+      entry.expires += kClaimRetention;
     const std::uint64_t target = reader.Number(2);
     if (target >= targets.size())
       return Malformed("claim names an unknown target");
@@ -138,6 +144,12 @@
     if (!bucket.Put(entry))
       return Malformed("value is too large");
   }
+  for (std::uint64_t i = 0; i < used_count; ++i)
+    bucket.used_.push_back(static_cast<std::uint32_t>(reader.Number(kUsedBytes)));
+  if (!std::is_sorted(bucket.used_.begin(), bucket.used_.end()))
+    return Malformed("reduced claims are not in order");
+  if (bucket.Bytes() > kMaxBucketBytes)
+    return Malformed("value is too large");
   return bucket;
 }
 
@@ -147,6 +159,7 @@
   text += kMagic;
   AppendNumber(text, targets_.size(), kCountBytes);
   AppendNumber(text, claims_.size(), kCountBytes);
+  AppendNumber(text, used_.size(), kCountBytes);
   std::map<attempt_target, std::size_t> numbers;
   for (const auto& [target, count] : targets_) {
     numbers.emplace(target, numbers.size());
@@ -160,9 +173,11 @@
     AppendNumber(text, entry.request_digest, 8);
     AppendNumber(text, entry.attempt.high, 8);
     AppendNumber(text, entry.attempt.low, 8);
-    AppendNumber(text, UnixSeconds(entry.created), 4);
+    AppendNumber(text, UnixSeconds(entry.expires), 4);
     AppendNumber(text, numbers.at(entry.target), 2);
   }
+  for (const std::uint32_t mark : used_)
+    AppendNumber(text, mark, kUsedBytes);
   return text;
 }
 
@@ -171,6 +186,10 @@
   return found == claims_.end() ? nullptr : &found->second;
 }
 
+bool claim_bucket::Used(const claim_key& key) const noexcept {
+  return std::binary_search(used_.begin(), used_.end(), UsedMark(key));
+}
+
 bool claim_bucket::Put(const claim& value, std::size_t limit) {
   if (value.target.agent.size() > kMaxAddressBytes)
     return false;
@@ -189,7 +208,10 @@
     RemoveTarget(found->second.target);
   AddTarget(value.target);
   claim stored = value;
-  stored.created = wall_time(seconds(UnixSeconds(value.created)));
+  stored.expires = wall_time(seconds(UnixSeconds(value.expires)));
+  // A shorter retention must not take back what an earlier attempt was promised.
+  if (found != claims_.end())
+    stored.expires = std::max(stored.expires, found->second.expires);
   claims_.insert_or_assign(value.key, std::move(stored));
   return true;
 }
@@ -206,7 +228,7 @@
 std::size_t claim_bucket::DropExpired(wall_time now) {
   std::size_t dropped = 0;
   for (auto entry = claims_.begin(); entry != claims_.end();) {
-    if (entry->second.created + kClaimRetention >= now) {
+    if (entry->second.expires >= now) {
       ++entry;
       continue;
     }
@@ -217,8 +239,23 @@
   return dropped;
 }
 
+std::size_t claim_bucket::Reduce(wall_time limit) {
+  const std::size_t before = used_.size();
+  for (auto entry = claims_.begin(); entry != claims_.end();) {
+    if (AttemptTime(entry->second.attempt) >= limit) {
+      ++entry;
+      continue;
+    }
+    used_.push_back(UsedMark(entry->first));
+    RemoveTarget(entry->second.target);
+    entry = claims_.erase(entry);
+  }
+  std::sort(used_.begin(), used_.end());
+  return used_.size() - before;
+}
+
 std::size_t claim_bucket::Bytes() const noexcept {
-  return kHeaderBytes + target_bytes_ + claims_.size() * kClaimBytes;
+  return kHeaderBytes + target_bytes_ + claims_.size() * kClaimBytes + used_.size() * kUsedBytes;
 }
 
 void claim_bucket::AddTarget(const attempt_target& target) {
--- a/libs/idempotency/src/claim_writer.cc
+++ b/libs/idempotency/src/claim_writer.cc
@@ -80,7 +80,14 @@
     if (entry.request.look) {
       if (read_operation_ <= entry.read_after)
         return false;
-      Decide(entry, holder != nullptr ? claim_outcome::kHeld : claim_outcome::kAbsent);
+      const bool used = stored_.Used(entry.request.value.key);
+      Decide(entry, holder != nullptr ? claim_outcome::kHeld
+                    : used            ? claim_outcome::kUsed
+                                      : claim_outcome::kAbsent);
+      return true;
+    }
+    if (holder == nullptr && stored_.Used(entry.request.value.key)) {
+      Decide(entry, claim_outcome::kUsed);
       return true;
     }
     if (holder == nullptr || Movable(entry, *holder))
@@ -92,7 +99,10 @@
 }
 
 bool claim_writer::ApplyPending(wall_time wall) {
-  stored_.DropExpired(wall);
+  // Single claims of a time slice stay until the floor has passed it: an entry that knows a longer
+  // retention may still accept their keys.
+  if (!IsTimedBucket(bucket_))
+    stored_.DropExpired(wall);
   bool changed = false;
   for (const released_claim& entry : released_)
     changed = stored_.Remove(entry.key, entry.attempt) || changed;
@@ -152,10 +162,6 @@
   if (cached_)
     Resolve();
   std::vector<store_action> actions;
-  if (erase_) {
-    actions.push_back(std::move(*erase_));
-    erase_.reset();
-  }
   if (auto next = NextCall(now, wall))
     actions.push_back(std::move(*next));
   return actions;
@@ -206,11 +212,6 @@
   }
   if (reply.what != store_reply::status::kOk)
     return;
-  if (index_ == 0) {
-    if (auto old = ErasableBucket(options_.layout, bucket_)) {
-      erase_ = store_action{store_action::kind::kErase, next_operation_++, std::move(*old), {}, 0};
-    }
-  }
   released_.erase(released_.begin(),
                   released_.begin() + static_cast<std::ptrdiff_t>(released_in_swap_));
   Resolve();
--- a/libs/idempotency/src/keyed_request.cc
+++ b/libs/idempotency/src/keyed_request.cc
@@ -54,12 +54,8 @@
 request_action keyed_request::Start(time_point now, wall_time wall) {
   if (finished_ || step_ != 0)
     return {};
-  if (Keyed() && spec_.key.issued && *spec_.key.issued < wall - kKeyRetention) {
-    foreign_ = true;
-    return Finish(error_code::kStale,
-                  "Idempotency-Key is older than 24 hours; an earlier request with this key may "
-                  "have run and is no longer on record");
-  }
+  if (Keyed() && spec_.key.issued && *spec_.key.issued < wall - spec_.retention)
+    return Used("Idempotency-Key is older than the claim retention of the service");
   return Guard(Choose(), now);
 }
 
@@ -93,7 +89,8 @@
     ++attempts_;
     return Guard(Act(action_kind::kSend), now);
   }
-  claimed_ = claim{spec_.key.digest, spec_.request_digest, attempt_, target_, wall};
+  claimed_ = claim{spec_.key.digest, spec_.request_digest, attempt_, target_,
+                   wall + ClaimLifetime(spec_.retention)};
   return Guard(Claim(), now);
 }
 
@@ -127,6 +124,8 @@
   }
   if (decision.outcome == claim_outcome::kHeld)
     return Guard(Follow(decision.holder), now);
+  if (decision.outcome == claim_outcome::kUsed)
+    return Used("the claim of Idempotency-Key is no longer on record");
   return Finish(decision.failure.code, decision.failure.message);
 }
 
@@ -139,6 +138,8 @@
 
 request_action keyed_request::OnLooked(const claim_decision& decision) {
   claim_known_ = claim_known_ || decision.outcome != claim_outcome::kNotRun;
+  if (decision.outcome == claim_outcome::kUsed)
+    return Used("the claim of Idempotency-Key is no longer on record");
   if (refusal_) {
     const error refusal = *std::exchange(refusal_, std::nullopt);
     if (decision.outcome == claim_outcome::kHeld)
@@ -324,6 +325,12 @@
   return Finish(error_code::kTruncated, "the request ran, but its answer is no longer held");
 }
 
+request_action keyed_request::Used(std::string_view reason) {
+  foreign_ = true;
+  return Finish(error_code::kStale,
+                std::string(reason) + "; an earlier request with this key may have run");
+}
+
 request_action keyed_request::Fetch() {
   request_action action = Act(action_kind::kFetch);
   action.offset = delivered_;
--- a/libs/idempotency/src/request_key.cc
+++ b/libs/idempotency/src/request_key.cc
@@ -5,7 +5,6 @@
 #include <string>
 
 #include "quincebank/base/digest.h"
-#include "quincebank/idempotency/retention.h"
 
 namespace quincebank {
 namespace {
@@ -49,17 +48,18 @@
 result<request_key> ParseRequestKey(std::string_view service,
                                     std::string_view workspace,
                                     std::string_view key,
-                                    wall_time now) {
+                                    wall_time now,
+                                    seconds retention) {
   if (key.empty() || key.size() > kMaxKeyBytes)
     return MakeError(error_code::kInvalidArgument, "Idempotency-Key must have 1 to 255 characters");
   const std::optional<wall_time> issued = UuidV7Time(key);
   if (issued && *issued > now + kClockMargin)
     return MakeError(error_code::kInvalidArgument,
                      "Idempotency-Key carries a time in the future; check the caller's clock");
-  if (issued && *issued < now - kKeyRetention)
+  if (issued && *issued < now - retention)
     return MakeError(error_code::kStale,
-                     "Idempotency-Key is older than 24 hours; an earlier request with this key may "
-                     "have run and is no longer on record",
+                     "Idempotency-Key is older than the claim retention of the service; an earlier "
+                     "request with this key may have run and is no longer on record",
                      verdict::kMayHaveRun);
   std::string text;
   AppendPart(text, service);
--- a/libs/idempotency/tests/attempt_ledger_test.cc
+++ b/libs/idempotency/tests/attempt_ledger_test.cc
@@ -187,6 +187,75 @@
   EXPECT_EQ(fix.ledger.Status(ids[0], fix.now), attempt_state::kForgotten);
 }
 
+struct horizon_case {
+  const char* name;  ///< The failure that the row guards against.
+  seconds first;     ///< Retention when the attempt runs.
+  seconds wait;
+  seconds second;  ///< Retention from then on.
+  seconds more;
+  attempt_state state;
+};
+
+void PrintTo(const horizon_case& row, std::ostream* stream) {
+  *stream << row.name;
+}
+
+class ledger_horizon_test : public testing::TestWithParam<horizon_case> {};
+
+TEST_P(ledger_horizon_test, NeverForgetsAnAttemptWhoseClaimMayLive) {
+  ledger_fixture fix;
+  fix.ledger.SetHorizon(AttemptHorizon(GetParam().first), fix.now);
+  const attempt_id seen = fix.NewId();
+  const attempt_id unseen = fix.NewId();
+  fix.Run(seen, "answer");
+  fix.now += GetParam().wait;
+  fix.ledger.Expire(fix.now);
+  fix.ledger.SetHorizon(AttemptHorizon(GetParam().second), fix.now);
+  fix.now += GetParam().more;
+  fix.ledger.Expire(fix.now);
+  EXPECT_EQ(fix.ledger.Status(seen, fix.now), GetParam().state);
+  // An attempt that may have been dropped must not look like one that was never seen.
+  const bool forgotten = GetParam().state == attempt_state::kForgotten;
+  EXPECT_EQ(fix.ledger.Status(unseen, fix.now),
+            forgotten ? attempt_state::kForgotten : attempt_state::kNeverSeen);
+  EXPECT_EQ(fix.ledger.Begin(unseen, kSelf, fix.now),
+            forgotten ? begin_outcome::kUntimely : begin_outcome::kStart);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Horizons,
+    ledger_horizon_test,
+    testing::Values(horizon_case{"shortened_at_once", hours(24), hours(2), hours(1), hours(12),
+                                 attempt_state::kAnswerGone},
+                    horizon_case{"shortened_before_the_last_claim_is_gone", hours(24), seconds(0),
+                                 hours(1), hours(24), attempt_state::kAnswerGone},
+                    horizon_case{"never_shortened", hours(24), hours(2), hours(1), hours(25),
+                                 attempt_state::kForgotten},
+                    horizon_case{"not_lengthened", hours(1), hours(1), hours(24), hours(20),
+                                 attempt_state::kAnswerGone},
+                    horizon_case{"lengthened_after_it_was_dropped", hours(1), hours(2), hours(24),
+                                 hours(1), attempt_state::kForgotten}));
+
+// Guards against a shortened horizon that is put off again by each new configuration, and against
+// one that survives a change back.
+TEST(ledger_horizon_change_test, AShorterHorizonHoldsOnceAndIsTakenBack) {
+  ledger_fixture fix;
+  fix.Run(fix.NewId(), "answer");
+  for (int i = 0; i < 30; ++i) {
+    fix.ledger.SetHorizon(AttemptHorizon(hours(1)), fix.now);
+    fix.now += hours(1);
+  }
+  fix.ledger.Expire(fix.now);
+  EXPECT_EQ(fix.ledger.horizon(), AttemptHorizon(hours(1)));
+  fix.Run(fix.NewId(), "answer");
+  fix.ledger.SetHorizon(AttemptHorizon(hours(24)), fix.now);
+  fix.ledger.SetHorizon(AttemptHorizon(hours(1)), fix.now);
+  fix.ledger.SetHorizon(AttemptHorizon(hours(24)), fix.now);
+  fix.now += hours(25);
+  fix.ledger.Expire(fix.now);
+  EXPECT_EQ(fix.ledger.horizon(), AttemptHorizon(hours(24)));
+}
+
 // Guards against a block that is lost when its record is archived.
 TEST(attempt_ledger_full_test, AnArchivedBlockStillBlocks) {
   ledger_fixture fix(ledger_limits{.max_records = 4, .max_archived = 100});
--- a/libs/scenario/include/quincebank/scenario/fake_agent.h
+++ b/libs/scenario/include/quincebank/scenario/fake_agent.h
@@ -44,6 +44,8 @@
   [[nodiscard]] attempt_state OnStatus(attempt_id attempt, incarnation wanted);
   [[nodiscard]] attempt_state OnBlock(attempt_id attempt, incarnation wanted);
 
+  /// \brief Adopts the retention that the test bed has for this agent.
+  void AdoptRetention();
   void SetDrained(bool drained) noexcept { drained_ = drained; }
   /// \brief The upstream refuses the next attempts without running them.
   void Refuse(std::size_t count) noexcept { refuse_ = count; }
--- a/libs/scenario/include/quincebank/scenario/fake_entry.h
+++ b/libs/scenario/include/quincebank/scenario/fake_entry.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "quincebank/idempotency/claim_sweeper.h"
 #include "quincebank/idempotency/claim_writer.h"
 #include "quincebank/idempotency/keyed_request.h"
 #include "quincebank/scenario/fake_agent.h"
@@ -35,6 +36,8 @@
   void OnCall(const entry_call& call);
   /// \brief Takes a claim of another entry for a bucket that this entry is preferred for.
   void OnForwarded(const std::string& bucket, const claim_request& wanted, claim_sink done);
+  /// \brief Runs one pass over old claims; a pass under way is given up.
+  void Sweep();
   /// \brief Takes a hint about an agent's incarnation.
   void Learn(const std::string& agent, incarnation life) { known_[agent] = life; }
 
@@ -43,6 +46,7 @@
     entry_call call;
     std::unique_ptr<keyed_request> machine;
     request_action action;
+    request_key key;
     std::string bucket;
     std::uint64_t delivered = 0;  ///< Bytes of the present attempt that went to the caller.
     time_point heard;             ///< Last message on the present connection.
@@ -55,6 +59,8 @@
   void ForwardClaim(open_request& request, const std::string& entry, const claim_request& wanted);
   void AddClaim(const std::string& bucket, const claim_request& wanted, claim_sink done);
   void OnDecision(std::uint64_t id, std::uint32_t step, const claim_decision& decision);
+  void CheckFloor(open_request& request, const claim_decision& decision);
+  void DriveSweep();
   void OpenStream(open_request& request);
   void OnStream(std::uint64_t id, std::uint32_t step, const stream_event& event);
   void WatchSilence(std::uint64_t id, std::uint32_t step);
@@ -67,6 +73,7 @@
 
   testbed& bed_;
   const std::string name_;
+  claim_sweeper sweeper_;
   std::map<std::string, incarnation> known_;
   std::map<std::uint64_t, open_request> requests_;
   std::map<std::string, std::unique_ptr<claim_writer>> writers_;
--- a/libs/scenario/include/quincebank/scenario/fault_schedule.h
+++ b/libs/scenario/include/quincebank/scenario/fault_schedule.h
@@ -13,6 +13,8 @@
   std::size_t orders = 12;
   std::size_t faults = 10;
   milliseconds span{8000};
+  /// \brief Draws keys that are hours old, changes of the retention, and sweeps of old claims.
+  bool retention = false;
 };
 
 /// \brief Draws orders, retries and faults from a seed, as the text of a script.
--- a/libs/scenario/include/quincebank/scenario/order_policy.h
+++ b/libs/scenario/include/quincebank/scenario/order_policy.h
@@ -24,6 +24,8 @@
   [[nodiscard]] virtual state_report OnState(const request_action& action, state_report report);
   [[nodiscard]] virtual store_action OnStoreAction(store_action action) { return action; }
   [[nodiscard]] virtual store_reply OnStoreReply(store_reply reply) { return reply; }
+  /// \brief Whether a decision about an old key is confirmed by a read of the claim floor.
+  [[nodiscard]] virtual bool ChecksFloor() const { return true; }
   [[nodiscard]] virtual begin_outcome OnBegin(begin_outcome outcome) { return outcome; }
   [[nodiscard]] virtual request_end OnEnd(request_end end) { return end; }
 };
--- a/libs/scenario/include/quincebank/scenario/testbed.h
+++ b/libs/scenario/include/quincebank/scenario/testbed.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "quincebank/idempotency/retention.h"
 #include "quincebank/scenario/event_loop.h"
 #include "quincebank/scenario/fake_store.h"
 #include "quincebank/scenario/network.h"
@@ -22,6 +23,11 @@
   testbed(const testbed&) = delete;
   testbed& operator=(const testbed&) = delete;
 
+  [[nodiscard]] seconds RetentionOf(const std::string& node) const {
+    const auto found = retention.find(node);
+    return found == retention.end() ? kKeyRetention : found->second;
+  }
+
   event_loop loop;
   network links;
   fake_store store;
@@ -29,6 +35,8 @@
   order_policy& policy;
   bool forwarding = false;  ///< Entries forward claims to the preferred entry of a bucket.
   bool retries = true;      ///< Whether the retry budget grants permission.
+  /// Claim retention in the configuration that each process holds, if not the default.
+  std::map<std::string, seconds> retention;
   std::map<std::string, std::unique_ptr<fake_agent>> agents;
   std::map<std::string, std::unique_ptr<fake_entry>> entries;
 };
--- a/libs/scenario/include/quincebank/scenario/world.h
+++ b/libs/scenario/include/quincebank/scenario/world.h
@@ -56,6 +56,8 @@
   result<void> Store(const script_command& command);
   result<void> Late(const script_command& command);
   result<void> Switch(const script_command& command);
+  result<void> Retention(const script_command& command);
+  result<void> Sweep(const script_command& command);
   result<void> Order(const script_command& command);
   result<void> Retry(const script_command& command);
   result<void> Run(const script_command& command);
--- a/libs/scenario/src/fault_schedule.cc
+++ b/libs/scenario/src/fault_schedule.cc
@@ -1,6 +1,7 @@
 #include "quincebank/scenario/fault_schedule.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 
 #include "quincebank/base/ids.h"
@@ -10,6 +11,9 @@
 namespace quincebank::scenario {
 namespace {
 
+constexpr std::size_t kSweeps = 24;
+constexpr std::uint64_t kOldestKeyMinutes = 240;
+
 /// Draws the lines of one script.
 class schedule_writer {
  public:
@@ -21,6 +25,8 @@
       AddOrder(random_.Below(2) == 0 ? "k" + std::to_string(i) : TimedKey());
     for (std::size_t i = 0; i < options_.faults; ++i)
       AddFault();
+    for (std::size_t i = 0; options_.retention && i < kSweeps; ++i)
+      AddSweep();
     std::string text = Names("entry", "e", options_.entries) + Names("agent", "a", options_.agents);
     text += random_.Below(2) == 0 ? "forwarding on\nrun 50ms\n" : "run 50ms\n";
     milliseconds now(0);
@@ -52,8 +58,10 @@
 
   /// A UUIDv7, whose claim goes to the bucket of its time slice.
   std::string TimedKey() {
-    const auto ms =
-        std::chrono::duration_cast<milliseconds>(kScenarioStart.time_since_epoch()).count();
+    wall_time issued = kScenarioStart;
+    if (options_.retention)
+      issued -= std::chrono::minutes(random_.Below(kOldestKeyMinutes));
+    const auto ms = std::chrono::duration_cast<milliseconds>(issued.time_since_epoch()).count();
     const std::string digits = ToString(
         attempt_id{(static_cast<std::uint64_t>(ms) << 16U) | 0x7000U | random_.Below(0x1000),
                    (random_.Next() >> 2U) | (1ULL << 63U)});
@@ -91,6 +99,16 @@
     At(over, end);
   }
 
+  void AddSweep() {
+    static constexpr std::array<const char*, 4> kRetentions{"3600s", "5400s", "7200s", "86400s"};
+    const milliseconds at = Until(options_.span.count());
+    if (random_.Below(3) != 0)
+      return At(at, "sweep " + Entry());
+    const std::string node = random_.Below(4) == 0 ? Agent() : Entry();
+    At(at,
+       std::string("retention ") + kRetentions.at(random_.Below(kRetentions.size())) + " " + node);
+  }
+
   void AddFault() {
     const std::string entry = Entry();
     const std::string agent = Agent();
--- a/libs/scenario/tests/broken_policies.h
+++ b/libs/scenario/tests/broken_policies.h
@@ -111,6 +111,12 @@
   }
 };
 
+/// \brief Erases claims by a shorter retention, and accepts old keys by its own.
+class ignores_the_floor final : public order_policy {
+ public:
+  [[nodiscard]] bool ChecksFloor() const override { return false; }
+};
+
 /// \brief Forgets a request when its agent can't be reached.
 class loses_requests final : public order_policy {
  public:
--- a/libs/scenario/tests/schedule_test.cc
+++ b/libs/scenario/tests/schedule_test.cc
@@ -25,6 +25,26 @@
   }
 }
 
+class retention_schedule_test : public testing::TestWithParam<std::uint64_t> {};
+
+// Guards against entries and agents that know different retentions while claims are erased and
+// reduced.
+TEST_P(retention_schedule_test, KeepsTheInvariants) {
+  for (std::uint64_t i = 0; i < kSeedsPerTest; ++i) {
+    const std::uint64_t seed = GetParam() * kSeedsPerTest + i;
+    const std::string text = DrawSchedule(seed, {.retention = true});
+    order_policy rules;
+    const auto report = RunScript(text, seed, rules);
+    ASSERT_TRUE(report.has_value()) << Describe(report.error()) << "\n" << text;
+    for (const std::string& violation : report.value().violations)
+      ADD_FAILURE() << "seed " << seed << ": " << violation << "\n" << text;
+    if (HasFailure())
+      return;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, retention_schedule_test, testing::Range<std::uint64_t>(0, 10));
+
 class known_seed_test : public testing::TestWithParam<std::uint64_t> {};
 
 // Guards against a writer that removes a claim which it gave up, although its request got the claim
