--- a/libs/scenario/tests/broken_policies_test.cc
+++ b/libs/scenario/tests/broken_policies_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <fstream>
+#include <sstream>
+
 #include "quincebank/scenario/fault_schedule.h"
 #include "quincebank/scenario/world.h"
 
@@ -64,5 +67,26 @@
         broken_case{"ignores_the_floor", Make<ignores_the_floor>, "times", true},
         broken_case{"loses_requests", Make<loses_requests>, "never got a verdict"}));
 
+class careless_retention_test : public testing::TestWithParam<const char*> {};
+
+// Guards against scripts on changes of the retention that pass without the rule they are about.
+TEST_P(careless_retention_test, IsCaughtByTheScript) {
+  std::ifstream file(std::string(QUINCEBANK_SCENARIO_DIR) + "/" + GetParam() + ".scn");
+  std::stringstream text;
+  text << file.rdbuf();
+  for (std::uint64_t seed = 0; seed < 10; ++seed) {
+    ignores_the_floor rules;
+    const auto report = RunScript(text.str(), seed, rules);
+    ASSERT_TRUE(report.has_value()) << Describe(report.error());
+    ASSERT_FALSE(report.value().violations.empty()) << "seed " << seed;
+    EXPECT_NE(report.value().violations.front().find("ran 2 times"), std::string::npos)
+        << report.value().violations.front();
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Scripts,
+                         careless_retention_test,
+                         testing::Values("retention_shortened", "retention_lengthened"));
+
 }  // namespace
 }  // namespace quincebank::scenario
--- a/libs/scenario/tests/schedule_test.cc
+++ b/libs/scenario/tests/schedule_test.cc
@@ -56,7 +56,7 @@
   EXPECT_EQ(report.value().violations, std::vector<std::string>());
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, known_seed_test, testing::Values(326, 1108, 11995));
+INSTANTIATE_TEST_SUITE_P(Seeds, known_seed_test, testing::Values(40, 47, 77, 326, 1108, 11995));
 
 INSTANTIATE_TEST_SUITE_P(Seeds, schedule_test, testing::Range<std::uint64_t>(0, 10));
 
--- a/tests/process/operators_test.cc
+++ b/tests/process/operators_test.cc
@@ -4,6 +4,7 @@
 #include <fstream>
 
 #include "process_test.h"
+#include "quincebank/base/ids.h"
 
 namespace quincebank {
 namespace {
@@ -90,6 +91,46 @@
   EXPECT_EQ(system().Call("entry-0", OrderRequest("o1", "k1")).value().status, 201);
 }
 
+/// UUIDv7 that was issued some time ago.
+std::string KeyIssued(std::chrono::minutes ago) {
+  const auto issued = std::chrono::system_clock::now() - ago;
+  const auto ms = std::chrono::duration_cast<milliseconds>(issued.time_since_epoch()).count();
+  const std::string digits = ToString(incarnation{static_cast<std::uint64_t>(ms)});
+  return digits.substr(4, 8) + "-" + digits.substr(12) + "-7abc-8def-0123456789ab";
+}
+
+// Guards against a retention in the document that does not reach the entries, and against a key
+// that runs again once its claim is beyond a shorter retention.
+TEST_F(operators_process_test, AShorterClaimRetentionKeepsOldKeysFromRunning) {
+  StartSystem();
+  const std::string key = KeyIssued(std::chrono::minutes(150));
+  ASSERT_EQ(system().Call("entry-0", OrderRequest("o1", key)).value().status, 201);
+  EXPECT_EQ(system().Call("entry-1", OrderRequest("o1", key)).value().status, 201);
+  ASSERT_EQ(Tool({"export"}), 0);
+  std::string shorter = output_;
+  const std::string named = R"("name":"order-desk")";
+  const std::size_t desk = shorter.find(named);
+  ASSERT_NE(desk, std::string::npos) << shorter;
+  shorter.insert(desk + named.size(), R"(,"claim_retention_ms":3600000)");
+  ASSERT_EQ(Tool({"apply", "--author=ana", "--team=services", "--force",
+                  WriteDocument("shorter.json", shorter)}),
+            0)
+      << output_;
+  for (const char* const entry : {"entry-0", "entry-1", "entry-2"}) {
+    EXPECT_TRUE(deployment::WaitUntil(
+        [&] { return VerdictOf(system().Call(entry, OrderRequest("o1", key))) == "may-have-run"; },
+        kPatience));
+  }
+  EXPECT_EQ(RunsOf(system(), 3, "o1"), 1);
+  // One of the entries writes the floor with its next sweep.
+  EXPECT_TRUE(deployment::WaitUntil(
+      [&] {
+        const auto floor = system().Call("kv", {"GET", "/v1/kv/claims/floor", {}, ""});
+        return floor.has_value() && floor.value().status == 200;
+      },
+      kPatience));
+}
+
 // Guards against a lost update when two operators change the same section, and against a refusal
 // of changes that do not touch each other.
 TEST_F(operators_process_test, RacingOperators) {
