Erase old section bodies from the key-value service

An apply may be paused between writing bodies and swapping the root. So the collector rewrites the bytes of the root before it erases, by which the swap of such an apply fails, and deletes only at the index that it has read; an apply writes a body that exists already again, which changes that index. The key-value client and stand-in learn DELETE with ?cas=.

--- a/libs/cli/src/config_commands.cc
+++ b/libs/cli/src/config_commands.cc
@@ -10,6 +10,7 @@
 #include "quincebank/base/random.h"
 #include "quincebank/cli/domain_state.h"
 #include "quincebank/config/apply_flow.h"
+#include "quincebank/config/section_collector.h"
 #include "quincebank/membership/offer_plan.h"
 #include "quincebank/platform/consul_kv.h"
 #include "quincebank/routing/choose.h"
@@ -51,6 +52,7 @@
   switch (action.step) {
     case apply_step::kReadRoot:
     case apply_step::kReadSection:
+    case apply_step::kReadBody:
     case apply_step::kReadBack: {
       auto entry = kv.Get(action.key);
       if (!entry) {
@@ -63,10 +65,9 @@
       return;
     }
     case apply_step::kWriteSection:
+    case apply_step::kTouchSection:
     case apply_step::kSwapRoot: {
-      const std::uint64_t expected =
-          action.step == apply_step::kSwapRoot ? action.index : kKvAbsent;
-      const auto written = kv.CompareAndSwap(action.key, action.value, expected);
+      const auto written = kv.CompareAndSwap(action.key, action.value, action.index);
       if (written) {
         flow.OnWritten(written.value(), Now());
       } else {
@@ -82,6 +83,33 @@
   }
 }
 
+/// Lists the bodies that the apply left behind, and erases old ones. What fails is left to the next
+/// apply.
+void CollectSections(tool_context& context, kv_store& kv, const apply_outcome& outcome) {
+  section_collector collector(outcome.dropped, {});
+  while (const auto call = collector.Next()) {
+    if (call->what == collect_call::kind::kRead) {
+      auto entry = kv.Get(call->key);
+      if (!entry)
+        collector.OnError();
+      else if (entry.value())
+        collector.OnRead(stored_value{std::move(entry.value()->value), entry.value()->index});
+      else
+        collector.OnRead(std::nullopt);
+      continue;
+    }
+    const auto done = call->what == collect_call::kind::kSwap
+                          ? kv.CompareAndSwap(call->key, call->value, call->index)
+                          : kv.EraseIf(call->key, call->index);
+    if (done)
+      collector.OnWritten(done.value());
+    else
+      collector.OnError();
+  }
+  if (collector.erased() > 0)
+    context.out << "old section bodies erased: " << collector.erased() << "\n";
+}
+
 /// Offers the accepted root to the nodes directly; the exchange between peers reaches the rest.
 void OfferToNodes(tool_context& context,
                   const tool_options& options,
@@ -147,8 +175,10 @@
     Perform(flow, *kv, action);
   }
   const apply_outcome& outcome = flow.outcome();
-  if (!outcome.accepted)
+  if (!outcome.accepted) {
+    CollectSections(context, *kv, outcome);
     return outcome.reason;
+  }
   if (outcome.unchanged) {
     context.out << "version " << outcome.version << " already is what was asked for\n";
     return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -156,6 +186,7 @@
   context.out << "version " << outcome.version << " accepted\n";
   if (options.host_list)
     OfferToNodes(context, options, outcome);
+  CollectSections(context, *kv, outcome);
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/libs/config/include/quincebank/config/apply_flow.h
+++ b/libs/config/include/quincebank/config/apply_flow.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
   kReadRoot,      ///< Read `key`; answer by `OnRead`.
   kReadSection,   ///< Read `key`; answer by `OnRead`.
   kWriteSection,  ///< Create `key` with `value` if absent; answer by `OnWritten`.
+  kReadBody,      ///< Read `key`, a body that exists already; answer by `OnRead`.
+  kTouchSection,  ///< Replace `key` if its index is `index`; answer by `OnWritten`.
   kSwapRoot,      ///< Replace `key` if its index is `index` (0: absent); answer by `OnWritten`.
   kReadBack,      ///< Read `key` after a swap without an answer; answer by `OnRead`.
   kWait,          ///< Call `Next` again at `not_before`.
@@ -43,6 +46,8 @@
   std::uint64_t version = 0;            ///< Version that is in force with the change.
   config_root root;                     ///< Valid if accepted; offered to the nodes.
   std::vector<config_section> changed;  ///< Bodies to offer with the root.
+  /// Digests that the apply replaced, or wrote in vain: to be given to `section_collector`.
+  std::vector<std::string> dropped;
   /// Valid if rejected. `outcome` is `kNotRun` if the change is not and will never be in force,
   /// `kMayHaveRun` if it may be now or later.
   error reason;
@@ -83,6 +88,8 @@
   void OnReadBack(const std::optional<stored_value>& value);
   void LoadOrPlan();
   void Plan();
+  void NextSection();
+  void ListDropped(const config_root& in_force);
   void Accept(bool unchanged);
   void Reject(error reason);
   void RejectUnresolved(const std::string& why);
@@ -102,6 +109,8 @@
   std::vector<std::string> to_read_;             ///< Names of sections of `current_`.
   apply_plan plan_;
   std::size_t written_ = 0;
+  std::uint64_t touch_index_ = 0;
+  std::set<std::string> bodies_;  ///< Digests of all bodies written, for any plan.
   std::string plan_digest_;
   bool swap_unresolved_ = false;  ///< A swap of `plan_` was sent and its effect is unknown.
   apply_outcome outcome_;
--- a/libs/config/src/apply_flow.cc
+++ b/libs/config/src/apply_flow.cc
@@ -32,6 +32,12 @@
       const config_section& section = plan_.changed[written_];
       return {step_, SectionKey(section.digest), section.body, 0, now};
     }
+    case apply_step::kReadBody:
+      return {step_, SectionKey(plan_.changed[written_].digest), {}, 0, now};
+    case apply_step::kTouchSection: {
+      const config_section& section = plan_.changed[written_];
+      return {step_, SectionKey(section.digest), section.body, touch_index_, now};
+    }
     case apply_step::kSwapRoot:
       return {step_, std::string(kRootKey), Serialize(plan_.root), current_index_, now};
     default:
@@ -48,6 +54,10 @@
     case apply_step::kReadSection:
       OnSectionRead(value);
       return;
+    case apply_step::kReadBody:
+      touch_index_ = value ? value->index : 0;
+      step_ = value ? apply_step::kTouchSection : apply_step::kWriteSection;
+      return;
     case apply_step::kReadBack:
       OnReadBack(value);
       if (step_ == apply_step::kSwapRoot)
@@ -61,9 +71,18 @@
 void apply_flow::OnWritten(bool applied, time_point) {
   wait_ = settings_.first_wait;
   if (step_ == apply_step::kWriteSection) {
-    // The key is the digest of the value, so an existing key holds the same bytes.
-    if (++written_ == plan_.changed.size())
-      step_ = apply_step::kSwapRoot;
+    // An existing body may be about to be erased at its present index, so it is written again.
+    if (applied)
+      NextSection();
+    else
+      step_ = apply_step::kReadBody;
+    return;
+  }
+  if (step_ == apply_step::kTouchSection) {
+    if (applied)
+      NextSection();
+    else
+      step_ = apply_step::kWriteSection;
     return;
   }
   if (step_ != apply_step::kSwapRoot)
@@ -76,6 +95,10 @@
   step_ = apply_step::kReadBack;
 }
 
+void apply_flow::NextSection() {
+  step_ = ++written_ == plan_.changed.size() ? apply_step::kSwapRoot : apply_step::kWriteSection;
+}
+
 void apply_flow::OnError(const error& failure, time_point now) {
   last_failure_ = Describe(failure);
   if (step_ == apply_step::kFinished)
@@ -165,6 +188,8 @@
   }
   plan_digest_ = Digest(plan_.root);
   written_ = 0;
+  for (const config_section& section : plan_.changed)
+    bodies_.insert(section.digest);
   step_ = plan_.changed.empty() ? apply_step::kSwapRoot : apply_step::kWriteSection;
 }
 
@@ -211,7 +236,17 @@
   OnRootRead(value);
 }
 
+void apply_flow::ListDropped(const config_root& in_force) {
+  std::set<std::string> dropped = bodies_;
+  for (const auto& [name, ref] : current_.sections)
+    dropped.insert(ref.digest);
+  for (const auto& [name, ref] : in_force.sections)
+    dropped.erase(ref.digest);
+  outcome_.dropped.assign(dropped.begin(), dropped.end());
+}
+
 void apply_flow::Accept(bool unchanged) {
+  ListDropped(plan_.root);
   step_ = apply_step::kFinished;
   outcome_.accepted = true;
   outcome_.unchanged = unchanged;
@@ -222,6 +257,7 @@
 
 void apply_flow::Reject(error reason) {
   step_ = apply_step::kFinished;
+  ListDropped(current_);
   outcome_.accepted = false;
   outcome_.reason = std::move(reason);
 }
--- a/libs/config/tests/apply_race_test.cc
+++ b/libs/config/tests/apply_race_test.cc
@@ -127,11 +127,15 @@
           break;
         case apply_step::kReadSection:
         case apply_step::kWriteSection:
+        case apply_step::kReadBody:
+        case apply_step::kTouchSection:
           if (state.cut_off) {
             state.flow.OnError(MakeError(error_code::kTimeout, "cut off", verdict::kMayHaveRun),
                                state.now);
           } else if (action.step == apply_step::kWriteSection) {
             state.flow.OnWritten(kv.sections.emplace(action.key, action.value).second, state.now);
+          } else if (action.step == apply_step::kTouchSection) {
+            state.flow.OnWritten(true, state.now);
           } else {
             const auto found = kv.sections.find(action.key);
             state.flow.OnRead(found == kv.sections.end()
--- a/libs/expert_group/tests/map_records_test.cc
+++ b/libs/expert_group/tests/map_records_test.cc
@@ -33,6 +33,7 @@
     return created;
   }
   result<void> Erase(std::string_view) override { return Down(); }
+  result<bool> EraseIf(std::string_view, std::uint64_t) override { return Down(); }
   result<std::optional<kv_entry>> Watch(std::string_view, std::uint64_t, milliseconds) override {
     return Down();
   }
--- a/libs/platform/include/quincebank/platform/kv_store.h
+++ b/libs/platform/include/quincebank/platform/kv_store.h
@@ -43,6 +43,10 @@
   /// \brief Deletes the key whatever its value. Only for keys that no writer uses any more.
   [[nodiscard]] virtual result<void> Erase(std::string_view key) = 0;
 
+  /// \brief Deletes the key if its index is still `expected`.
+  /// \returns False if it has another index or does not exist.
+  [[nodiscard]] virtual result<bool> EraseIf(std::string_view key, std::uint64_t expected) = 0;
+
   /// \brief Waits until the key's index differs from `seen`, at most `wait`.
   /// \returns The entry as it is then, changed or not.
   [[nodiscard]] virtual result<std::optional<kv_entry>> Watch(std::string_view key,
--- a/libs/platform/src/consul_kv.cc
+++ b/libs/platform/src/consul_kv.cc
@@ -62,6 +62,12 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
 
+  result<bool> EraseIf(std::string_view key, std::uint64_t expected) override {
+    BOOST_OUTCOME_TRY(const http_response response,
+                      Write("DELETE", KeyTarget(key) + "?cas=" + std::to_string(expected), {}));
+    return response.body.starts_with("true");
+  }
+
   result<std::string> OpenLease(milliseconds time_to_live) override {
     const auto body = boost::json::serialize(boost::json::object{
         {"TTL", std::to_string(time_to_live.count()) + "ms"}, {"Behavior", "release"}});
--- a/libs/standins/src/kv_standin.cc
+++ b/libs/standins/src/kv_standin.cc
@@ -71,10 +71,7 @@
       } else if (method == "PUT") {
         Write(exchange, key, target);
       } else if (method == "DELETE") {
-        ++writes_;
-        values_.erase(key);
-        changed_.notify_all();
-        exchange.Respond({200, {{"Content-Type", "application/json"}}, "true"});
+        Delete(exchange, key, target);
       } else {
         ReplyError(exchange, 405, "method not allowed");
       }
@@ -147,6 +144,19 @@
     exchange.Respond({200, {{"Content-Type", "application/json"}}, stored ? "true" : "false"});
   }
 
+  void Delete(http_exchange& exchange, const std::string& key, const parsed_target& target) {
+    ++writes_;
+    const std::string expected(target.Query("cas").value_or(""));
+    const auto found = values_.find(key);
+    const bool matches = expected.empty() ||
+                         (found != values_.end() && ParseNumber(expected) == found->second.index);
+    if (matches && found != values_.end()) {
+      values_.erase(found);
+      changed_.notify_all();
+    }
+    exchange.Respond({200, {{"Content-Type", "application/json"}}, matches ? "true" : "false"});
+  }
+
   bool Store(const std::string& key,
              const std::string& value,
              const std::string& swap,
--- a/libs/standins/tests/kv_contract_test.cc
+++ b/libs/standins/tests/kv_contract_test.cc
@@ -49,6 +49,21 @@
   });
 }
 
+// Guards against deleting a value that was written after the caller looked at it.
+TEST_F(kv_contract_test, ErasesOnlyTheExpectedIndex) {
+  InFiber([&] {
+    EXPECT_TRUE(kv_->CompareAndSwap("k", "first", kKvAbsent).value());
+    const std::uint64_t seen = kv_->Get("k").value()->index;
+    EXPECT_TRUE(kv_->CompareAndSwap("k", "first", seen).value());
+    EXPECT_FALSE(kv_->EraseIf("k", seen).value()) << "the same bytes at another index";
+    EXPECT_TRUE(kv_->EraseIf("k", kv_->Get("k").value()->index).value());
+    EXPECT_EQ(kv_->Get("k").value(), std::nullopt);
+    EXPECT_FALSE(kv_->EraseIf("k", seen).value());
+    EXPECT_TRUE(kv_->CompareAndSwap("k", "second", kKvAbsent).value());
+    EXPECT_GT(kv_->Get("k").value()->index, seen) << "an index never comes back";
+  });
+}
+
 TEST_F(kv_contract_test, AbsentKeyIsNotAnError) {
   InFiber([&] { EXPECT_EQ(kv_->Get("none").value(), std::nullopt); });
 }
--- a/tests/process/operators_test.cc
+++ b/tests/process/operators_test.cc
@@ -131,6 +131,32 @@
       kPatience));
 }
 
+// Guards against section bodies that pile up in the key-value service, and against erasing one that
+// is in force.
+TEST_F(operators_process_test, OldSectionBodiesAreErased) {
+  constexpr int kGraceVersions = 32;
+  deployment_plan plan;
+  plan.drafts = plan.orders = 1;
+  StartSystem(plan);
+  std::int64_t settled = 0;
+  for (int i = 0; i < kGraceVersions + 8; ++i) {
+    ASSERT_EQ(Tool({"export"}), 0) << output_;
+    std::string changed = output_;
+    const std::string weight = R"("name":"diner-sud","weight":)";
+    const std::size_t at = changed.find(weight) + weight.size();
+    changed.replace(at, changed.find('}', at) - at, std::to_string(100 + i));
+    ASSERT_EQ(
+        Tool({"apply", "--author=ana", "--team=accounts", WriteDocument("change.json", changed)}),
+        0)
+        << output_;
+    if (i == kGraceVersions + 3)
+      settled = Counter(system(), "kv", "keys");
+  }
+  EXPECT_EQ(Counter(system(), "kv", "keys"), settled);
+  EXPECT_NE(output_.find("old section bodies erased: 1"), std::string::npos) << output_;
+  EXPECT_EQ(Tool({"export"}), 0) << output_;
+}
+
 // Guards against a lost update when two operators change the same section, and against a refusal
 // of changes that do not touch each other.
 TEST_F(operators_process_test, RacingOperators) {
