--- a/libs/admission/include/quincebank/admission/hedge_policy.h
+++ b/libs/admission/include/quincebank/admission/hedge_policy.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
+#include <string_view>
 
 #include "quincebank/admission/latency_quantile.h"
 #include "quincebank/admission/retry_budget.h"
@@ -14,8 +16,46 @@
   double quantile = 0.95;         ///< A request slower than this share of others may be hedged.
   std::size_t min_samples = 100;  ///< No hedge before this many latencies were observed.
   milliseconds min_delay{20};     ///< No hedge earlier than this.
+
+  [[nodiscard]] bool operator==(const hedge_settings&) const noexcept = default;
+};
+
+/// \brief What a `hedge_policy` knows of the service's latencies.
+struct hedge_view {
+  std::size_t samples = 0;
+  milliseconds quantile{0};  ///< The observed quantile; 0 without samples.
+};
+
+/// \brief All that the decision on one hedge reads.
+struct hedge_input {
+  hedge_settings settings;
+  hedge_view view;
+  bool repeatable = false;
+  milliseconds elapsed{0};      ///< Since the first copy was sent, without a byte of its body.
+  bool other_upstream = false;  ///< Whether an upstream was chosen for the second copy.
+  bool budget_granted = false;  ///< Whether the retry budget gave a token.
 };
 
+/// \brief Why a second copy was or was not sent.
+enum class hedge_reason : std::uint8_t {
+  kSend,           ///< Slower than the quantile, and an upstream and the budget have room.
+  kNotRepeatable,  ///< The request may run only once.
+  kFewSamples,     ///< Too little is known of the service's latencies.
+  kNotSlow,        ///< The quantile has not passed.
+  kNoUpstream,     ///< No other warm upstream has a free place.
+  kNoBudget,       ///< The retry budget is used up.
+};
+
+/// \brief Returns the form in records, such as `no-budget`.
+[[nodiscard]] std::string_view ToString(hedge_reason reason) noexcept;
+
+/// \brief Returns how long to wait before a hedge; nothing if the request is never hedged.
+[[nodiscard]] std::optional<milliseconds> HedgeDelay(const hedge_settings& settings,
+                                                     const hedge_view& view,
+                                                     bool repeatable) noexcept;
+/// \brief Decides on one hedge.
+[[nodiscard]] hedge_reason DecideHedge(const hedge_input& input) noexcept;
+
 /// \brief Decides when a second copy of a slow request is sent to another upstream.
 ///
 /// Only repeatable work is hedged, only after the observed latency quantile, and each hedge draws
@@ -37,6 +77,8 @@
   [[nodiscard]] std::optional<milliseconds> Delay(bool repeatable) const;
   /// \brief Decides on one hedge and takes its token from the budget.
   [[nodiscard]] bool TryHedge(bool repeatable, milliseconds elapsed, retry_budget& budget) const;
+  [[nodiscard]] const hedge_settings& settings() const noexcept { return settings_; }
+  [[nodiscard]] hedge_view View() const;
 
  private:
   const hedge_settings settings_;
--- a/libs/admission/include/quincebank/admission/request.h
+++ b/libs/admission/include/quincebank/admission/request.h
@@ -21,6 +21,9 @@
   std::uint8_t priority = 5;    ///< 0 to 9, compared only within the workspace.
   /// Time left until the caller's deadline; nothing if the caller set none.
   std::optional<milliseconds> deadline;
+  /// A second copy of a slow request. It takes a free place of a warm upstream or none: it never
+  /// waits, so it delays no other work.
+  bool hedge = false;
   std::uint32_t cost = 1;  ///< Units charged to the workspace, for example 1 per request.
 };
 
--- a/libs/admission/src/gate.cc
+++ b/libs/admission/src/gate.cc
@@ -134,7 +134,12 @@
     return {kind::kRejected, {}, Refuse(shed_reason::kDraining)};
   if (!CanMeetDeadline(request))
     return {kind::kRejected, {}, Refuse(shed_reason::kDeadline)};
-  if (!queue_.empty() || in_flight_ >= limit_.limit())
+  const bool busy = !queue_.empty() || in_flight_ >= limit_.limit();
+  if (request.hedge && (busy || limit_.cold())) {
+    return {
+        kind::kRejected, {}, Refuse(limit_.cold() ? shed_reason::kCold : shed_reason::kQueueFull)};
+  }
+  if (busy)
     return Enqueue(request, now);
   entry* const work = Allocate();
   if (work == nullptr)
--- a/libs/admission/src/hedge_policy.cc
+++ b/libs/admission/src/hedge_policy.cc
@@ -1,6 +1,7 @@
 #include "quincebank/admission/hedge_policy.h"
 
 #include <algorithm>
+#include <array>
 
 namespace quincebank {
 namespace {
@@ -8,6 +9,9 @@
 // Enough latencies that the highest twentieth is more than a handful.
 constexpr std::size_t kWindow = 1000;
 
+constexpr std::array<std::string_view, 6> kReasons{"send",     "not-repeatable", "few-samples",
+                                                   "not-slow", "no-upstream",    "no-budget"};
+
 }  // namespace
 
 hedge_policy::hedge_policy(const hedge_settings& settings)
@@ -17,13 +21,12 @@
   latencies_.Observe(latency);
 }
 
+hedge_view hedge_policy::View() const {
+  return {latencies_.samples(), latencies_.Quantile(settings_.quantile).value_or(milliseconds(0))};
+}
+
 std::optional<milliseconds> hedge_policy::Delay(bool repeatable) const {
-  if (!repeatable || latencies_.samples() < settings_.min_samples)
-    return std::nullopt;
-  const auto quantile = latencies_.Quantile(settings_.quantile);
-  if (!quantile)
-    return std::nullopt;
-  return std::max(*quantile, settings_.min_delay);
+  return HedgeDelay(settings_, View(), repeatable);
 }
 
 bool hedge_policy::TryHedge(bool repeatable, milliseconds elapsed, retry_budget& budget) const {
@@ -31,4 +34,29 @@
   return delay && elapsed >= *delay && budget.TryRepeat();
 }
 
+std::string_view ToString(hedge_reason reason) noexcept {
+  return kReasons.at(static_cast<std::size_t>(reason));
+}
+
+std::optional<milliseconds> HedgeDelay(const hedge_settings& settings,
+                                       const hedge_view& view,
+                                       bool repeatable) noexcept {
+  if (!repeatable || view.samples < settings.min_samples || view.samples == 0)
+    return std::nullopt;
+  return std::max(view.quantile, settings.min_delay);
+}
+
+hedge_reason DecideHedge(const hedge_input& input) noexcept {
+  if (!input.repeatable)
+    return hedge_reason::kNotRepeatable;
+  const auto delay = HedgeDelay(input.settings, input.view, input.repeatable);
+  if (!delay)
+    return hedge_reason::kFewSamples;
+  if (input.elapsed < *delay)
+    return hedge_reason::kNotSlow;
+  if (!input.other_upstream)
+    return hedge_reason::kNoUpstream;
+  return input.budget_granted ? hedge_reason::kSend : hedge_reason::kNoBudget;
+}
+
 }  // namespace quincebank
--- a/libs/admission/tests/gate_test.cc
+++ b/libs/admission/tests/gate_test.cc
@@ -273,5 +273,21 @@
   EXPECT_GE(more.refused.retry_after, Settings().min_retry_after);
 }
 
+// Guards against second copies that delay other work or load a cold upstream: they take a free
+// place of a warm upstream or none.
+TEST_F(gate_fixture, HedgeTakesAFreePlaceOfAWarmUpstreamOrNone) {
+  const admission_request hedge{.workspace = 1, .hedge = true};
+  EXPECT_EQ(Offer(hedge).refused.reason, shed_reason::kCold);
+  WarmUp();
+  EXPECT_TRUE(Offer(hedge).admitted());
+  while (gate_.State().in_flight < gate_.State().limit)
+    EXPECT_TRUE(Offer().admitted());
+  const admission_decision refused = Offer(hedge);
+  EXPECT_EQ(refused.refused.reason, shed_reason::kQueueFull);
+  EXPECT_EQ(refused.refused.failure.outcome, verdict::kNotRun);
+  EXPECT_EQ(gate_.State().queued, 0U);
+  EXPECT_TRUE(Offer().queued());
+}
+
 }  // namespace
 }  // namespace quincebank
--- a/libs/agent/include/quincebank/agent/agent_service.h
+++ b/libs/agent/include/quincebank/agent/agent_service.h
@@ -57,7 +57,8 @@
 
   /// \brief Answers `/attempt/...` and `/attempts/<id>`. Called by fibers of the traffic thread.
   void Handle(http_exchange& exchange);
-  /// \brief Adds `agent.status`, `agent.attempt_status` and `agent.block_attempt`.
+  /// \brief Adds `agent.status`, `agent.attempt_status`, `agent.block_attempt` and
+  /// `agent.cancel_attempt`.
   void AddMethods(rpc_server& rpc);
 
   void SetDirectory(std::shared_ptr<const agent_directory> directory);
--- a/libs/agent/src/agent_answers.cc
+++ b/libs/agent/src/agent_answers.cc
@@ -10,7 +10,7 @@
 namespace quincebank {
 void agent_service::impl::Tail(http_exchange& exchange, attempt_id attempt, std::uint64_t offset) {
   const auto found = running_.find(attempt);
-  const ref_ptr<attempt_signal> signal = found == running_.end() ? nullptr : found->second;
+  const ref_ptr<attempt_signal> signal = found == running_.end() ? nullptr : found->second.signal;
   bool head_sent = false;
   std::uint64_t seen = 0;
   for (;;) {
--- a/libs/agent/src/agent_impl.cc
+++ b/libs/agent/src/agent_impl.cc
@@ -1,5 +1,6 @@
 #include "agent_impl.h"
 
+#include <boost/fiber/operations.hpp>
 #include <utility>
 
 #include "quincebank/base/clock.h"
@@ -14,6 +15,8 @@
 // The gate asks for a call at least every 100 ms, so that expired work leaves the queue.
 constexpr milliseconds kSweepInterval{50};
 constexpr milliseconds kProbeTimeout{1000};
+// An engine notices a closed connection at its next step; the place stays taken until then.
+constexpr milliseconds kCancelGrace{100};
 
 result<attempt_id> ReadAttemptId(json_reader& reader) {
   const auto attempt = ParseAttemptId(reader.String("attempt"));
@@ -95,8 +98,11 @@
 }
 
 std::optional<rejection> agent_service::impl::WaitForSlot(http_exchange& exchange,
+                                                          const attempt_request& request,
                                                           admission_ticket ticket) {
   admission_wait wait;
+  wait.attempt = request.attempt;
+  wait.repeatable = request.repeatable;
   waiting_.emplace(ticket.value, &wait);
   ApplyQueue();
   bool connected = true;
@@ -141,7 +147,7 @@
   }
   exchange.StartStream(200, {{"Content-Type", "text/event-stream"}});
   if (decision.queued()) {
-    const auto refused = WaitForSlot(exchange, decision.ticket);
+    const auto refused = WaitForSlot(exchange, request, decision.ticket);
     if (refused) {
       exchange.Write(Encode(Refusal(*refused)));
       exchange.Finish();
@@ -170,7 +176,8 @@
 }
 
 void agent_service::impl::Start(const attempt_request& request, admission_ticket ticket) {
-  running_.emplace(request.attempt, new attempt_signal);
+  running_.emplace(request.attempt,
+                   running_attempt{new attempt_signal, new call_cancellation, request.repeatable});
   Spawn([this, request, ticket] { RunUpstream(request, ticket); });
 }
 
@@ -179,7 +186,11 @@
   milliseconds first_byte{0};
   const result<void> copied = CopyAnswer(request, started, first_byte);
   const time_point now = Now();
-  if (copied) {
+  const ref_ptr<call_cancellation> cancellation = running_.at(request.attempt).cancellation;
+  if (!copied && cancellation->cancelled()) {
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(now - started);
+    FinishCancelled(request, ticket, first_byte.count() > 0 ? first_byte : elapsed);
+  } else if (copied) {
     served_.Add();
     service_times_.Record(first_byte);
     gate_->Finish(ticket, work_outcome::kServed, first_byte, now);
@@ -194,8 +205,22 @@
       gate_->OnConnectionLost();
   }
   ApplyQueue();
-  const auto signal = running_.extract(request.attempt);
-  signal.mapped()->Notify();
+  const auto ended = running_.extract(request.attempt);
+  ended.mapped().signal->Notify();
+}
+
+void agent_service::impl::FinishCancelled(const attempt_request& request,
+                                          admission_ticket ticket,
+                                          milliseconds service_time) {
+  cancelled_.Add();
+  ledger_.Fail(request.attempt, verdict::kMayHaveRun, Now());
+  running_.at(request.attempt).signal->Notify();
+  boost::this_fiber::sleep_for(kCancelGrace);
+  // Work that was too slow for its caller is evidence; without it, cancelling would hide a slow
+  // upstream from the limit. A copy that merely lost a race says nothing.
+  const bool slow = service_time > settings_.admission.ramp.good_service_time;
+  gate_->Finish(ticket, slow ? work_outcome::kTimedOut : work_outcome::kNoEvidence, service_time,
+                Now());
 }
 
 result<void> agent_service::impl::CopyAnswer(const attempt_request& request,
@@ -205,6 +230,7 @@
   call.connect_timeout = settings_.connect_timeout;
   call.response_timeout = settings_.first_byte_timeout;
   call.idle_timeout = settings_.silence_timeout;
+  call.cancellation = running_.at(request.attempt).cancellation;
   BOOST_OUTCOME_TRY(const std::unique_ptr<http_stream> stream, http_.Open(call));
   attempt_head head{stream->status(), {}};
   for (const http_header& field : stream->headers()) {
@@ -213,7 +239,7 @@
     head.headers.Add(field.name, field.value);
   }
   ledger_.SetHead(request.attempt, head.status, EncodeHead(head));
-  const ref_ptr<attempt_signal> signal = running_.at(request.attempt);
+  const ref_ptr<attempt_signal> signal = running_.at(request.attempt).signal;
   signal->Notify();
   for (;;) {
     BOOST_OUTCOME_TRY(const std::optional<std::string> piece, stream->ReadSome());
@@ -254,6 +280,50 @@
   return boost::json::value{{"state", ToString(state)}, {"load", ToJson(Load())}};
 }
 
+result<bool> agent_service::impl::CancelWaiting(attempt_id attempt) {
+  for (const auto& [ticket, wait] : waiting_) {
+    if (wait->attempt != attempt)
+      continue;
+    if (!wait->repeatable)
+      return MakeError(error_code::kConflict, "the attempt is not repeatable");
+    // It may have been admitted a moment ago; it has not begun in either case.
+    gate_->Cancel({ticket});
+    wait->admitted = false;
+    wait->decided = true;
+    wait->refused.failure = MakeError(error_code::kConflict, "cancelled by the entry");
+    wait->signal.Notify();
+    ApplyQueue();
+    return true;
+  }
+  return false;
+}
+
+result<boost::json::value> agent_service::impl::CancelAttempt(const boost::json::object& params) {
+  std::vector<error> errors;
+  const boost::json::value value(params);
+  json_reader reader(value, "", errors);
+  BOOST_OUTCOME_TRY(const attempt_id attempt, ReadAttemptId(reader));
+  const auto wanted = ParseIncarnation(reader.String("incarnation"));
+  if (!wanted)
+    return MakeError(error_code::kInvalidArgument, "incarnation: expected 16 hexadecimal digits");
+  if (*wanted != self_)
+    return MakeError(error_code::kStale, "the attempt belongs to another incarnation");
+  bool cancelled = false;
+  const auto running = running_.find(attempt);
+  if (running != running_.end()) {
+    if (!running->second.repeatable)
+      return MakeError(error_code::kConflict, "the attempt is not repeatable");
+    running->second.cancellation->Cancel();
+    cancelled = true;
+  } else {
+    BOOST_OUTCOME_TRY(cancelled, CancelWaiting(attempt));
+  }
+  // The cancellation may have overtaken the attempt itself, which then must not start.
+  if (!cancelled)
+    cancelled = ledger_.Block(attempt, *wanted, Now()) == attempt_state::kBlocked;
+  return boost::json::value{{"cancelled", cancelled}, {"load", ToJson(Load())}};
+}
+
 void agent_service::impl::SetDirectory(std::shared_ptr<const agent_directory> directory) {
   directory_ = std::move(directory);
 }
--- a/libs/agent/src/agent_impl.h
+++ b/libs/agent/src/agent_impl.h
@@ -35,6 +35,8 @@
   void ReadAttempt(http_exchange& exchange);
   [[nodiscard]] result<boost::json::value> AttemptStatus(const boost::json::object& params);
   [[nodiscard]] result<boost::json::value> BlockAttempt(const boost::json::object& params);
+  /// \brief Stops a repeatable attempt whose answer nobody needs any more, and frees its place.
+  [[nodiscard]] result<boost::json::value> CancelAttempt(const boost::json::object& params);
 
   void SetDirectory(std::shared_ptr<const agent_directory> directory);
   void SetUpstream(const upstream_settings& settings);
@@ -53,6 +55,13 @@
     rejection refused;
     attempt_signal signal;
     bool decided = false;
+    attempt_id attempt;
+    bool repeatable = false;
+  };
+  struct running_attempt {
+    ref_ptr<attempt_signal> signal;
+    ref_ptr<call_cancellation> cancellation;
+    bool repeatable = false;
   };
 
   void Spawn(std::function<void()> task);
@@ -61,7 +70,14 @@
   void ApplyQueue();
   /// \brief Waits in the queue with heartbeats.
   /// \returns Nothing if admitted, else why not.
-  std::optional<rejection> WaitForSlot(http_exchange& exchange, admission_ticket ticket);
+  std::optional<rejection> WaitForSlot(http_exchange& exchange,
+                                       const attempt_request& request,
+                                       admission_ticket ticket);
+  /// \returns Whether the attempt was waiting in the queue.
+  [[nodiscard]] result<bool> CancelWaiting(attempt_id attempt);
+  void FinishCancelled(const attempt_request& request,
+                       admission_ticket ticket,
+                       milliseconds service_time);
   void Start(const attempt_request& request, admission_ticket ticket);
   void RunUpstream(const attempt_request& request, admission_ticket ticket);
   /// \brief Reads the upstream's answer into the ledger.
@@ -94,10 +110,12 @@
       {"quincebank_agent_attempts_total", "Attempts that ended.", {{"outcome", "served"}}});
   counter& failed_ = metrics_.AddCounter(
       {"quincebank_agent_attempts_total", "Attempts that ended.", {{"outcome", "failed"}}});
+  counter& cancelled_ = metrics_.AddCounter(
+      {"quincebank_agent_attempts_total", "Attempts that ended.", {{"outcome", "cancelled"}}});
   counter& refused_ =
       metrics_.AddCounter({"quincebank_agent_refusals_total", "Attempts refused as not run.", {}});
   std::unordered_map<std::uint64_t, admission_wait*> waiting_;  // By ticket.
-  std::unordered_map<attempt_id, ref_ptr<attempt_signal>> running_;
+  std::unordered_map<attempt_id, running_attempt> running_;
 };
 
 }  // namespace quincebank
--- a/libs/agent/src/agent_service.cc
+++ b/libs/agent/src/agent_service.cc
@@ -41,6 +41,8 @@
           [this](const boost::json::object& params) { return impl_->AttemptStatus(params); });
   rpc.Add("agent.block_attempt",
           [this](const boost::json::object& params) { return impl_->BlockAttempt(params); });
+  rpc.Add("agent.cancel_attempt",
+          [this](const boost::json::object& params) { return impl_->CancelAttempt(params); });
 }
 
 void agent_service::SetDirectory(std::shared_ptr<const agent_directory> directory) {
--- a/libs/agent/src/attempt_request.cc
+++ b/libs/agent/src/attempt_request.cc
@@ -11,9 +11,9 @@
 namespace quincebank {
 namespace {
 
-constexpr std::array<std::string_view, 8> kInternalFields{
-    kAttemptField, kIncarnationField, kConfigVersionField, kServiceField,
-    kLoadField,    kRepeatableField,  kFirstSendField,     "Host"};
+constexpr std::array<std::string_view, 9> kInternalFields{
+    kAttemptField,    kIncarnationField, kConfigVersionField, kServiceField, kLoadField,
+    kRepeatableField, kFirstSendField,   kHedgeField,         "Host"};
 
 error WrongField(std::string_view field) {
   error failure = MakeError(error_code::kInvalidArgument, "missing or malformed header field");
@@ -57,6 +57,7 @@
   parsed.attempt = *attempt;
   parsed.wanted = *wanted;
   parsed.repeatable = request.headers.Get(kRepeatableField) == "true";
+  parsed.admission.hedge = parsed.repeatable && request.headers.Get(kHedgeField) == "true";
   parsed.workspace = std::string(request.headers.Get(kWorkspaceField));
   parsed.admission.workspace = StableHash64(parsed.workspace);
   BOOST_OUTCOME_TRY(const auto priority,
--- a/libs/cli/src/node_commands.cc
+++ b/libs/cli/src/node_commands.cc
@@ -1,10 +1,12 @@
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 #include <fstream>
+#include <optional>
 #include <ostream>
 #include <utility>
 
 #include "commands.h"
+#include "quincebank/admission/hedge_record.h"
 #include "quincebank/base/json_reader.h"
 #include "quincebank/base/record.h"
 #include "quincebank/messages/agent_load.h"
@@ -36,6 +38,38 @@
       << "\n";
 }
 
+void PrintHedgeReplay(std::ostream& out, const decision_record& record) {
+  const auto replay = ReplayHedge(record);
+  if (!replay) {
+    out << "  can't be recomputed: " << Describe(replay.error()) << "\n";
+    return;
+  }
+  out << "  recomputed: "
+      << (replay.value() == record.outcome
+              ? "same decision"
+              : "another decision: " + boost::json::serialize(replay.value()))
+      << "\n";
+}
+
+/// Outcome of computing a record again; nothing for a kind that is not recomputed.
+struct recomputed {
+  boost::json::object outcome;
+  bool same = false;
+};
+
+result<std::optional<recomputed>> Recompute(const decision_record& record,
+                                            std::string_view policy) {
+  std::optional<recomputed> found;
+  if (record.kind == kRouteRecordKind) {
+    BOOST_OUTCOME_TRY(const route_replay replay, Replay(record, policy));
+    found = recomputed{replay.outcome, replay.same};
+  } else if (record.kind == kHedgeRecordKind) {
+    BOOST_OUTCOME_TRY(const boost::json::object outcome, ReplayHedge(record));
+    found = recomputed{outcome, outcome == record.outcome};
+  }
+  return found;
+}
+
 }  // namespace
 
 result<boost::json::value> GetJson(tool_context& context,
@@ -113,6 +147,8 @@
                 << boost::json::serialize(record.outcome) << "\n";
     if (record.kind == kRouteRecordKind)
       PrintReplay(context.out, record, {});
+    if (record.kind == kHedgeRecordKind)
+      PrintHedgeReplay(context.out, record);
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -135,17 +171,18 @@
                        path + ":" + std::to_string(line_number) + ": not a record");
     }
     const decision_record record = RecordFromJson(parsed.value().get_object());
-    if (record.kind != kRouteRecordKind)
-      continue;
-    const auto replay = Replay(record, options.policy);
+    const auto replay = Recompute(record, options.policy);
     if (!replay) {
       return MakeError(error_code::kInvalidArgument,
                        path + ":" + std::to_string(line_number) + ": " + Describe(replay.error()));
     }
-    ++(replay.value().same ? same : other);
-    if (!replay.value().same) {
+    if (!replay.value())
+      continue;
+    const recomputed& again = *replay.value();
+    ++(again.same ? same : other);
+    if (!again.same) {
       context.out << line_number << " " << record.request << ": "
-                  << boost::json::serialize(replay.value().outcome) << "\n";
+                  << boost::json::serialize(again.outcome) << "\n";
     }
   }
   context.out << same << " decisions the same, " << other << " different\n";
--- a/libs/config/include/quincebank/config/document.h
+++ b/libs/config/include/quincebank/config/document.h
@@ -56,6 +56,14 @@
 
 enum class service_kind : std::uint8_t { kModel, kPlain };
 
+/// \brief When a slow repeatable request of a service is sent to a second upstream.
+struct hedging_config {
+  bool enabled = false;
+  double quantile_percent = 95;     ///< Share of first bytes that come before a hedge is sent.
+  std::uint32_t min_samples = 100;  ///< First bytes that an entry must have seen.
+  milliseconds min_delay{20};
+};
+
 struct service_config {
   std::string name;
   service_kind kind = service_kind::kPlain;
@@ -66,6 +74,7 @@
   milliseconds first_byte_timeout{10'000};
   milliseconds total_timeout{60'000};
   milliseconds claim_retention{86'400'000};
+  hedging_config hedging;
   std::vector<route_config> routes;
 };
 
--- a/libs/config/src/section_reader.cc
+++ b/libs/config/src/section_reader.cc
@@ -69,6 +69,31 @@
     reader.Fail("method", "expected a method in upper case or \"*\"");
 }
 
+void Read(json_reader& reader, hedging_config& hedging) {
+  constexpr int_range kSamples{1, 1'000'000};
+  constexpr double kLeastPercent = 50;
+  constexpr double kMostPercent = 99.9;
+  hedging.enabled = reader.Bool("enabled", hedging.enabled);
+  hedging.quantile_percent =
+      reader.Number("quantile_percent", kLeastPercent, kMostPercent, hedging.quantile_percent);
+  hedging.min_samples =
+      static_cast<std::uint32_t>(reader.Int("min_samples", kSamples, hedging.min_samples));
+  hedging.min_delay = reader.Millis("min_delay_ms", kTimeoutMs, hedging.min_delay);
+}
+
+// Nothing says that a plain service stops work that is cancelled, and work that goes on after its
+// place was freed would exceed what the upstream can handle.
+void CheckHedging(json_reader& reader, const service_config& service) {
+  if (!service.hedging.enabled)
+    return;
+  if (service.kind != service_kind::kModel)
+    reader.Fail("hedging", "only model services can cancel the slower copy");
+  const bool repeatable = std::any_of(service.routes.begin(), service.routes.end(),
+                                      [](const route_config& route) { return route.repeatable; });
+  if (!repeatable)
+    reader.Fail("hedging", "the service has no repeatable route");
+}
+
 void Read(json_reader& reader, service_config& service) {
   service.name = Name(reader, "name");
   const std::string kind = reader.String("kind");
@@ -95,6 +120,11 @@
     Read(child, service.routes.emplace_back());
     child.Finish();
   });
+  reader.Child("hedging", [&service](json_reader& child) {
+    Read(child, service.hedging);
+    child.Finish();
+  });
+  CheckHedging(reader, service);
 }
 
 void Read(json_reader& reader, upstream_config& upstream) {
--- a/libs/entry/include/quincebank/entry/entry_metrics.h
+++ b/libs/entry/include/quincebank/entry/entry_metrics.h
@@ -30,6 +30,9 @@
   /// \brief Counts the request for the metrics and for the objectives in force.
   void Record(const request_outcome& request, const objective_table* objectives, time_point now);
   void CountRetry() { retries_.Add(); }
+  void CountHedgeSent() { hedges_sent_.Add(); }
+  void CountHedgeWon() { hedges_won_.Add(); }
+  void CountHedgeRefused() { hedges_refused_.Add(); }
   void CountDecision() { decisions_.Add(); }
 
   /// \brief Returns the text exposition with the present values of the node's gauges.
@@ -39,6 +42,14 @@
   metrics_registry registry_;
   counter& retries_ = registry_.AddCounter(
       {"quincebank_retries_total", "Attempts after the first one of a request.", {}});
+  counter& hedges_sent_ =
+      registry_.AddCounter({"quincebank_hedges_sent_total", "Second copies of slow requests.", {}});
+  counter& hedges_won_ = registry_.AddCounter(
+      {"quincebank_hedges_won_total", "Second copies that answered the caller.", {}});
+  counter& hedges_refused_ = registry_.AddCounter(
+      {"quincebank_hedges_refused_total",
+       "Slow requests without a second copy, for lack of budget or of an upstream.",
+       {}});
   counter& decisions_ =
       registry_.AddCounter({"quincebank_routing_decisions_total", "Routing decisions.", {}});
   gauge& config_version_ = registry_.AddGauge(
--- a/libs/entry/include/quincebank/entry/entry_service.h
+++ b/libs/entry/include/quincebank/entry/entry_service.h
@@ -14,6 +14,7 @@
 #include "quincebank/entry/claim_service.h"
 #include "quincebank/entry/entry_metrics.h"
 #include "quincebank/entry/entry_snapshot.h"
+#include "quincebank/entry/hedge_book.h"
 #include "quincebank/entry/upstream_directory.h"
 #include "quincebank/net/fiber_thread.h"
 #include "quincebank/net/http_client.h"
@@ -53,6 +54,7 @@
   record_log* records = nullptr;
   entry_metrics metrics;
   retry_budget retries{{.ratio = 0.1, .burst = 20, .initial = 20}};
+  hedge_book hedges;
   std::uint64_t seed = 0;                   ///< Random for this process.
   std::atomic<int> waiting{0};              ///< Requests that wait for room at an upstream.
   std::atomic<std::uint64_t> requests{0};   ///< Requests begun.
--- a/libs/entry/src/attempt_copy.cc
+++ b/libs/entry/src/attempt_copy.cc
@@ -11,7 +11,7 @@
 /// Takes the events of one answer until it ends.
 class event_reader {
  public:
-  event_reader(caller_answer& answer, upstream_slot* slot) : answer_(answer), slot_(slot) {}
+  event_reader(answer_sink& answer, upstream_slot* slot) : answer_(answer), slot_(slot) {}
 
   void Take(std::string_view text) {
     if (result_)
@@ -22,8 +22,8 @@
       return;
     }
     std::visit([this](auto& known) { On(known); }, event.value());
-    if (!result_ && answer_.caller_gone())
-      Lost("caller closed the connection");
+    if (!result_ && answer_.closed())
+      Lost("the answer is not taken any more");
   }
 
   void Lost(std::string message) {
@@ -45,7 +45,7 @@
   void On(const attempt_end& event) {
     OnLoad(event.load);
     if (!answer_.End()) {
-      Lost("caller closed the connection");
+      Lost("the answer is not taken any more");
       return;
     }
     result_.emplace();
@@ -68,7 +68,7 @@
     }
   }
 
-  caller_answer& answer_;
+  answer_sink& answer_;
   upstream_slot* slot_;
   std::optional<copy_result> result_;
 };
@@ -77,7 +77,7 @@
 
 copy_result RunCopy(http_client& http,
                     const http_call& call,
-                    caller_answer& answer,
+                    answer_sink& answer,
                     upstream_slot* slot) {
   event_reader reader(answer, slot);
   copy_result failed;
--- a/libs/entry/src/attempt_copy.h
+++ b/libs/entry/src/attempt_copy.h
@@ -17,12 +17,12 @@
   std::optional<error_code> refused_as;  ///< Code of a refusal.
 };
 
-/// \brief Sends a call to an agent and passes the events of its answer on to the caller.
+/// \brief Sends a call to an agent and passes the events of its answer on.
 ///
 /// \param slot  gets the agent's load; may be null.
 [[nodiscard]] copy_result RunCopy(http_client& http,
                                   const http_call& call,
-                                  caller_answer& answer,
+                                  answer_sink& answer,
                                   upstream_slot* slot);
 
 }  // namespace quincebank
--- a/libs/entry/src/request_flow.cc
+++ b/libs/entry/src/request_flow.cc
@@ -81,7 +81,7 @@
       return machine.OnClaim(action.step, decision, Now());
     }
     case action_kind::kSend:
-      return machine.OnCopy(action.step, Send(action), Now());
+      return machine.OnCopy(action.step, Send(machine, action), Now());
     case action_kind::kFetch:
       return machine.OnCopy(action.step, Fetch(action), Now());
     case action_kind::kAskState:
@@ -143,9 +143,9 @@
   return nullptr;
 }
 
-copy_report request_flow::Send(const request_action& action) {
+http_call request_flow::AttemptCall(const attempt_target& target, attempt_id attempt) const {
   const http_request& request = exchange_.request();
-  http_call call = CallTo(action.target);
+  http_call call = CallTo(target);
   call.request.method = request.method;
   call.request.target = "/attempt" + path_;
   call.request.body = request.body;
@@ -154,8 +154,11 @@
       call.request.headers.Add(field.name, field.value);
   }
   call.request.headers.Remove("Host");
+  // Only an entry may say these; an order that counts as repeatable would lose its protection.
+  call.request.headers.Remove(kHedgeField);
+  call.request.headers.Remove(kRepeatableField);
   const auto left = std::chrono::duration_cast<milliseconds>(deadline_ - Now());
-  call.request.headers.Set(kAttemptField, ToString(action.attempt));
+  call.request.headers.Set(kAttemptField, ToString(attempt));
   call.request.headers.Set(kServiceField, service_->name);
   if (spec_.kind == request_kind::kRepeatable)
     call.request.headers.Set(kRepeatableField, "true");
@@ -163,13 +166,22 @@
   call.request.headers.Set(kPriorityField, std::to_string(priority_));
   call.request.headers.Set(kDeadlineField,
                            std::to_string(std::max<milliseconds::rep>(left.count(), 0)));
-  upstream_slot* const slot = SlotOf(action.target.agent);
+  return call;
+}
+
+copy_result request_flow::RunCopyAt(const attempt_target& target,
+                                    const http_call& call,
+                                    answer_sink& answer) {
+  upstream_slot* const slot = SlotOf(target.agent);
   if (slot != nullptr)
     slot->OnSent();
-  answer_.SetSource(call.peer, action.target.life, action.attempt, 0);
-  const copy_result copy = RunCopy(context_.http, call, answer_, slot);
+  copy_result copy = RunCopy(context_.http, call, answer, slot);
   if (slot != nullptr && copy.report.outcome == copy_outcome::kAnswered)
     view_->prompts->Note(slot->name(), prefix_.view());
+  return copy;
+}
+
+void request_flow::TakeAccount(const attempt_target& target, const copy_result& copy) {
   backoff_after& backoff = context_.backoffs[service_->name];
   if (copy.report.outcome == copy_outcome::kAnswered)
     backoff.OnAccepted(Now());
@@ -177,7 +189,30 @@
     backoff.OnRejected(copy.retry_after, Now());
   retry_after_ = std::max(retry_after_, copy.retry_after);
   refused_as_ = copy.refused_as;
-  ReportContact(action.target.agent, copy.report);
+  ReportContact(target.agent, copy.report);
+}
+
+copy_report request_flow::Send(keyed_request& machine, const request_action& action) {
+  const bool first = !std::exchange(first_sent_, true);
+  if (!first || !service_->hedging.enabled)
+    return SendAlone(action);
+  hedging_ = HedgeSettingsOf(service_->hedging);
+  const auto delay = HedgeDelay(hedging_, shared_.hedges.View(service_->name, hedging_),
+                                spec_.kind == request_kind::kRepeatable);
+  if (delay)
+    return SendHedged(machine, action, *delay);
+  const time_point sent = Now();
+  copy_report report = SendAlone(action);
+  if (answer_.taken() > 0 && spec_.kind == request_kind::kRepeatable)
+    ObserveFirst(sent, answer_.first_byte_at());
+  return report;
+}
+
+copy_report request_flow::SendAlone(const request_action& action) {
+  const http_call call = AttemptCall(action.target, action.attempt);
+  answer_.SetSource(call.peer, action.target.life, action.attempt, 0);
+  const copy_result copy = RunCopyAt(action.target, call, answer_);
+  TakeAccount(action.target, copy);
   return copy.report;
 }
 
@@ -287,6 +322,12 @@
       {"status", answer_.status()},
       {"reason", end.failure.message},
       {"duration_ms", std::chrono::duration_cast<milliseconds>(Now() - started_).count()}};
+  if (second_) {
+    record.outcome["hedge"] = {{"won", second_->won},
+                               {"attempt", ToString(second_->attempt)},
+                               {"agent", second_->target.agent},
+                               {"message", second_->result.report.message}};
+  }
   shared_.records->Append(std::move(record));
 }
 
--- a/libs/entry/src/target_chooser.cc
+++ b/libs/entry/src/target_chooser.cc
@@ -63,6 +63,12 @@
   return chosen;
 }
 
+result<attempt_target> target_chooser::ChooseHedge(const std::vector<std::string>& tried) {
+  hedge_ = true;
+  policy_ = FindRoutePolicy(kDefaultRoutePolicy);
+  return ChooseNow(KeysOf(tried), false);
+}
+
 bool target_chooser::MayWait(time_point started) const {
   const time_point now = Now();
   return now - started < kLongestWait && now + kWaitStep < request_.deadline &&
@@ -82,6 +88,7 @@
     input.request.failure_domain = shared_.settings.node.failure_domain;
     input.request.region = shared_.settings.node.region;
     input.request.tried = tried;
+    input.request.hedge = hedge_;
     input.request.seed = random_.Next();
     input.request.turn = ++shared_.decisions;
     input.hits = view_.prompts->Find(request_.prefix.view());
--- a/libs/entry/src/target_chooser.h
+++ b/libs/entry/src/target_chooser.h
@@ -38,6 +38,9 @@
   ///
   /// \param tried  agents (`ip:port`) not to choose again.
   [[nodiscard]] result<attempt_target> Choose(const std::vector<std::string>& tried);
+  /// \brief Chooses an upstream for a second copy: a warm one with a free place, preferably of
+  /// another failure domain than the tried ones. It does not wait.
+  [[nodiscard]] result<attempt_target> ChooseHedge(const std::vector<std::string>& tried);
 
  private:
   [[nodiscard]] result<attempt_target> ChooseNow(std::vector<upstream_key> tried, bool waited);
@@ -52,6 +55,7 @@
   const route_policy* policy_;
   const choice_request request_;
   random_source random_;
+  bool hedge_ = false;
 };
 
 }  // namespace quincebank
--- a/libs/idempotency/include/quincebank/idempotency/keyed_request.h
+++ b/libs/idempotency/include/quincebank/idempotency/keyed_request.h
@@ -62,6 +62,17 @@
   [[nodiscard]] request_action OnCopy(std::uint32_t step,
                                       const copy_report& report,
                                       time_point now);
+  /// \brief Reports a second copy that was sent beside the pending one of a repeatable request, as
+  /// an attempt of its own. Call it before `OnCopy`.
+  ///
+  /// \param won  the caller has its answer from this copy, and `OnCopy` reports on it; the first
+  ///     copy may have run.
+  /// \param outcome  if it has not won: what is known of it.
+  void OnHedge(std::uint32_t step,
+               attempt_id attempt,
+               const attempt_target& target,
+               bool won,
+               verdict outcome);
   [[nodiscard]] request_action OnState(std::uint32_t step,
                                        const state_report& report,
                                        time_point now);
--- a/libs/idempotency/src/keyed_request.cc
+++ b/libs/idempotency/src/keyed_request.cc
@@ -198,6 +198,25 @@
   return Guard(sent ? OnSent(report, now) : OnFetched(report, now), now);
 }
 
+void keyed_request::OnHedge(std::uint32_t step,
+                            attempt_id attempt,
+                            const attempt_target& target,
+                            bool won,
+                            verdict outcome) {
+  if (Late(step, action_kind::kSend) || spec_.kind != request_kind::kRepeatable)
+    return;
+  if (!won) {
+    earlier_ = Combine(earlier_, outcome);
+    tried_.push_back(target.agent);
+    return;
+  }
+  earlier_ = Combine(earlier_, Combine(copies_, verdict::kMayHaveRun));
+  copies_ = verdict::kNotRun;
+  tried_.push_back(target_.agent);
+  attempt_ = attempt;
+  target_ = target;
+}
+
 request_action keyed_request::OnSent(const copy_report& report, time_point now) {
   switch (report.outcome) {
     case copy_outcome::kNotSent:
--- a/libs/idempotency/tests/keyed_request_test.cc
+++ b/libs/idempotency/tests/keyed_request_test.cc
@@ -317,5 +317,92 @@
   }
 }
 
+struct hedge_case {
+  const char* name;
+  request_kind kind;
+  bool won;
+  verdict second;
+  copy_report report;  ///< Of the copy that the request goes on with.
+  verdict outcome;
+  bool fetches_second;  ///< The rest of the answer is asked of the second copy's agent.
+};
+
+class hedged_request_test : public testing::TestWithParam<hedge_case> {};
+
+// Guards against a verdict that leaves one of two copies out, and against going on with the answer
+// of the copy that lost.
+TEST_P(hedged_request_test, VerdictCoversBothCopies) {
+  const hedge_case& row = GetParam();
+  keyed_request request({.kind = row.kind, .deadline = time_point(seconds(60)), .max_attempts = 1},
+                        random_source(5));
+  request_action action = request.Start(time_point(seconds(1)), kWall);
+  action = request.OnTarget(action.step, attempt_target{"agent-1", {7}}, "", time_point(seconds(1)),
+                            kWall);
+  ASSERT_EQ(action.kind, action_kind::kSend);
+  request.OnHedge(action.step, attempt_id{9, 9}, {"agent-2", {8}}, row.won, row.second);
+  action = request.OnCopy(action.step, row.report, time_point(seconds(2)));
+  if (action.kind == action_kind::kAskState) {
+    EXPECT_EQ(action.target.agent, row.fetches_second ? "agent-2" : "agent-1");
+    EXPECT_EQ(action.attempt == (attempt_id{9, 9}), row.fetches_second);
+    action =
+        request.OnState(action.step, {attempt_state::kWrongIncarnation}, time_point(seconds(3)));
+  }
+  ASSERT_EQ(action.kind, action_kind::kFinish);
+  EXPECT_EQ(action.end.outcome, row.outcome);
+}
+
+INSTANTIATE_TEST_SUITE_P(Copies,
+                         hedged_request_test,
+                         testing::Values(hedge_case{"both_rejected",
+                                                    kRepeatable,
+                                                    false,
+                                                    kNotRun,
+                                                    {copy_outcome::kRejected, 0, ""},
+                                                    kNotRun,
+                                                    false},
+                                         hedge_case{"second_may_have_run",
+                                                    kRepeatable,
+                                                    false,
+                                                    kMayHaveRun,
+                                                    {copy_outcome::kRejected, 0, ""},
+                                                    kMayHaveRun,
+                                                    false},
+                                         hedge_case{"first_may_have_run",
+                                                    kRepeatable,
+                                                    false,
+                                                    kNotRun,
+                                                    {copy_outcome::kFailed, 0, ""},
+                                                    kMayHaveRun,
+                                                    false},
+                                         hedge_case{"winner_is_cut",
+                                                    kRepeatable,
+                                                    true,
+                                                    kMayHaveRun,
+                                                    {copy_outcome::kLost, 5, ""},
+                                                    kMayHaveRun,
+                                                    true},
+                                         hedge_case{"first_is_cut",
+                                                    kRepeatable,
+                                                    false,
+                                                    kMayHaveRun,
+                                                    {copy_outcome::kLost, 5, ""},
+                                                    kMayHaveRun,
+                                                    false},
+                                         hedge_case{"answered",
+                                                    kRepeatable,
+                                                    true,
+                                                    kRan,
+                                                    {copy_outcome::kAnswered, 5, ""},
+                                                    kRan,
+                                                    false},
+                                         hedge_case{"order_ignores_a_second_copy",
+                                                    kPlain,
+                                                    true,
+                                                    kMayHaveRun,
+                                                    {copy_outcome::kLost, 5, ""},
+                                                    kMayHaveRun,
+                                                    false}),
+                         [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace quincebank
--- a/libs/messages/include/quincebank/messages/header_names.h
+++ b/libs/messages/include/quincebank/messages/header_names.h
@@ -20,6 +20,8 @@
 inline constexpr std::string_view kIncarnationField = "Quincebank-Incarnation";
 inline constexpr std::string_view kConfigVersionField = "Quincebank-Config-Version";
 inline constexpr std::string_view kRepeatableField = "Quincebank-Repeatable";
+/// "true" on the second copy of a slow request, which an agent starts at once or refuses.
+inline constexpr std::string_view kHedgeField = "Quincebank-Hedge";
 inline constexpr std::string_view kServiceField = "Quincebank-Service";
 inline constexpr std::string_view kLoadField = "Quincebank-Load";
 
--- a/libs/net/include/quincebank/net/http_client.h
+++ b/libs/net/include/quincebank/net/http_client.h
@@ -7,6 +7,7 @@
 
 #include "quincebank/base/error.h"
 #include "quincebank/base/time.h"
+#include "quincebank/net/call_cancellation.h"
 #include "quincebank/net/endpoint.h"
 #include "quincebank/net/http_message.h"
 #include "quincebank/net/net_fwd.h"
@@ -17,8 +18,9 @@
   endpoint peer;
   http_request request;
   milliseconds connect_timeout{1'000};
-  milliseconds response_timeout{10'000};  ///< From the last byte sent to the answer's header.
-  milliseconds idle_timeout{3'000};       ///< Between two reads of the answer's body.
+  milliseconds response_timeout{10'000};    ///< From the last byte sent to the answer's header.
+  milliseconds idle_timeout{3'000};         ///< Between two reads of the answer's body.
+  ref_ptr<call_cancellation> cancellation;  ///< Null if the call is never cancelled.
 };
 
 /// \brief Answer whose body is read piece by piece.
--- a/libs/net/include/quincebank/net/http_server.h
+++ b/libs/net/include/quincebank/net/http_server.h
@@ -30,6 +30,8 @@
   virtual bool StartStream(int status, const http_headers& headers) = 0;
   virtual bool Write(std::string_view chunk) = 0;
   virtual bool Finish() = 0;
+  /// \returns Whether the peer has closed the connection, as a look at the socket shows.
+  [[nodiscard]] virtual bool PeerGone() = 0;
 };
 
 using http_handler = std::function<void(http_exchange&)>;
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -34,6 +34,28 @@
   beast::flat_buffer buffer;
 };
 
+/// Lets a cancellation close a connection for as long as the call uses it.
+class cancellation_scope {
+ public:
+  cancellation_scope(ref_ptr<call_cancellation> cancellation, connection& used)
+      : cancellation_(std::move(cancellation)) {
+    if (cancellation_)
+      cancellation_->SetClose([&used] { used.stream.close(); });
+  }
+  ~cancellation_scope() { Release(); }
+  cancellation_scope(const cancellation_scope&) = delete;
+  cancellation_scope& operator=(const cancellation_scope&) = delete;
+
+  void Release() {
+    if (cancellation_)
+      cancellation_->SetClose({});
+    cancellation_.reset();
+  }
+
+ private:
+  ref_ptr<call_cancellation> cancellation_;
+};
+
 // A peer that closed or sent bytes unasked has made the connection useless; a request written to
 // it could not be told from one that ran.
 bool IsReusable(connection& idle) {
@@ -99,13 +121,13 @@
 class beast_stream final : public http_stream {
  public:
   beast_stream(std::shared_ptr<Pool> pool,
-               endpoint peer,
-               std::unique_ptr<connection> connected,
-               milliseconds idle_timeout)
+               const http_call& call,
+               std::unique_ptr<connection> connected)
       : pool_(std::move(pool)),
-        peer_(std::move(peer)),
+        peer_(call.peer),
         connection_(std::move(connected)),
-        idle_timeout_(idle_timeout) {
+        cancellation_(call.cancellation, *connection_),
+        idle_timeout_(call.idle_timeout) {
     parser_.body_limit(boost::none);
   }
 
@@ -117,7 +139,7 @@
     });
     pool_->CountBytes(read.bytes);
     if (read.ec) {
-      connection_.reset();
+      Drop();
       return ToError(read.ec, "no answer from " + ToString(peer_), verdict::kMayHaveRun);
     }
     for (const auto& field : parser_.get())
@@ -149,7 +171,7 @@
       pool_->CountBytes(read.bytes);
       bytes.resize(bytes.size() - parser_.get().body().size);
       if (read.ec && read.ec != http::error::need_buffer) {
-        connection_.reset();
+        Drop();
         if (read.ec == beast::error::timeout)
           return ToError(read.ec, "no bytes from " + ToString(peer_), verdict::kMayHaveRun);
         return MakeError(error_code::kTruncated,
@@ -163,9 +185,15 @@
  private:
   static result<void> outcome_success() { return BOOST_OUTCOME_V2_NAMESPACE::success(); }
 
+  void Drop() {
+    cancellation_.Release();
+    connection_.reset();
+  }
+
   void KeepIfDone() {
     if (!connection_ || !parser_.is_done())
       return;
+    cancellation_.Release();
     if (parser_.keep_alive())
       pool_->Keep(peer_, std::move(connection_));
     connection_.reset();
@@ -174,6 +202,7 @@
   std::shared_ptr<Pool> pool_;
   endpoint peer_;
   std::unique_ptr<connection> connection_;
+  cancellation_scope cancellation_;  // After `connection_`, which it refers to.
   milliseconds idle_timeout_;
   http::response_parser<http::buffer_body> parser_;
   http_headers headers_;
@@ -187,6 +216,8 @@
 
 result<std::unique_ptr<http_stream>> http_client::Open(const http_call& call) {
   BOOST_OUTCOME_TRY(std::unique_ptr<connection> connected, impl_->Connect(call));
+  if (call.cancellation && call.cancellation->cancelled())
+    return MakeError(error_code::kUnavailable, "the call was cancelled", verdict::kNotRun);
   http::request<http::string_body> message;
   message.method_string(call.request.method);
   message.target(call.request.target);
@@ -200,15 +231,16 @@
     message.set(http::field::host, ToString(call.peer));
   message.body() = call.request.body;
   message.prepare_payload();
+  cancellation_scope writing(call.cancellation, *connected);
   const io_outcome written = Await([&](auto handler) {
     connected->stream.expires_after(call.response_timeout);
     http::async_write(connected->stream, message, std::move(handler));
   });
+  writing.Release();
   impl_->CountBytes(written.bytes);
   if (written.ec)
     return ToError(written.ec, "send to " + ToString(call.peer), verdict::kMayHaveRun);
-  auto stream = std::make_unique<beast_stream<impl>>(impl_, call.peer, std::move(connected),
-                                                     call.idle_timeout);
+  auto stream = std::make_unique<beast_stream<impl>>(impl_, call, std::move(connected));
   BOOST_OUTCOME_TRY(stream->ReadHeader(call));
   return std::unique_ptr<http_stream>(std::move(stream));
 }
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -1,5 +1,7 @@
 #include "quincebank/net/http_server.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -89,6 +91,13 @@
     return finished_;
   }
 
+  [[nodiscard]] bool PeerGone() override {
+    char byte = 0;
+    const auto received =
+        ::recv(peer_.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+
   [[nodiscard]] bool finished() const noexcept { return finished_; }
 
  private:
--- a/libs/routing/include/quincebank/routing/decision.h
+++ b/libs/routing/include/quincebank/routing/decision.h
@@ -27,6 +27,7 @@
   kFull,      ///< Running and waiting requests exceed what this priority may add to.
   kClosed,    ///< Its agent takes no new work.
   kDeadline,  ///< The estimated time to the first token exceeds the remaining deadline.
+  kCold,      ///< A hedge, and it is in cold start or has sent no hint.
 };
 
 /// \brief Why the chosen candidate won.
--- a/libs/routing/include/quincebank/routing/replay.h
+++ b/libs/routing/include/quincebank/routing/replay.h
@@ -38,6 +38,7 @@
   std::string failure_domain;
   std::string region;
   std::vector<upstream_key> tried;
+  bool hedge = false;
   std::uint64_t seed = 0;
   std::uint64_t turn = 0;
   prefix_hits hits;
--- a/libs/routing/include/quincebank/routing/request.h
+++ b/libs/routing/include/quincebank/routing/request.h
@@ -27,6 +27,9 @@
   std::string_view region;                ///< Of the caller; empty if unknown.
   std::span<const upstream_key> tried;    ///< Upstreams not to choose again.
   std::uint64_t seed = 0;                 ///< Random for each decision.
+  /// A second copy of a slow request: it goes only to a warm upstream with a free place, so that it
+  /// delays no other request.
+  bool hedge = false;
   std::uint64_t turn = 0;  ///< Count of the entry's decisions; only round robin reads it.
 };
 
--- a/libs/routing/src/decision.cc
+++ b/libs/routing/src/decision.cc
@@ -7,8 +7,8 @@
 
 constexpr std::array<std::string_view, 5> kSourceNames{"cache", "conversation", "template",
                                                        "sample", "scan"};
-constexpr std::array<std::string_view, 6> kExclusionNames{"",     "tried",  "cold-full",
-                                                          "full", "closed", "deadline"};
+constexpr std::array<std::string_view, 7> kExclusionNames{"",       "tried",    "cold-full", "full",
+                                                          "closed", "deadline", "cold"};
 constexpr std::array<std::string_view, 5> kReasonNames{"only-candidate", "cache", "affinity",
                                                        "least-loaded", "turn"};
 
--- a/libs/routing/src/failure.cc
+++ b/libs/routing/src/failure.cc
@@ -70,7 +70,7 @@
   };
   std::string parts;
   for (const exclusion excluded : {exclusion::kTried, exclusion::kClosed, exclusion::kColdFull,
-                                   exclusion::kFull, exclusion::kDeadline}) {
+                                   exclusion::kFull, exclusion::kDeadline, exclusion::kCold}) {
     if (count(excluded) != 0)
       parts += (parts.empty() ? "" : ", ") + Counted(count(excluded), ToString(excluded));
   }
--- a/libs/routing/src/input_json.cc
+++ b/libs/routing/src/input_json.cc
@@ -183,6 +183,8 @@
   for (const upstream_key key : request.tried)
     tried.push_back(key.value);
   object["tried"] = PackHex(tried);
+  if (request.hedge)
+    object["hedge"] = true;
   object["seed"] = PackHex({&request.seed, 1});
   object["turn"] = PackHex({&request.turn, 1});
   json::array hits;
@@ -212,6 +214,7 @@
       reader.Millis("deadline_ms", {std::numeric_limits<std::int64_t>::min()}, kNoDeadline);
   for (const std::uint64_t key : ReadHex(reader, "tried"))
     input.tried.push_back({key});
+  input.hedge = reader.Bool("hedge", false);
   input.seed = ReadOneHex(reader, "seed");
   input.turn = ReadOneHex(reader, "turn");
   reader.Each("hits", [&](json_reader& hit) {
@@ -242,6 +245,7 @@
   input.request.priority = priority;
   input.request.deadline = deadline;
   input.request.tried = tried;
+  input.request.hedge = hedge;
   input.request.seed = seed;
   input.request.turn = turn;
   input.hits = hits;
--- a/libs/routing/src/weigh.cc
+++ b/libs/routing/src/weigh.cc
@@ -84,13 +84,18 @@
   // An old or missing hint on load may be wrong, and the agent decides anyway; it must not cause a
   // rejection here.
   const bool fresh = known && load.age <= settings.hint_lifetime;
+  const bool full = input_.request.hedge
+                        ? held >= limit
+                        : fresh && held * kPercent >= limit * (kPercent + queue_percent_);
   if (Tried(index)) {
     candidate.excluded = exclusion::kTried;
   } else if (load.closed) {
     candidate.excluded = exclusion::kClosed;
+  } else if (input_.request.hedge && (!known || load.cold)) {
+    candidate.excluded = exclusion::kCold;
   } else if (known && load.cold && held >= limit) {
     candidate.excluded = exclusion::kColdFull;
-  } else if (fresh && held * kPercent >= limit * (kPercent + queue_percent_)) {
+  } else if (full) {
     candidate.excluded = exclusion::kFull;
   } else if (fresh && delay > deadline_us_) {
     candidate.excluded = exclusion::kDeadline;
--- a/libs/routing/src/weigh.h
+++ b/libs/routing/src/weigh.h
@@ -60,7 +60,7 @@
 [[nodiscard]] error NoPoolError(const route_input& input);
 
 /// \brief Number of upstreams for each value of `exclusion`.
-using exclusion_counts = std::array<std::size_t, 6>;
+using exclusion_counts = std::array<std::size_t, 7>;
 /// \brief Says why no upstream of a pool can be chosen.
 [[nodiscard]] error ExcludedError(const route_input& input, const exclusion_counts& counts);
 /// \brief The error for a pool whose upstreams were all tried.
--- a/libs/routing/tests/choose_test.cc
+++ b/libs/routing/tests/choose_test.cc
@@ -51,6 +51,37 @@
 }
 
 const restriction kRestrictions[] = {
+    {"HedgeNeedsAWarmUpstreamInAnotherDomain",
+     [](auto& f) {
+       SetAll(f, {.limit = 8});
+       f.request.hedge = true;
+       f.tried = {KeyOf("u0")};
+       f.loads[1].cold = true;
+       f.loads[2].limit = 0;
+       f.loads[4].in_flight = 8;
+     },
+     "u5", ""},
+    {"HedgePrefersAnotherDomainToAnIdleUpstream",
+     [](auto& f) {
+       SetAll(f, {.limit = 8, .closed = true});
+       f.request.hedge = true;
+       f.tried = {KeyOf("u0")};
+       f.loads[3] = {.limit = 8};
+       f.loads[5] = {.in_flight = 4, .limit = 8};
+     },
+     "u5", ""},
+    {"HedgeNeverWaits",
+     [](auto& f) {
+       SetAll(f, {.in_flight = 8, .limit = 8});
+       f.request.hedge = true;
+     },
+     "overloaded", "6 full"},
+    {"HedgeNeverGoesToAColdUpstream",
+     [](auto& f) {
+       SetAll(f, {.limit = 8, .cold = true});
+       f.request.hedge = true;
+     },
+     "unavailable", "6 cold"},
     {"ModelVersion",
      [](auto& f) {
        f.upstreams[4].model_version = "m2";
--- a/libs/standins/src/engine_standin.cc
+++ b/libs/standins/src/engine_standin.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/fiber/operations.hpp>
 #include <string>
 
@@ -20,7 +21,7 @@
 class engine_standin final : public standin {
  public:
   explicit engine_standin(const standin_settings& settings)
-      : settings_(settings), state_(settings) {}
+      : settings_(settings), state_(settings), token_interval_(settings.token_interval) {}
 
   void Handle(http_exchange& exchange) override {
     const http_request& request = exchange.request();
@@ -36,7 +37,7 @@
                     {"boot", state_.boot()}, {"running", state_.running()}, {"waiting", 0}});
       return;
     }
-    if (request.method == "POST" && request.target == "/v1/completions") {
+    if (request.method == "POST" && request.target.starts_with("/v1/completions")) {
       Complete(exchange);
       return;
     }
@@ -75,29 +76,37 @@
     state_.End(boot);
   }
 
-  static std::string Token(const std::string& prompt, int position) {
+  [[nodiscard]] std::string Token(const std::string& prompt, int position) const {
     constexpr std::uint64_t kVocabulary = 1000;
-    return "t" +
-           std::to_string(StableHash64(prompt, static_cast<std::uint64_t>(position)) %
-                          kVocabulary) +
-           " ";
+    const std::uint64_t seed = static_cast<std::uint64_t>(position) + variant_ * kVocabulary;
+    return "t" + std::to_string(StableHash64(prompt, seed) % kVocabulary) + " ";
   }
 
   /// Waits for one token; more requests than the full limit slow each other down.
-  bool WaitForToken(int position, std::uint64_t boot) const {
-    milliseconds wait = position == 0 ? settings_.first_token : settings_.token_interval;
+  /// A caller that closes its connection cancels the request, as with real engines.
+  bool WaitForToken(http_exchange& exchange, int position, std::uint64_t boot) {
+    milliseconds wait = position == 0 ? settings_.first_token : token_interval_;
     if (state_.running() > settings_.full_limit)
       wait = wait * state_.running() / settings_.full_limit;
     if (stall_.count() > 0)
       wait += stall_;
-    boost::this_fiber::sleep_for(wait);
+    constexpr milliseconds kStep{5};
+    const auto until = std::chrono::steady_clock::now() + wait;
+    while (std::chrono::steady_clock::now() < until) {
+      if (exchange.PeerGone()) {
+        ++cancelled_;
+        return false;
+      }
+      boost::this_fiber::sleep_until(std::min(until, std::chrono::steady_clock::now() + kStep));
+    }
+    ++tokens_;
     return state_.boot() == boot;
   }
 
   void Whole(http_exchange& exchange, const completion_request& request, std::uint64_t boot) {
     std::string text;
     for (int i = 0; i < request.max_tokens; ++i) {
-      if (!WaitForToken(i, boot))
+      if (!WaitForToken(exchange, i, boot))
         return;
       text += Token(request.prompt, i);
     }
@@ -115,7 +124,7 @@
     if (!exchange.StartStream(200, {{"Content-Type", "text/event-stream"}}))
       return;
     for (int i = 0; i < request.max_tokens; ++i) {
-      if (!WaitForToken(i, boot))
+      if (!WaitForToken(exchange, i, boot))
         return;
       if (silent && i == request.max_tokens / 2) {
         constexpr milliseconds kSilence{60'000};
@@ -140,13 +149,19 @@
                                     {"peak", state_.peak()},
                                     {"cold", state_.cold()},
                                     {"crashes", state_.crashes()},
-                                    {"completions", completions_}});
+                                    {"completions", completions_},
+                                    {"tokens", tokens_},
+                                    {"cancelled", cancelled_}});
       return;
     }
     ReadControl(exchange, [&](json_reader& reader) {
       if (reader.Bool("reboot", false))
         state_.Reboot();
       stall_ = reader.Millis("stall_ms", {0, 60'000}, stall_);
+      token_interval_ = reader.Millis("token_ms", {0, 60'000}, token_interval_);
+      constexpr int_range kVariants{0, 1'000};
+      variant_ = static_cast<std::uint64_t>(
+          reader.Int("variant", kVariants, static_cast<std::int64_t>(variant_)));
       silent_streams_ = reader.Int("silent_streams", {0, 1'000'000}, silent_streams_);
     });
   }
@@ -154,8 +169,12 @@
   const standin_settings settings_;
   boot_state state_;
   milliseconds stall_{0};
+  milliseconds token_interval_;
+  std::uint64_t variant_ = 0;  ///< Engines of different variants give different tokens.
   std::int64_t silent_streams_ = 0;
   std::uint64_t completions_ = 0;
+  std::uint64_t tokens_ = 0;
+  std::uint64_t cancelled_ = 0;
 };
 
 }  // namespace
--- a/libs/testing/include/quincebank/testing/deployment.h
+++ b/libs/testing/include/quincebank/testing/deployment.h
@@ -27,6 +27,7 @@
   int lookup_ttl_ms = 300;
   bool relays = false;  ///< Entries reach each agent through a relay named `relay-` and its name.
   std::vector<std::string> engine_options;  ///< For the engine stand-ins.
+  std::string hedging;  ///< JSON of the model service's member `hedging`; empty for none.
   int ranks = 0;  ///< Ranks of the expert group `quince-group`, all held by the stand-in `ranks`.
   std::vector<std::string> rank_options;    ///< For the rank group stand-in.
   std::vector<std::string> orders_options;  ///< For the plain service stand-ins.
--- a/libs/testing/src/deployment.cc
+++ b/libs/testing/src/deployment.cc
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <csignal>
 #include <filesystem>
@@ -213,10 +214,15 @@
   json::array services{
       Service("quince-drafts", "model",
               {json::object{
-                  {"method", "POST"}, {"path_prefix", "/v1/completions"}, {"repeatable", true}}}),
+                   {"method", "POST"}, {"path_prefix", "/v1/completions"}, {"repeatable", true}},
+               json::object{{"method", "POST"},
+                            {"path_prefix", "/v1/completions/once"},
+                            {"repeatable", false}}}),
       Service("order-desk", "plain",
               {json::object{{"method", "POST"}, {"path_prefix", "/orders"}, {"repeatable", false}},
                json::object{{"method", "GET"}, {"path_prefix", "/orders"}, {"repeatable", true}}})};
+  if (!plan_.hedging.empty())
+    services[0].as_object()["hedging"] = json::parse(plan_.hedging);
   json::array groups;
   if (plan_.ranks > 0) {
     services.push_back(Service("quince-ranks", "model", json::array()));
