Report the pace of running streams to the gate

Cause: the agent did not call the gate's Progress, so a limit stayed where it was until the first slow request finished. Change: every 50 ms the agent tells the gate the mean time between events of each token stream, over at least 250 ms, scaled so that 75 ms between tokens is as good as the good time to the first token.

--- a/libs/agent/include/quincebank/agent/agent_service.h
+++ b/libs/agent/include/quincebank/agent/agent_service.h
@@ -23,6 +23,10 @@
   milliseconds connect_timeout{500};
   milliseconds first_byte_timeout{10'000};
   milliseconds silence_timeout{60'000};  ///< Between two reads of the upstream's answer.
+  /// Its answers are streams of tokens, whose pace shows how loaded it is.
+  bool streams_tokens = false;
+  /// A longer time between tokens counts as slow; callers are promised 75 ms for 95 in 100.
+  milliseconds good_token_interval{75};
   /// Short against the shortest restart of an upstream, so that one between two requests is seen.
   milliseconds probe_interval{100};
 };
--- a/libs/agent/src/agent_config.cc
+++ b/libs/agent/src/agent_config.cc
@@ -40,6 +40,7 @@
     settings.connect_timeout = owner.connect_timeout;
     settings.first_byte_timeout = owner.first_byte_timeout;
     settings.silence_timeout = owner.total_timeout;
+    settings.streams_tokens = owner.kind == service_kind::kModel;
   }
   return settings;
 }
--- a/libs/agent/src/agent_impl.cc
+++ b/libs/agent/src/agent_impl.cc
@@ -70,8 +70,21 @@
   }
 }
 
+void agent_service::impl::ReportProgress() {
+  const time_point now = Now();
+  for (auto& [attempt, running] : running_) {
+    const auto interval = running.streaming ? running.pace.Report(now) : std::nullopt;
+    if (!interval)
+      continue;
+    // On the scale of the time to the first token, by which finished work is judged.
+    gate_->Progress(running.ticket, *interval * settings_.admission.ramp.good_service_time.count() /
+                                        settings_.good_token_interval.count());
+  }
+}
+
 void agent_service::impl::SweepLoop() {
   while (!stop.WaitFor(kSweepInterval)) {
+    ReportProgress();
     ApplyQueue();
     ledger_.Expire(Now());
   }
@@ -176,8 +189,10 @@
 }
 
 void agent_service::impl::Start(const attempt_request& request, admission_ticket ticket) {
-  running_.emplace(request.attempt,
-                   running_attempt{new attempt_signal, new call_cancellation, request.repeatable});
+  running_.emplace(
+      request.attempt,
+      running_attempt{
+          new attempt_signal, new call_cancellation, request.repeatable, ticket, false, {}});
   Spawn([this, request, ticket] { RunUpstream(request, ticket); });
 }
 
@@ -238,6 +253,8 @@
       continue;
     head.headers.Add(field.name, field.value);
   }
+  running_.at(request.attempt).streaming =
+      settings_.streams_tokens && head.headers.Get("Content-Type").starts_with("text/event-stream");
   ledger_.SetHead(request.attempt, head.status, EncodeHead(head));
   const ref_ptr<attempt_signal> signal = running_.at(request.attempt).signal;
   signal->Notify();
@@ -247,6 +264,7 @@
       first_byte = std::chrono::duration_cast<milliseconds>(Now() - started);
     if (!piece)
       break;
+    running_.at(request.attempt).pace.Take(*piece, Now());
     if (!ledger_.Append(request.attempt, *piece)) {
       return MakeError(error_code::kInternal, "answer is larger than an agent holds",
                        verdict::kMayHaveRun);
--- a/libs/agent/src/agent_impl.h
+++ b/libs/agent/src/agent_impl.h
@@ -18,6 +18,7 @@
 #include "quincebank/net/http_server.h"
 #include "quincebank/platform/upstream_probe.h"
 #include "quincebank/telemetry/metrics.h"
+#include "stream_pace.h"
 
 namespace quincebank {
 
@@ -62,12 +63,17 @@
     ref_ptr<attempt_signal> signal;
     ref_ptr<call_cancellation> cancellation;
     bool repeatable = false;
+    admission_ticket ticket;
+    bool streaming = false;  ///< The answer is a stream of tokens.
+    stream_pace pace;
   };
 
   void Spawn(std::function<void()> task);
   void ProbeLoop();
   void SweepLoop();
   void ApplyQueue();
+  /// \brief Tells the gate how fast the tokens of running streams come.
+  void ReportProgress();
   /// \brief Waits in the queue with heartbeats.
   /// \returns Nothing if admitted, else why not.
   std::optional<rejection> WaitForSlot(http_exchange& exchange,
