--- a/tests/process/hedging_test.cc
+++ b/tests/process/hedging_test.cc
@@ -79,7 +79,11 @@
     before.reserve(kEngines);
     for (int i = 0; i < kEngines; ++i)
       before.push_back(Counter(system(), Engine(i), "completions"));
-    (void)system().Call("entry-0", DraftRequest(prompt, 1, true), kPatience);
+    // After the warm-up the entry may hold back for a while.
+    EXPECT_TRUE(deployment::WaitUntil([&] {
+      const auto answer = system().Call("entry-0", DraftRequest(prompt, 1, true), kPatience);
+      return answer && answer.value().status == 200;
+    }));
     for (int i = 0; i < kEngines; ++i) {
       if (Counter(system(), Engine(i), "completions") > before[static_cast<std::size_t>(i)])
         return i;
