--- a/libs/agent/include/quincebank/agent/agent_service.h
+++ b/libs/agent/include/quincebank/agent/agent_service.h
@@ -24,6 +24,10 @@
   milliseconds first_byte_timeout{10'000};
   seconds claim_retention = kKeyRetention;  ///< Of its service.
   milliseconds silence_timeout{60'000};     ///< Between two reads of the upstream's answer.
+  /// Its answers are streams of tokens, whose pace shows how loaded it is.
+  bool streams_tokens = false;
+  /// A longer time between tokens counts as slow; callers are promised 75 ms for 95 in 100.
+  milliseconds good_token_interval{75};
   /// Short against the shortest restart of an upstream, so that one between two requests is seen.
   milliseconds probe_interval{100};
 };
@@ -58,7 +62,8 @@
 
   /// \brief Answers `/attempt/...` and `/attempts/<id>`. Called by fibers of the traffic thread.
   void Handle(http_exchange& exchange);
-  /// \brief Adds `agent.status`, `agent.attempt_status` and `agent.block_attempt`.
+  /// \brief Adds `agent.status`, `agent.attempt_status`, `agent.block_attempt` and
+  /// `agent.cancel_attempt`.
   void AddMethods(rpc_server& rpc);
 
   void SetDirectory(std::shared_ptr<const agent_directory> directory);
--- a/libs/agent/src/agent_config.cc
+++ b/libs/agent/src/agent_config.cc
@@ -41,6 +41,7 @@
     settings.first_byte_timeout = owner.first_byte_timeout;
     settings.silence_timeout = owner.total_timeout;
     settings.claim_retention = std::chrono::ceil<seconds>(owner.claim_retention);
+    settings.streams_tokens = owner.kind == service_kind::kModel;
   }
   return settings;
 }
