Let stand-ins tell when work started and when a key was written

Change: upstream stand-ins report the count and the time of begun requests, the key-value stand-in the time of a key's last accepted write, the host list stand-in since when its list is shown. All are on the monotonic clock of the host. Deployments of tests can hide and show hosts in the host list.

--- a/libs/standins/src/boot_state.h
+++ b/libs/standins/src/boot_state.h
@@ -23,6 +23,8 @@
     if (down())
       return false;
     ++running_;
+    ++started_;
+    last_start_ = std::chrono::steady_clock::now();
     peak_ = std::max(peak_, running_);
     if (cold() && running_ > settings_.cold_limit) {
       ++crashes_;
@@ -52,6 +54,14 @@
   [[nodiscard]] int running() const noexcept { return running_; }
   [[nodiscard]] int crashes() const noexcept { return crashes_; }
   [[nodiscard]] int peak() const noexcept { return peak_; }
+  /// \brief Requests that began, over all boots.
+  [[nodiscard]] std::int64_t started() const noexcept { return started_; }
+  /// \brief Time of the last begin on the monotonic clock, which all processes of a host share; 0
+  /// if there was none.
+  [[nodiscard]] std::int64_t last_start_us() const noexcept {
+    return std::chrono::duration_cast<std::chrono::microseconds>(last_start_.time_since_epoch())
+        .count();
+  }
 
  private:
   void Boot() {
@@ -68,6 +78,8 @@
   int answered_ = 0;
   int crashes_ = 0;
   int peak_ = 0;
+  std::int64_t started_ = 0;
+  time_point last_start_{};
   time_point down_until_{};
 };
 
--- a/libs/standins/src/engine_standin.cc
+++ b/libs/standins/src/engine_standin.cc
@@ -140,6 +140,8 @@
                                     {"peak", state_.peak()},
                                     {"cold", state_.cold()},
                                     {"crashes", state_.crashes()},
+                                    {"started", state_.started()},
+                                    {"last_start_us", state_.last_start_us()},
                                     {"completions", completions_}});
       return;
     }
--- a/libs/standins/src/hosts_standin.cc
+++ b/libs/standins/src/hosts_standin.cc
@@ -14,6 +14,10 @@
  public:
   void Handle(http_exchange& exchange) override {
     const http_request& request = exchange.request();
+    if (request.target == "/control" && request.method == "GET") {
+      ReplyJson(exchange, 200, boost::json::object{{"visible_us", VisibleSince()}});
+      return;
+    }
     if (request.target == "/control") {
       ReadControl(exchange, [&](json_reader& reader) {
         down_ = reader.Bool("down", down_);
@@ -51,10 +55,22 @@
     std::string body;
   };
 
-  std::string Visible() {
+  void DropOldVersions() {
     const time_point limit = std::chrono::steady_clock::now() - lag_;
     while (versions_.size() > 1 && versions_[1].since <= limit)
       versions_.pop_front();
+  }
+
+  /// Time from which on the present list is shown, on the monotonic clock that all processes of a
+  /// host share.
+  std::int64_t VisibleSince() {
+    DropOldVersions();
+    const time_point since = versions_.empty() ? time_point() : versions_.front().since + lag_;
+    return std::chrono::duration_cast<std::chrono::microseconds>(since.time_since_epoch()).count();
+  }
+
+  std::string Visible() {
+    DropOldVersions();
     return versions_.empty() ? "[]" : versions_.front().body;
   }
 
--- a/libs/standins/src/kv_standin.cc
+++ b/libs/standins/src/kv_standin.cc
@@ -30,6 +30,7 @@
   std::string value;
   std::uint64_t index = 0;
   std::string lease;
+  time_point written{};
 };
 
 struct lease_state {
@@ -49,7 +50,7 @@
       return;
     }
     if (target->path == "/control") {
-      Control(exchange);
+      Control(exchange, *target);
       return;
     }
     if (delay_.count() > 0)
@@ -165,6 +166,7 @@
     stored_value& stored = values_[key];
     stored.value = value;
     stored.index = ++index_;
+    stored.written = std::chrono::steady_clock::now();
     if (!lease.empty())
       stored.lease = lease;
     changed_.notify_all();
@@ -211,14 +213,22 @@
     std::erase_if(leases_, [&](const auto& lease) { return lease.second.expires <= now; });
   }
 
-  void Control(http_exchange& exchange) {
+  /// `GET /control?written=KEY` adds when the key's present value was written, on the monotonic
+  /// clock that all processes of a host share.
+  void Control(http_exchange& exchange, const parsed_target& target) {
     if (exchange.request().method == "GET") {
-      ReplyJson(exchange, 200,
-                boost::json::object{{"down", down_},
-                                    {"reads", reads_},
-                                    {"writes", writes_},
-                                    {"watches", watches_},
-                                    {"keys", values_.size()}});
+      boost::json::object counters{{"down", down_},
+                                   {"reads", reads_},
+                                   {"writes", writes_},
+                                   {"watches", watches_},
+                                   {"keys", values_.size()}};
+      const auto found = values_.find(std::string(target.Query("written").value_or("")));
+      if (found != values_.end()) {
+        counters["written_us"] = std::chrono::duration_cast<std::chrono::microseconds>(
+                                     found->second.written.time_since_epoch())
+                                     .count();
+      }
+      ReplyJson(exchange, 200, counters);
       return;
     }
     ReadControl(exchange, [&](json_reader& reader) {
--- a/libs/standins/src/orders_standin.cc
+++ b/libs/standins/src/orders_standin.cc
@@ -85,9 +85,12 @@
       boost::json::object runs;
       for (const auto& [order, count] : runs_)
         runs[order] = count;
-      ReplyJson(
-          exchange, 200,
-          boost::json::object{{"boot", state_.boot()}, {"peak", state_.peak()}, {"runs", runs}});
+      ReplyJson(exchange, 200,
+                boost::json::object{{"boot", state_.boot()},
+                                    {"peak", state_.peak()},
+                                    {"started", state_.started()},
+                                    {"last_start_us", state_.last_start_us()},
+                                    {"runs", runs}});
       return;
     }
     ReadControl(exchange, [&](json_reader& reader) {
--- a/libs/standins/tests/kv_contract_test.cc
+++ b/libs/standins/tests/kv_contract_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "quincebank/base/json_reader.h"
 #include "quincebank/net/net.h"
 #include "quincebank/platform/platform.h"
 #include "quincebank/standins/standin.h"
@@ -37,6 +38,27 @@
   std::unique_ptr<kv_store> kv_;
 };
 
+// Guards against a measurement that counts from another write than the accepted one.
+TEST_F(kv_contract_test, TellsWhenAKeyWasLastWritten) {
+  const auto written = [&](const std::string& key) -> std::int64_t {
+    const auto answer =
+        http_.Call({server_->address(), {"GET", "/control?written=" + key, {}, {}}});
+    const auto counters = ParseJson(answer.value().body);
+    const auto* const time = counters.value().as_object().if_contains("written_us");
+    return time == nullptr ? 0 : time->to_number<std::int64_t>();
+  };
+  InFiber([&] {
+    EXPECT_EQ(written("config/root"), 0);
+    ASSERT_TRUE(kv_->CompareAndSwap("config/root", "1", kKvAbsent).has_value());
+    const std::int64_t first = written("config/root");
+    EXPECT_GT(first, 0);
+    // Neither a refused swap nor a write of another key counts.
+    ASSERT_TRUE(kv_->CompareAndSwap("config/root", "2", kKvAbsent).has_value());
+    ASSERT_TRUE(kv_->CompareAndSwap("config/section/a", "3", kKvAbsent).has_value());
+    EXPECT_EQ(written("config/root"), first);
+  });
+}
+
 TEST_F(kv_contract_test, CreatesOnlyIfAbsent) {
   InFiber([&] {
     EXPECT_TRUE(kv_->CompareAndSwap("claims/1", "first", kKvAbsent).value());
--- a/libs/testing/include/quincebank/testing/deployment.h
+++ b/libs/testing/include/quincebank/testing/deployment.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/json/value.hpp>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -32,6 +33,13 @@
   std::vector<std::string> orders_options;  ///< For the plain service stand-ins.
 };
 
+/// \brief How the host list shows a host.
+enum class host_listing : std::uint8_t {
+  kLive,
+  kLeaving,
+  kAbsent,
+};
+
 /// \brief Processes of the system with stand-ins for the platform, each a process of its own.
 ///
 /// Three failure domains; hosts are dealt to them in turn. Process names: `kv`, `hosts`,
@@ -52,6 +60,8 @@
   void Restart(const std::string& name);
   /// \brief Marks a host as leaving in the host list.
   void SetLeaving(const std::string& process);
+  /// \brief Changes how the host list shows a host.
+  void SetListing(const std::string& process, host_listing listing);
   /// \brief Runs the operators' tool and waits for it.
   /// \returns Its exit code; its output goes to `tool_output`.
   int RunTool(const std::vector<std::string>& arguments, std::string* tool_output = nullptr);
@@ -63,7 +73,9 @@
   /// \brief `PUT /control` of a stand-in, relays included.
   void Control(const std::string& process, const std::string& switches);
   /// \brief `GET /control` of a stand-in.
-  [[nodiscard]] boost::json::value Counters(const std::string& process);
+  /// \param query  what to ask for besides the counters; starts with `?`.
+  [[nodiscard]] boost::json::value Counters(const std::string& process,
+                                            const std::string& query = {});
   /// \brief Waits until `check` holds, at most the duration.
   [[nodiscard]] static bool WaitUntil(const std::function<bool()>& check,
                                       milliseconds duration = milliseconds(20'000));
@@ -96,7 +108,7 @@
   std::string network_;  ///< First three numbers of this deployment's loopback addresses.
   std::vector<process_plan> processes_;
   std::map<std::string, std::unique_ptr<child_process>> running_;
-  std::vector<std::string> leaving_;
+  std::map<std::string, host_listing> listings_;  ///< Hosts that are not shown as live.
   fiber_thread client_thread_{"test-client"};
 };
 
--- a/libs/testing/src/deployment.cc
+++ b/libs/testing/src/deployment.cc
@@ -249,7 +249,11 @@
     const bool entry = process.name.starts_with("entry-");
     if (!entry && !process.name.starts_with("agent-"))
       continue;
-    const bool leaves = std::find(leaving_.begin(), leaving_.end(), process.name) != leaving_.end();
+    const auto found = listings_.find(process.name);
+    const host_listing listing = found == listings_.end() ? host_listing::kLive : found->second;
+    if (listing == host_listing::kAbsent)
+      continue;
+    const bool leaves = listing == host_listing::kLeaving;
     list.push_back(json::object{{"targets", json::array{ToString(process.address)}},
                                 {"labels", json::object{{"host", process.name},
                                                         {"failure_domain", process.failure_domain},
@@ -327,7 +331,11 @@
 }
 
 void deployment::SetLeaving(const std::string& process) {
-  leaving_.push_back(process);
+  SetListing(process, host_listing::kLeaving);
+}
+
+void deployment::SetListing(const std::string& process, host_listing listing) {
+  listings_[process] = listing;
   (void)Call("hosts", {"PUT", "/hosts", {}, HostList()});
 }
 
@@ -368,8 +376,8 @@
   client_thread_.RunAndWait([&] { (void)http_client(client_thread_).Call(call); });
 }
 
-json::value deployment::Counters(const std::string& process) {
-  const auto answer = Call(process, {"GET", "/control", {}, {}});
+json::value deployment::Counters(const std::string& process, const std::string& query) {
+  const auto answer = Call(process, {"GET", "/control" + query, {}, {}});
   if (!answer)
     return {};
   const auto parsed = ParseJson(answer.value().body);
