Drop idle connections of a silent peer in all threads of an entry

Cause: after something on the way to an agent had forgotten the open connections, each pooled connection cost a request the silence limit of 3 s, one after the other, and each thread of an entry had a pool of its own. A resumed attempt could also take another silent connection from the pool. Change: a call that times out closes the idle connections to its peer that have not answered since. The slot of an upstream keeps the start of the last silence that an attempt or a poll has seen; attempts of all threads use only connections that have answered after it. Conclusion: one timeout per agent and entry instead of one per connection. The test AreClosedWhenTheirPeerIsSilent fails without the change.

--- a/libs/entry/include/quincebank/entry/upstream_slot.h
+++ b/libs/entry/include/quincebank/entry/upstream_slot.h
@@ -40,6 +40,14 @@
 
   void OnSent() noexcept { ++sent_since_; }
 
+  /// \brief A call to the agent got no answer in time: connections that have not answered since its
+  /// start may all be dead. Each thread has connections of its own; this tells the other threads.
+  void OnSilent(time_point since) noexcept { silent_since_ = since.time_since_epoch().count(); }
+  /// \brief Returns the start of the last silence, or the epoch.
+  [[nodiscard]] time_point silent_since() const noexcept {
+    return time_point(time_point::duration(silent_since_.load()));
+  }
+
   [[nodiscard]] upstream_load Read(time_point now) const noexcept {
     const time_point heard = heard_at();
     upstream_load load;
@@ -79,6 +87,7 @@
   std::atomic<std::uint64_t> life_{0};
   std::atomic<std::uint64_t> boot_{0};
   std::atomic<time_point::rep> heard_at_{0};
+  std::atomic<time_point::rep> silent_since_{0};
 };
 
 }  // namespace quincebank
--- a/libs/entry/src/attempt_copy.cc
+++ b/libs/entry/src/attempt_copy.cc
@@ -8,6 +8,12 @@
 namespace quincebank {
 namespace {
 
+/// Tells the other threads of a silence, which `http_client` sees for its own connections only.
+void NoteSilence(upstream_slot* slot, const error& failure) {
+  if (slot != nullptr && failure.code == error_code::kTimeout)
+    slot->OnSilent(std::chrono::steady_clock::now() - kSilenceLimit);
+}
+
 /// Takes the events of one answer until it ends.
 class event_reader {
  public:
@@ -83,6 +89,7 @@
   copy_result failed;
   auto opened = http.Open(call);
   if (!opened) {
+    NoteSilence(slot, opened.error());
     failed.report.outcome =
         opened.error().outcome == verdict::kNotRun ? copy_outcome::kNotSent : copy_outcome::kLost;
     failed.report.message = opened.error().message;
@@ -93,6 +100,7 @@
   while (!reader.result()) {
     const auto piece = opened.value()->ReadSome();
     if (!piece) {
+      NoteSilence(slot, piece.error());
       reader.Lost(piece.error().message);
     } else if (!piece.value()) {
       reader.Lost("agent ended the answer early");
--- a/libs/entry/src/request_flow.cc
+++ b/libs/entry/src/request_flow.cc
@@ -130,6 +130,9 @@
   call.connect_timeout = service_->connect_timeout;
   call.response_timeout = kSilenceLimit;
   call.idle_timeout = kSilenceLimit;
+  const upstream_slot* const slot = SlotOf(target.agent);
+  if (slot != nullptr)
+    call.reuse_after = slot->silent_since();
   call.request.headers.Set(kIncarnationField, ToString(target.life));
   call.request.headers.Set(kConfigVersionField, std::to_string(snapshot_->config->version()));
   return call;
--- a/libs/entry/src/upstream_directory.cc
+++ b/libs/entry/src/upstream_directory.cc
@@ -70,10 +70,13 @@
 
 void upstream_directory::Poll(std::uint32_t upstream) {
   const ref_ptr<upstream_slot> slot = SlotFor(config_->upstreams()[upstream]);
+  const time_point asked = Now();
   const auto answer = rpc_.Call(slot->agent(), "agent.status", {}, kPollTimeout);
   const auto load = answer ? AgentLoadFromJson(answer.value()) : result<agent_load>(answer.error());
   if (!load) {
     const bool silent = load.error().code == error_code::kTimeout;
+    if (silent)
+      slot->OnSilent(asked);
     view_.OnContact(slot->name(), silent ? contact::kSilent : contact::kRefused, {}, Now());
     return;
   }
--- a/libs/net/include/quincebank/net/http_client.h
+++ b/libs/net/include/quincebank/net/http_client.h
@@ -19,6 +19,8 @@
   milliseconds connect_timeout{1'000};
   milliseconds response_timeout{10'000};  ///< From the last byte sent to the answer's header.
   milliseconds idle_timeout{3'000};       ///< Between two reads of the answer's body.
+  /// Idle connections that have not answered since then are closed instead of used.
+  time_point reuse_after{};
 };
 
 /// \brief Answer whose body is read piece by piece.
@@ -37,6 +39,8 @@
 };
 
 /// \brief HTTP/1.1 client with a pool of idle connections. Used by the fibers of one thread.
+///
+/// A call that times out closes the idle connections to its peer that have not answered since.
 class http_client {
  public:
   explicit http_client(fiber_thread& thread);
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "quincebank/base/time.h"
 #include "quincebank/net/fiber_thread.h"
 #include "quincebank/net/impl/await.h"
 
@@ -32,6 +33,7 @@
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  time_point answered{};  ///< When its last answer ended.
 };
 
 // A peer that closed or sent bytes unasked has made the connection useless; a request written to
@@ -60,7 +62,7 @@
     while (!idle.empty()) {
       std::unique_ptr<connection> kept = std::move(idle.back());
       idle.pop_back();
-      if (IsReusable(*kept))
+      if (kept->answered > call.reuse_after && IsReusable(*kept))
         return kept;
     }
     boost::system::error_code ec;
@@ -80,10 +82,17 @@
 
   void Keep(const endpoint& peer, std::unique_ptr<connection> finished) {
     auto& idle = idle_[peer];
+    finished->answered = std::chrono::steady_clock::now();
     if (idle.size() < kIdlePerPeer && finished->buffer.size() == 0)
       idle.push_back(std::move(finished));
   }
 
+  /// Closes the idle connections that have not answered since the peer went silent. What forgets
+  /// one connection on the way often forgets them all, and each would cost a timeout of its own.
+  void DropIdle(const endpoint& peer, time_point silent_since) {
+    std::erase_if(idle_[peer], [&](const auto& idle) { return idle->answered <= silent_since; });
+  }
+
   void CountBytes(std::size_t bytes) noexcept { bytes_moved_ += bytes; }
   [[nodiscard]] std::uint64_t bytes_moved() const noexcept { return bytes_moved_; }
 
@@ -110,6 +119,7 @@
   }
 
   result<void> ReadHeader(const http_call& call) {
+    const time_point asked = std::chrono::steady_clock::now();
     const io_outcome read = Await([&](auto handler) {
       connection_->stream.expires_after(call.response_timeout);
       http::async_read_header(connection_->stream, connection_->buffer, parser_,
@@ -118,6 +128,8 @@
     pool_->CountBytes(read.bytes);
     if (read.ec) {
       connection_.reset();
+      if (read.ec == beast::error::timeout)
+        pool_->DropIdle(peer_, asked);
       return ToError(read.ec, "no answer from " + ToString(peer_), verdict::kMayHaveRun);
     }
     for (const auto& field : parser_.get())
@@ -138,6 +150,7 @@
       }
       if (!connection_)
         return MakeError(error_code::kTruncated, "answer ended early", verdict::kMayHaveRun);
+      const time_point asked = std::chrono::steady_clock::now();
       bytes.resize(kReadBytes);
       parser_.get().body().data = bytes.data();
       parser_.get().body().size = bytes.size();
@@ -150,8 +163,10 @@
       bytes.resize(bytes.size() - parser_.get().body().size);
       if (read.ec && read.ec != http::error::need_buffer) {
         connection_.reset();
-        if (read.ec == beast::error::timeout)
+        if (read.ec == beast::error::timeout) {
+          pool_->DropIdle(peer_, asked);
           return ToError(read.ec, "no bytes from " + ToString(peer_), verdict::kMayHaveRun);
+        }
         return MakeError(error_code::kTruncated,
                          "answer of " + ToString(peer_) + " ended early: " + read.ec.message(),
                          verdict::kMayHaveRun);
--- a/libs/net/tests/http_test.cc
+++ b/libs/net/tests/http_test.cc
@@ -1,11 +1,17 @@
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <barrier>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/fiber/operations.hpp>
+#include <future>
 #include <optional>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "quincebank/net/net.h"
 
@@ -133,6 +139,120 @@
   EXPECT_EQ(answer.value().body, "2");
 }
 
+/// Server whose connections each know their number; `/both` is answered once two requests for it
+/// have come, `/silent` never.
+class numbered_server {
+ public:
+  numbered_server()
+      : acceptor_(io_, {boost::asio::ip::make_address("127.0.0.1"), 0}), accepting_([this] {
+          for (;;) {
+            tcp::socket socket(io_);
+            acceptor_.accept(socket);
+            if (stopping_)
+              return;
+            const std::size_t number = connections_.size();
+            connections_.emplace_back(
+                [this, number, socket = std::move(socket)]() mutable { Serve(socket, number); });
+          }
+        }) {}
+  ~numbered_server() {
+    stopping_ = true;
+    tcp::socket(io_).connect(acceptor_.local_endpoint());
+    accepting_.join();
+    for (std::thread& connection : connections_)
+      connection.join();
+  }
+  numbered_server(const numbered_server&) = delete;
+  numbered_server& operator=(const numbered_server&) = delete;
+
+  [[nodiscard]] endpoint address() const {
+    return {"127.0.0.1", acceptor_.local_endpoint().port()};
+  }
+
+ private:
+  using tcp = boost::asio::ip::tcp;
+
+  void Serve(tcp::socket& socket, std::size_t number) {
+    std::string text;
+    boost::system::error_code ec;
+    for (;;) {
+      const std::size_t size =
+          boost::asio::read_until(socket, boost::asio::dynamic_buffer(text), "\r\n\r\n", ec);
+      if (ec)
+        return;
+      const std::string head = text.substr(0, size);
+      text.erase(0, size);
+      if (head.starts_with("GET /silent"))
+        continue;
+      if (head.starts_with("GET /both"))
+        both_.arrive_and_wait();
+      boost::asio::write(socket,
+                         boost::asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" +
+                                             std::to_string(number)),
+                         ec);
+    }
+  }
+
+  boost::asio::io_context io_;
+  tcp::acceptor acceptor_;
+  std::barrier<> both_{2};
+  std::atomic<bool> stopping_{false};
+  std::vector<std::thread> connections_;
+  std::thread accepting_;
+};
+
+class idle_connections_test : public testing::Test {
+ protected:
+  /// Leaves two idle connections, 0 and 1, to the server.
+  void SetUp() override {
+    std::promise<void> second_done;
+    thread_.Spawn([&] {
+      EXPECT_TRUE(client_.Call(To("/both")).has_value());
+      second_done.set_value();
+    });
+    thread_.RunAndWait([&] { EXPECT_TRUE(client_.Call(To("/both")).has_value()); });
+    second_done.get_future().wait();
+  }
+
+  [[nodiscard]] http_call To(const std::string& target) const {
+    return {server_.address(), {"GET", target, {}, {}}};
+  }
+  result<http_response> Call(const http_call& call) {
+    result<http_response> answer = MakeError(error_code::kInternal, "no answer");
+    thread_.RunAndWait([&] { answer = client_.Call(call); });
+    return answer;
+  }
+
+  numbered_server server_;
+  fiber_thread thread_{"client"};
+  http_client client_{thread_};
+};
+
+// Guards against a wait for the silence limit on each pooled connection in turn, after something on
+// the way to the peer has forgotten all of them.
+TEST_F(idle_connections_test, AreClosedWhenTheirPeerIsSilent) {
+  http_call silent = To("/silent");
+  silent.response_timeout = milliseconds(50);
+  const auto none = Call(silent);
+  ASSERT_FALSE(none.has_value());
+  EXPECT_EQ(none.error().code, error_code::kTimeout);
+  const auto answer = Call(To("/"));
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer.value().body, "2");
+}
+
+// Guards against a request on a connection that another thread's silence has made suspect, and
+// against connections that are never used again after one silence.
+TEST_F(idle_connections_test, AreUsedOnlyIfTheyAnsweredSince) {
+  http_call call = To("/");
+  call.reuse_after = std::chrono::steady_clock::now();
+  for (int i = 0; i < 2; ++i) {
+    const auto answer = Call(call);
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer.value().body, "2");
+  }
+}
+
 struct raw_case {
   const char* name;
   const char* text;
