--- a/bench/recovery/callers.h
+++ b/bench/recovery/callers.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <atomic>
-#include <map>
+#include <cstdint>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -14,51 +14,77 @@
 
 namespace quincebank {
 
-/// \brief What callers saw in one phase.
-struct phase_counts {
-  int drafts = 0;
-  int drafts_failed = 0;  ///< No whole answer after all repeats.
-  int refusals = 0;       ///< Answers "not run" that were repeated.
-  int orders = 0;
-  int orders_unsure = 0;  ///< Ended as "may have run".
-  int orders_failed = 0;  ///< Refused until the caller gave up.
-  std::vector<milliseconds> first_bytes;
+enum class call_kind : std::uint8_t { kDraft, kOrder };
+
+/// \brief How a caller's request ended after all its repeats.
+enum class call_end : std::uint8_t {
+  kAnswered,
+  kRefused,  ///< The last verdict was "not run".
+  kUnsure,   ///< The last verdict was "may have run".
+  kFailed,   ///< The last try got no verdict.
+};
+
+/// \brief One request of a caller, from its first try to the end of its last one.
+struct call_record {
+  call_kind kind = call_kind::kDraft;
+  call_end end = call_end::kFailed;
+  time_point started;
+  time_point ended;
+  int tries = 0;
+  int refusals = 0;    ///< Tries with the verdict "not run".
+  bool wrong = false;  ///< A whole answer whose text is not that of the prompt.
+  std::string order;   ///< Key of an order.
+  std::string prompt;  ///< Of a draft.
+};
+
+/// \brief How many callers there are and what tells their requests from those of other callers.
+struct callers_plan {
+  int drafts = 48;
+  int orders = 8;
+  std::uint64_t seed = 1;
+  std::string order_prefix = "order";
 };
 
 /// \brief Callers that send drafts and orders without a pause and repeat what is safe to repeat.
+///
+/// Each keeps the addresses of a look-up for their time to live, sends to the first of them, and
+/// takes the next one when a connection fails.
 class callers {
  public:
-  callers(deployment& system, int draft_callers, int order_callers, std::uint64_t seed);
+  callers(deployment& system, const callers_plan& plan);
   ~callers();
 
-  /// \brief Starts a new phase and returns the counts of the one before.
-  [[nodiscard]] phase_counts NextPhase();
+  /// \brief Ends the callers; requests under way run to their end.
   void Stop();
-
-  /// \brief Orders that callers were told to be answered, by key.
-  [[nodiscard]] std::vector<std::string> answered_orders();
-  /// \brief Orders whose last verdict was "not run".
-  [[nodiscard]] std::vector<std::string> refused_orders();
+  /// \brief Returns the requests that have ended; call it after `Stop`.
+  [[nodiscard]] const std::vector<call_record>& records() const noexcept { return records_; }
 
  private:
-  void DraftLoop(random_source random);
-  void OrderLoop(random_source random);
-  void CountOrder(const std::string& order, const result<http_response>& answer, int refusals);
-  [[nodiscard]] result<http_response> Send(const http_request& request,
-                                           random_source& random,
-                                           milliseconds& first_byte);
+  struct caller {
+    random_source random;
+    std::string failure_domain;
+    std::string service;
+    std::vector<endpoint> addresses;
+    std::size_t next = 0;
+    time_point expires;
+  };
+
+  void Spawn(int count, const std::string& service, random_source& random);
+  void DraftLoop(caller& self);
+  void OrderLoop(caller& self);
+  void Repeat(caller& self, http_request& request, int expected_status, call_record& record);
+  void Refresh(caller& self);
+  [[nodiscard]] result<http_response> Send(caller& self, const http_request& request);
 
-  deployment& system_;
+  const callers_plan plan_;
   std::vector<endpoint> entries_;
   fiber_thread thread_{"callers"};
   http_client client_{thread_};
   std::mutex mutex_;
-  phase_counts counts_;
-  std::vector<std::string> answered_;
-  std::vector<std::string> refused_;
+  std::vector<call_record> records_;
   std::atomic<bool> stop_{false};
   std::atomic<int> running_{0};
-  std::atomic<int> next_order_{0};
+  int next_order_ = 0;
 };
 
 }  // namespace quincebank
