Register a queued attempt before its fiber suspends

Cause: an agent queued an attempt in the gate, then wrote the head of its answer, and only then entered it among the waiting ones. Change: the attempt is entered right after the gate has queued it. Conclusion: no decision of the gate is lost.

--- a/libs/agent/src/agent_impl.cc
+++ b/libs/agent/src/agent_impl.cc
@@ -95,9 +95,8 @@
 }
 
 std::optional<rejection> agent_service::impl::WaitForSlot(http_exchange& exchange,
-                                                          admission_ticket ticket) {
-  admission_wait wait;
-  waiting_.emplace(ticket.value, &wait);
+                                                          admission_ticket ticket,
+                                                          admission_wait& wait) {
   ApplyQueue();
   bool connected = true;
   for (std::uint64_t seen = 0; !wait.decided;) {
@@ -139,9 +138,14 @@
     Reject(exchange, Refusal(decision.refused));
     return;
   }
+  // Registered before this fiber suspends for the first time: another one may take the ticket from
+  // the queue at once, and a decision that finds nobody waiting would be lost with its slot.
+  admission_wait wait;
+  if (decision.queued())
+    waiting_.emplace(decision.ticket.value, &wait);
   exchange.StartStream(200, {{"Content-Type", "text/event-stream"}});
   if (decision.queued()) {
-    const auto refused = WaitForSlot(exchange, decision.ticket);
+    const auto refused = WaitForSlot(exchange, decision.ticket, wait);
     if (refused) {
       exchange.Write(Encode(Refusal(*refused)));
       exchange.Finish();
--- a/libs/agent/src/agent_impl.h
+++ b/libs/agent/src/agent_impl.h
@@ -61,7 +61,9 @@
   void ApplyQueue();
   /// \brief Waits in the queue with heartbeats.
   /// \returns Nothing if admitted, else why not.
-  std::optional<rejection> WaitForSlot(http_exchange& exchange, admission_ticket ticket);
+  std::optional<rejection> WaitForSlot(http_exchange& exchange,
+                                       admission_ticket ticket,
+                                       admission_wait& wait);
   void Start(const attempt_request& request, admission_ticket ticket);
   void RunUpstream(const attempt_request& request, admission_ticket ticket);
   /// \brief Reads the upstream's answer into the ledger.
--- a/tests/process/domains_test.cc
+++ b/tests/process/domains_test.cc
@@ -146,6 +146,41 @@
     EXPECT_EQ(Counter(system(), "drafts-" + std::to_string(i), "crashes"), 0);
 }
 
+// Guards against a queued attempt that is admitted before its fiber waits for it: it would never
+// start, and hold its slot until the deadline.
+TEST_F(domains_process_test, QueuedAttemptsAllStart) {
+  deployment_plan plan;
+  plan.drafts = 1;
+  plan.orders = 1;
+  plan.cold_limit = 1;
+  plan.full_limit = 3;
+  plan.warm_requests = 2;
+  plan.engine_options = {"--first-token-ms=1", "--token-ms=1", "--warm-after=0"};
+  StartSystem(plan);
+  SendDrafts(20);
+  constexpr int kCallers = 24;
+  constexpr int kCallsEach = 50;
+  std::vector<std::future<int>> callers;
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(std::async(std::launch::async, [this, i] {
+      int hung = 0;
+      for (int call = 0; call < kCallsEach; ++call) {
+        const auto answer =
+            system().Call("entry-" + std::to_string(i % 3),
+                          DraftRequest("q" + std::to_string(i), 1, false), kPatience);
+        // A full queue may refuse; a deadline of 20 s is missed only by what never starts.
+        hung += answer && (answer.value().status == 200 || answer.value().status == 503) ? 0 : 1;
+      }
+      return hung;
+    }));
+  }
+  int hung = 0;
+  for (auto& caller : callers)
+    hung += caller.get();
+  EXPECT_EQ(hung, 0);
+}
+
 // Guards against a full share for an engine that turned cold again.
 TEST_F(domains_process_test, RebootedEngineStartsColdAgain) {
   deployment_plan plan;
