--- a/libs/agent/src/agent_impl.cc
+++ b/libs/agent/src/agent_impl.cc
@@ -111,12 +111,8 @@
 }
 
 std::optional<rejection> agent_service::impl::WaitForSlot(http_exchange& exchange,
-                                                          const attempt_request& request,
-                                                          admission_ticket ticket) {
-  admission_wait wait;
-  wait.attempt = request.attempt;
-  wait.repeatable = request.repeatable;
-  waiting_.emplace(ticket.value, &wait);
+                                                          admission_ticket ticket,
+                                                          admission_wait& wait) {
   ApplyQueue();
   bool connected = true;
   for (std::uint64_t seen = 0; !wait.decided;) {
@@ -158,9 +154,16 @@
     Reject(exchange, Refusal(decision.refused));
     return;
   }
+  // Registered before this fiber suspends for the first time: another one may take the ticket from
+  // the queue at once, and a decision that finds nobody waiting would be lost with its slot.
+  admission_wait wait;
+  wait.attempt = request.attempt;
+  wait.repeatable = request.repeatable;
+  if (decision.queued())
+    waiting_.emplace(decision.ticket.value, &wait);
   exchange.StartStream(200, {{"Content-Type", "text/event-stream"}});
   if (decision.queued()) {
-    const auto refused = WaitForSlot(exchange, request, decision.ticket);
+    const auto refused = WaitForSlot(exchange, decision.ticket, wait);
     if (refused) {
       exchange.Write(Encode(Refusal(*refused)));
       exchange.Finish();
--- a/libs/agent/src/agent_impl.h
+++ b/libs/agent/src/agent_impl.h
@@ -77,8 +77,8 @@
   /// \brief Waits in the queue with heartbeats.
   /// \returns Nothing if admitted, else why not.
   std::optional<rejection> WaitForSlot(http_exchange& exchange,
-                                       const attempt_request& request,
-                                       admission_ticket ticket);
+                                       admission_ticket ticket,
+                                       admission_wait& wait);
   /// \returns Whether the attempt was waiting in the queue.
   [[nodiscard]] result<bool> CancelWaiting(attempt_id attempt);
   void FinishCancelled(const attempt_request& request,
--- a/libs/net/include/quincebank/net/http_client.h
+++ b/libs/net/include/quincebank/net/http_client.h
@@ -18,8 +18,10 @@
   endpoint peer;
   http_request request;
   milliseconds connect_timeout{1'000};
-  milliseconds response_timeout{10'000};    ///< From the last byte sent to the answer's header.
-  milliseconds idle_timeout{3'000};         ///< Between two reads of the answer's body.
+  milliseconds response_timeout{10'000};  ///< From the last byte sent to the answer's header.
+  milliseconds idle_timeout{3'000};       ///< Between two reads of the answer's body.
+  /// Idle connections that have not answered since then are closed instead of used.
+  time_point reuse_after{};
   ref_ptr<call_cancellation> cancellation;  ///< Null if the call is never cancelled.
 };
 
@@ -39,6 +41,8 @@
 };
 
 /// \brief HTTP/1.1 client with a pool of idle connections. Used by the fibers of one thread.
+///
+/// A call that times out closes the idle connections to its peer that have not answered since.
 class http_client {
  public:
   explicit http_client(fiber_thread& thread);
