Test a lagging host list and a partition of the regions with processes

Cause: neither was tested with processes. One gap was found on the way: an agent did not read the host list, so an entry with an older list brought new work to a host that leaves only by the list.

Change: while the host list shows its host as leaving, an agent refuses new attempts as it does in a drain; it accepts again when the list takes that back, since the list may be wrong. Deployments of tests can have two regions, in which nodes reach each other and the platform through relays that cut callers off by their source address. For that, nodes have the setting `source`.

--- a/libs/agent/include/quincebank/agent/agent_node.h
+++ b/libs/agent/include/quincebank/agent/agent_node.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "quincebank/agent/agent_service.h"
 #include "quincebank/expert_group/expert_group_service.h"
@@ -43,6 +44,10 @@
  private:
   void Handle(http_exchange& exchange);
   void OnConfig(const ref_ptr<const effective_config>& config);
+  void OnHosts(const std::vector<host_entry>& hosts);
+  /// Refuses new attempts while the failure domain is out or the host list says that the host
+  /// leaves.
+  void UpdateDraining();
 
   const agent_settings settings_;
   fiber_thread traffic_{"traffic"};
@@ -51,6 +56,9 @@
   expert_group_service experts_;
   rpc_server rpc_;
   std::unique_ptr<http_server> server_;
+  // Both belong to the control thread.
+  bool drained_ = true;
+  bool listed_leaving_ = false;
   std::atomic<bool> known_{false};  ///< The configuration names the upstream.
   std::atomic<bool> leaving_{false};
 };
--- a/libs/agent/src/agent_impl.cc
+++ b/libs/agent/src/agent_impl.cc
@@ -270,7 +270,8 @@
 
 void agent_service::impl::SetDraining(bool draining) {
   if (draining != draining_)
-    kLog.Info(draining ? "failure domain is out, new work is refused" : "failure domain is back");
+    kLog.Info(draining ? "failure domain or host is out, new work is refused"
+                       : "failure domain and host are in, new work is accepted");
   draining_ = draining;
   gate_->SetDraining(draining_ || leaving_);
   ApplyQueue();
--- a/libs/agent/src/agent_node.cc
+++ b/libs/agent/src/agent_node.cc
@@ -1,5 +1,7 @@
 #include "quincebank/agent/agent_node.h"
 
+#include <algorithm>
+
 #include "quincebank/agent/agent_config.h"
 #include "quincebank/base/json_reader.h"
 #include "quincebank/base/log.h"
@@ -64,6 +66,7 @@
                                         [this](http_exchange& exchange) { Handle(exchange); }));
   node_control::observers observers;
   observers.on_config = [this](const auto& config) { OnConfig(config); };
+  observers.on_hosts = [this](const auto& hosts) { OnHosts(hosts); };
   node_.Start(std::move(observers));
   kLog.Info("listens on ", ToString(server_->address()), " for ", settings_.upstream);
   return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -75,16 +78,32 @@
   if (!upstream) {
     known_ = false;
     kLog.Warning("the configuration has no upstream named ", settings_.upstream);
-    agent_.SetDraining(true);
+    drained_ = true;
+    UpdateDraining();
     return;
   }
   agent_.SetUpstream(*upstream);
-  agent_.SetDraining(config->IsDomainDrained(settings_.node.failure_domain) ||
-                     config->IsDrained(*config->FindUpstream(settings_.upstream)));
+  drained_ = config->IsDomainDrained(settings_.node.failure_domain) ||
+             config->IsDrained(*config->FindUpstream(settings_.upstream));
+  UpdateDraining();
   known_ = true;
   experts_.OnConfig(*config);
 }
 
+void agent_node::OnHosts(const std::vector<host_entry>& hosts) {
+  // Not being listed says nothing: the list lags behind a host that has just started.
+  const auto own = std::find_if(hosts.begin(), hosts.end(), [this](const host_entry& host) {
+    return host.host == settings_.node.host;
+  });
+  listed_leaving_ = own != hosts.end() && own->leaving;
+  UpdateDraining();
+}
+
+void agent_node::UpdateDraining() {
+  // As for a drain, the agent accepts again when the list takes it back: the list may be wrong.
+  agent_.SetDraining(drained_ || listed_leaving_);
+}
+
 void agent_node::Handle(http_exchange& exchange) {
   const http_request& request = exchange.request();
   if (request.target.starts_with("/attempt")) {
--- a/libs/entry/include/quincebank/entry/entry_service.h
+++ b/libs/entry/include/quincebank/entry/entry_service.h
@@ -34,7 +34,8 @@
 
 /// \brief Clients of one traffic thread.
 struct traffic_context {
-  explicit traffic_context(fiber_thread& thread) : http(thread), rpc(http) {}
+  traffic_context(fiber_thread& thread, const std::string& source)
+      : http(thread, source), rpc(http) {}
 
   http_client http;
   rpc_client rpc;
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -96,7 +96,7 @@
   std::vector<fiber_thread*> threads;
   for (std::size_t i = 0; i < settings_.traffic_threads; ++i) {
     threads_.push_back(std::make_unique<fiber_thread>("traffic"));
-    contexts_.push_back(std::make_unique<traffic_context>(*threads_.back()));
+    contexts_.push_back(std::make_unique<traffic_context>(*threads_.back(), settings_.node.source));
     threads_.back()->RunAndWait([&] { current_context = contexts_.back().get(); });
     threads.push_back(threads_.back().get());
   }
--- a/libs/net/include/quincebank/net/http_client.h
+++ b/libs/net/include/quincebank/net/http_client.h
@@ -39,7 +39,8 @@
 /// \brief HTTP/1.1 client with a pool of idle connections. Used by the fibers of one thread.
 class http_client {
  public:
-  explicit http_client(fiber_thread& thread);
+  /// \param source  IP address that connections come from; empty lets the system choose.
+  explicit http_client(fiber_thread& thread, const std::string& source = {});
   ~http_client();
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -1,5 +1,6 @@
 #include "quincebank/net/http_client.h"
 
+#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <atomic>
@@ -53,7 +54,7 @@
 
 class http_client::impl {
  public:
-  explicit impl(fiber_thread& thread) : thread_(thread) {}
+  impl(fiber_thread& thread, std::string source) : thread_(thread), source_(std::move(source)) {}
 
   result<std::unique_ptr<connection>> Connect(const http_call& call) {
     auto& idle = idle_[call.peer];
@@ -68,6 +69,10 @@
     if (ec)
       return MakeError(error_code::kInvalidArgument, call.peer.address + " is not an IP address");
     auto fresh = std::make_unique<connection>(thread_.io());
+    if (!source_.empty())
+      Bind(fresh->stream.socket(), ip.is_v6() ? tcp::v6() : tcp::v4(), ec);
+    if (ec)
+      return ToError(ec, "bind to " + source_, verdict::kNotRun);
     const io_outcome connected = Await([&](auto handler) {
       fresh->stream.expires_after(call.connect_timeout);
       fresh->stream.async_connect(tcp::endpoint(ip, call.peer.port), std::move(handler));
@@ -88,7 +93,21 @@
   [[nodiscard]] std::uint64_t bytes_moved() const noexcept { return bytes_moved_; }
 
  private:
+  void Bind(tcp::socket& socket, tcp protocol, boost::system::error_code& ec) const {
+    const auto address = asio::ip::make_address(source_, ec);
+    if (!ec)
+      socket.open(protocol, ec);
+    if (ec)
+      return;
+    // The port is chosen when the peer is known, so that one port serves many peers. Without the
+    // option the number of connections is smaller, which is no error.
+    const int on = 1;
+    (void)::setsockopt(socket.native_handle(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
+    socket.bind(tcp::endpoint(address, 0), ec);
+  }
+
   fiber_thread& thread_;
+  const std::string source_;
   std::atomic<std::uint64_t> bytes_moved_{0};
   std::map<endpoint, std::vector<std::unique_ptr<connection>>> idle_;
 };
@@ -181,7 +200,8 @@
 
 }  // namespace
 
-http_client::http_client(fiber_thread& thread) : impl_(std::make_shared<impl>(thread)) {}
+http_client::http_client(fiber_thread& thread, const std::string& source)
+    : impl_(std::make_shared<impl>(thread, source)) {}
 
 http_client::~http_client() = default;
 
--- a/libs/node/include/quincebank/node/node_settings.h
+++ b/libs/node/include/quincebank/node/node_settings.h
@@ -20,6 +20,9 @@
   std::string region;          ///< Region of this host.
   std::string failure_domain;  ///< Failure domain of this host.
   endpoint listen;             ///< Address that peers and callers use.
+  /// IP address that connections to peers, agents and the platform come from; empty lets the system
+  /// choose.
+  std::string source;
   endpoint key_value;
   milliseconds key_value_timeout{1'000};
   endpoint host_list;
--- a/libs/node/src/node_control.cc
+++ b/libs/node/src/node_control.cc
@@ -42,8 +42,8 @@
 node_control::node_control(fiber_thread& control, const node_settings& settings, peer_role role)
     : control_(control),
       settings_(settings),
-      http_(control),
-      platform_http_(control),
+      http_(control, settings.source),
+      platform_http_(control, settings.source),
       rpc_(http_),
       kv_(MakeConsulKv(platform_http_, settings.key_value, settings.key_value_timeout)),
       host_list_(MakeHttpHostList(platform_http_,
--- a/libs/node/src/node_settings.cc
+++ b/libs/node/src/node_settings.cc
@@ -27,6 +27,9 @@
   settings.region = reader.String("region");
   settings.failure_domain = reader.String("failure_domain");
   settings.listen = ReadEndpoint(reader, "listen");
+  settings.source = reader.String("source", "");
+  if (!settings.source.empty() && !ParseEndpoint(settings.source + ":1"))
+    reader.Fail("source", "expected an IP address");
   bool has_key_value = false;
   reader.Child("key_value", [&](json_reader& child) {
     has_key_value = true;
--- a/libs/standins/include/quincebank/standins/relay.h
+++ b/libs/standins/include/quincebank/standins/relay.h
@@ -13,7 +13,8 @@
 ///
 /// `PUT /control` on the control server takes `{"silence": true}`: connections that are open now
 /// pass nothing on any more, though both ends keep them, while new ones work; `{"cut": true}`
-/// closes the open ones; `{"partition": true}` lets new ones pass nothing either.
+/// closes the open ones; `{"partition": true}` lets new ones pass nothing either, and
+/// `{"partition_from": ["IP", ...]}` does so for these callers only.
 ///
 /// \returns The stand-in whose `Handle` serves the control calls, or an error if the address can't
 /// be
--- a/libs/standins/src/relay.cc
+++ b/libs/standins/src/relay.cc
@@ -1,10 +1,13 @@
 #include "quincebank/standins/relay.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <list>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "http_reply.h"
 #include "quincebank/net/fiber_thread.h"
@@ -29,6 +32,7 @@
 
   tcp::socket caller;
   tcp::socket target;
+  std::string source;  ///< IP address of the caller.
   bool silent = false;
 };
 
@@ -58,10 +62,12 @@
   void Handle(http_exchange& exchange) override {
     ReadControl(exchange, [&](json_reader& reader) {
       partition_ = reader.Bool("partition", partition_);
+      if (reader.Has("partition_from"))
+        cut_sources_ = reader.Strings("partition_from");
       const bool silence = reader.Bool("silence", false);
       const bool cut = reader.Bool("cut", false);
       for (const std::shared_ptr<relayed_pair>& pair : pairs_) {
-        pair->silent = pair->silent || silence || partition_;
+        pair->silent = pair->silent || silence || IsCut(*pair);
         if (cut)
           pair->Close();
       }
@@ -76,7 +82,12 @@
           Await([&](auto handler) { acceptor_.async_accept(pair->caller, std::move(handler)); });
       if (accepted.ec)
         return;
-      pair->silent = partition_;
+      boost::system::error_code ec;
+      const tcp::endpoint source = pair->caller.remote_endpoint(ec);
+      if (!ec)
+        pair->source = source.address().to_string();
+      pair->silent = IsCut(*pair);
+      pairs_.push_back(pair);
       thread_.Spawn([this, pair] { Serve(pair); });
     }
   }
@@ -86,9 +97,9 @@
         Await([&](auto handler) { pair->target.async_connect(target_, std::move(handler)); });
     if (connected.ec) {
       pair->Close();
+      pairs_.remove(pair);
       return;
     }
-    pairs_.push_back(pair);
     thread_.Spawn([pair] { Pump(*pair, pair->target, pair->caller); });
     Pump(*pair, pair->caller, pair->target);
     pairs_.remove(pair);
@@ -117,8 +128,14 @@
   fiber_thread& thread_;
   tcp::acceptor acceptor_;
   const tcp::endpoint target_;
+  [[nodiscard]] bool IsCut(const relayed_pair& pair) const {
+    return partition_ ||
+           std::find(cut_sources_.begin(), cut_sources_.end(), pair.source) != cut_sources_.end();
+  }
+
   std::list<std::shared_ptr<relayed_pair>> pairs_;
   bool partition_ = false;
+  std::vector<std::string> cut_sources_;  ///< Callers whose bytes pass in neither direction.
 };
 
 }  // namespace
--- a/libs/testing/include/quincebank/testing/deployment.h
+++ b/libs/testing/include/quincebank/testing/deployment.h
@@ -26,6 +26,11 @@
   int warm_requests = 8;
   int lookup_ttl_ms = 300;
   bool relays = false;  ///< Entries reach each agent through a relay named `relay-` and its name.
+  /// Two regions of two failure domains each: hosts are dealt to `qc-east-a`, `qc-west-a`,
+  /// `qc-east-b` and `qc-west-b` in turn. Nodes reach each other and the platform, which is in
+  /// `qc-east`, through relays, so that `Cut` can part them.
+  bool two_regions = false;
+  std::vector<std::string> unlisted;        ///< Nodes that the host list does not show.
   std::vector<std::string> engine_options;  ///< For the engine stand-ins.
   int ranks = 0;  ///< Ranks of the expert group `quince-group`, all held by the stand-in `ranks`.
   std::vector<std::string> rank_options;    ///< For the rank group stand-in.
@@ -34,8 +39,8 @@
 
 /// \brief Processes of the system with stand-ins for the platform, each a process of its own.
 ///
-/// Three failure domains; hosts are dealt to them in turn. Process names: `kv`, `hosts`,
-/// `entry-N`, `drafts-N`, `orders-N` (upstreams) and `agent-drafts-N`, `agent-orders-N`.
+/// Three failure domains in one region; hosts are dealt to them in turn. Process names: `kv`,
+/// `hosts`, `entry-N`, `drafts-N`, `orders-N` (upstreams) and `agent-drafts-N`, `agent-orders-N`.
 class deployment {
  public:
   explicit deployment(const deployment_plan& plan);
@@ -46,12 +51,26 @@
   /// \brief Starts all processes, applies the configuration and waits until the entries route.
   [[nodiscard]] result<void> Start();
 
+  /// \brief Address at which the process listens.
   [[nodiscard]] endpoint AddressOf(const std::string& process) const;
+  /// \brief Address at which other processes reach it: that of its relay, if it has one.
+  [[nodiscard]] endpoint ReachedAt(const std::string& process) const;
   [[nodiscard]] child_process& Process(const std::string& name);
   /// \brief Starts a process again that was killed.
   void Restart(const std::string& name);
   /// \brief Marks a host as leaving in the host list.
   void SetLeaving(const std::string& process);
+  /// \brief Freezes the host list that nodes and tools see, whatever is set later, or shows the
+  /// newest one again.
+  void FreezeHostList(bool frozen);
+  /// \brief Lets nothing pass on connections from callers to targets, in addition to earlier cuts.
+  /// \param callers  nodes; `tool` for the operators' tool.
+  /// \param targets  nodes, `kv` and `hosts`; they need relays, so a plan with `two_regions`.
+  void Cut(const std::vector<std::string>& callers, const std::vector<std::string>& targets);
+  /// \brief Cuts the nodes of `qc-west` from all other processes of the system, in both directions.
+  void CutRegions();
+  /// \brief Lets new connections pass again; those that were cut stay silent.
+  void Heal();
   /// \brief Runs the operators' tool and waits for it.
   /// \returns Its exit code; its output goes to `tool_output`.
   int RunTool(const std::vector<std::string>& arguments, std::string* tool_output = nullptr);
@@ -70,6 +89,10 @@
 
   [[nodiscard]] const std::string& folder() const noexcept { return folder_; }
   [[nodiscard]] std::vector<std::string> entries() const;
+  /// \brief Entries and agents, of all regions or of one.
+  [[nodiscard]] std::vector<std::string> nodes(const std::string& region = {}) const;
+  /// \brief Region in which a process runs.
+  [[nodiscard]] std::string RegionOf(const std::string& process) const;
 
  private:
   struct process_plan {
@@ -80,6 +103,9 @@
   };
 
   void Plan();
+  [[nodiscard]] std::string DomainOf(int index) const;
+  void AddRelay(const std::string& name, int domain);
+  [[nodiscard]] bool HasRelay(const std::string& process) const;
   void AddProcess(std::string name, int domain, std::vector<std::string> arguments);
   void AddNode(const std::string& program, const std::string& name, int domain, std::string extra);
   void AddUpstream(const std::string& kind, int index, std::vector<std::string> options);
@@ -97,6 +123,7 @@
   std::vector<process_plan> processes_;
   std::map<std::string, std::unique_ptr<child_process>> running_;
   std::vector<std::string> leaving_;
+  std::map<std::string, boost::json::array> cuts_;  ///< Sources that each relay cuts off.
   fiber_thread client_thread_{"test-client"};
 };
 
--- a/libs/testing/src/deployment.cc
+++ b/libs/testing/src/deployment.cc
@@ -21,7 +21,19 @@
 
 namespace json = boost::json;
 
-constexpr std::array<const char*, 3> kDomains{"qc-east-a", "qc-east-b", "qc-east-c"};
+struct domain_plan {
+  const char* name;
+  const char* region;
+};
+
+constexpr const char* kEast = "qc-east";
+constexpr const char* kWest = "qc-west";
+constexpr std::array<domain_plan, 3> kOneRegion{
+    {{"qc-east-a", kEast}, {"qc-east-b", kEast}, {"qc-east-c", kEast}}};
+constexpr std::array<domain_plan, 4> kTwoRegions{
+    {{"qc-east-a", kEast}, {"qc-west-a", kWest}, {"qc-east-b", kEast}, {"qc-west-b", kWest}}};
+// Source of the connections of tests and of the operators' tool.
+constexpr const char* kToolSource = "127.0.0.1";
 constexpr std::uint16_t kPort = 8000;
 constexpr int kLayers = 2;
 constexpr int kExperts = 16;
@@ -36,8 +48,8 @@
   return "127." + std::to_string(1 + pid / kBlock % kBlock) + "." + std::to_string(pid % kBlock);
 }
 
-std::string DomainOf(int index) {
-  return kDomains.at(static_cast<std::size_t>(index) % kDomains.size());
+bool IsNode(const std::string& process) {
+  return process.starts_with("entry-") || process.starts_with("agent-");
 }
 
 json::object Service(const std::string& name, const std::string& kind, json::array routes) {
@@ -90,9 +102,19 @@
   std::filesystem::remove_all(folder_, ignored);
 }
 
+std::string deployment::DomainOf(int index) const {
+  const auto position = static_cast<std::size_t>(index);
+  return plan_.two_regions ? kTwoRegions.at(position % kTwoRegions.size()).name
+                           : kOneRegion.at(position % kOneRegion.size()).name;
+}
+
 void deployment::Plan() {
   AddProcess("kv", 0, {QUINCEBANK_STANDIN_PROGRAM, "--role=kv"});
   AddProcess("hosts", 0, {QUINCEBANK_STANDIN_PROGRAM, "--role=hosts"});
+  if (plan_.two_regions) {
+    AddRelay("kv", 0);
+    AddRelay("hosts", 0);
+  }
   for (int i = 0; i < plan_.entries; ++i) {
     AddNode(QUINCEBANK_ENTRY_PROGRAM, "entry-" + std::to_string(i), i,
             R"("lookup_ttl_ms": )" + std::to_string(plan_.lookup_ttl_ms));
@@ -124,13 +146,23 @@
                          std::string extra) {
   AddProcess(name, domain, {program, "--settings=" + folder_ + "/" + name + ".json"});
   const process_plan& process = processes_.back();
+  // Relays tell the callers apart by the address that they come from.
+  if (plan_.two_regions)
+    extra += R"(, "source": ")" + process.address.address + "\"";
   WriteFile(name + ".json",
-            "// Settings of " + name + ".\n{\n  \"host\": \"" + name +
-                "\", \"region\": \"qc-east\", \"failure_domain\": \"" + process.failure_domain +
+            "// Settings of " + name + ".\n{\n  \"host\": \"" + name + "\", \"region\": \"" +
+                RegionOf(name) + "\", \"failure_domain\": \"" + process.failure_domain +
                 "\",\n  \"listen\": \"" + ToString(process.address) +
-                "\",\n  \"key_value\": {\"address\": \"" + ToString(AddressOf("kv")) +
-                "\"},\n  \"host_list\": {\"address\": \"" + ToString(AddressOf("hosts")) +
+                "\",\n  \"key_value\": {\"address\": \"" + ToString(ReachedAt("kv")) +
+                "\"},\n  \"host_list\": {\"address\": \"" + ToString(ReachedAt("hosts")) +
                 "\", \"interval_ms\": 200},\n  " + std::move(extra) + "\n}\n");
+  if (plan_.two_regions)
+    AddRelay(name, domain);
+}
+
+void deployment::AddRelay(const std::string& name, int domain) {
+  AddProcess("relay-" + name, domain,
+             {QUINCEBANK_STANDIN_PROGRAM, "--role=relay", "--target=" + ToString(AddressOf(name))});
 }
 
 void deployment::AddUpstream(const std::string& kind, int index, std::vector<std::string> options) {
@@ -143,11 +175,8 @@
   AddProcess(name, index, std::move(arguments));
   AddNode(QUINCEBANK_AGENT_PROGRAM, "agent-" + name, index,
           R"("upstream": ")" + name + R"(", "shutdown_linger_ms": 200)");
-  if (plan_.relays) {
-    AddProcess("relay-agent-" + name, index,
-               {QUINCEBANK_STANDIN_PROGRAM, "--role=relay",
-                "--target=" + ToString(AddressOf("agent-" + name))});
-  }
+  if (plan_.relays && !plan_.two_regions)
+    AddRelay("agent-" + name, index);
 }
 
 void deployment::AddRanks() {
@@ -175,14 +204,21 @@
 
 std::string deployment::Document() const {
   json::array domains;
-  for (const char* domain : kDomains)
-    domains.push_back(json::object{{"name", domain}, {"region", "qc-east"}, {"state", "in"}});
+  const auto add_domain = [&domains](const domain_plan& domain) {
+    domains.push_back(
+        json::object{{"name", domain.name}, {"region", domain.region}, {"state", "in"}});
+  };
+  if (plan_.two_regions) {
+    std::for_each(kTwoRegions.begin(), kTwoRegions.end(), add_domain);
+  } else {
+    std::for_each(kOneRegion.begin(), kOneRegion.end(), add_domain);
+  }
   json::array upstreams;
   for (const process_plan& process : processes_) {
     const bool drafts = process.name.starts_with("drafts-");
     if (!drafts && !process.name.starts_with("orders-"))
       continue;
-    const endpoint agent = AddressOf((plan_.relays ? "relay-agent-" : "agent-") + process.name);
+    const endpoint agent = ReachedAt("agent-" + process.name);
     upstreams.push_back(json::object{{"name", process.name},
                                      {"host", "agent-" + process.name},
                                      {"failure_domain", process.failure_domain},
@@ -198,7 +234,7 @@
   }
   for (int i = 0; i < plan_.ranks; ++i) {
     const std::string name = "rank-" + std::to_string(i);
-    const endpoint agent = AddressOf("agent-" + name);
+    const endpoint agent = ReachedAt("agent-" + name);
     upstreams.push_back(json::object{{"name", name},
                                      {"host", "agent-" + name},
                                      {"failure_domain", DomainOf(i)},
@@ -246,11 +282,14 @@
 std::string deployment::HostList() const {
   json::array list;
   for (const process_plan& process : processes_) {
-    const bool entry = process.name.starts_with("entry-");
-    if (!entry && !process.name.starts_with("agent-"))
+    const bool unlisted = std::find(plan_.unlisted.begin(), plan_.unlisted.end(), process.name) !=
+                          plan_.unlisted.end();
+    if (!IsNode(process.name) || unlisted)
       continue;
+    const bool entry = process.name.starts_with("entry-");
+    const endpoint reached = plan_.two_regions ? ReachedAt(process.name) : process.address;
     const bool leaves = std::find(leaving_.begin(), leaving_.end(), process.name) != leaving_.end();
-    list.push_back(json::object{{"targets", json::array{ToString(process.address)}},
+    list.push_back(json::object{{"targets", json::array{ToString(reached)}},
                                 {"labels", json::object{{"host", process.name},
                                                         {"failure_domain", process.failure_domain},
                                                         {"role", entry ? "entry" : "upstream"},
@@ -294,8 +333,7 @@
 
 bool deployment::EntriesRoute() {
   for (const process_plan& process : processes_) {
-    const bool node = process.name.starts_with("entry-") || process.name.starts_with("agent-");
-    if (!node)
+    if (!IsNode(process.name))
       continue;
     const auto ready = Call(process.name, {"GET", "/readyz", {}, {}});
     if (!ready || ready.value().status != 200)
@@ -314,6 +352,63 @@
   return {};
 }
 
+bool deployment::HasRelay(const std::string& process) const {
+  return std::any_of(processes_.begin(), processes_.end(),
+                     [&](const process_plan& known) { return known.name == "relay-" + process; });
+}
+
+endpoint deployment::ReachedAt(const std::string& process) const {
+  return AddressOf((HasRelay(process) ? "relay-" : "") + process);
+}
+
+std::string deployment::RegionOf(const std::string& process) const {
+  for (const process_plan& known : processes_) {
+    if (known.name == process)
+      return known.failure_domain.starts_with(kWest) ? kWest : kEast;
+  }
+  return {};
+}
+
+std::vector<std::string> deployment::nodes(const std::string& region) const {
+  std::vector<std::string> names;
+  for (const process_plan& process : processes_) {
+    if (IsNode(process.name) && (region.empty() || RegionOf(process.name) == region))
+      names.push_back(process.name);
+  }
+  return names;
+}
+
+void deployment::FreezeHostList(bool frozen) {
+  // The longest lag that the stand-in takes; no test runs for that long.
+  Control("hosts", frozen ? R"({"lag_ms": 600000})" : R"({"lag_ms": 0})");
+}
+
+void deployment::Cut(const std::vector<std::string>& callers,
+                     const std::vector<std::string>& targets) {
+  for (const std::string& target : targets) {
+    json::array& sources = cuts_[target];
+    for (const std::string& caller : callers)
+      sources.emplace_back(caller == "tool" ? kToolSource : AddressOf(caller).address);
+    Control("relay-" + target, json::serialize(json::object{{"partition_from", sources}}));
+  }
+}
+
+void deployment::CutRegions() {
+  std::vector<std::string> east = nodes(kEast);
+  const std::vector<std::string> west = nodes(kWest);
+  east.emplace_back("tool");
+  Cut(east, west);
+  east.back() = "kv";
+  east.emplace_back("hosts");
+  Cut(west, east);
+}
+
+void deployment::Heal() {
+  for (const auto& [target, sources] : cuts_)
+    Control("relay-" + target, R"({"partition_from": []})");
+  cuts_.clear();
+}
+
 child_process& deployment::Process(const std::string& name) {
   return *running_.at(name);
 }
--- a/tests/process/process_test.h
+++ b/tests/process/process_test.h
@@ -71,6 +71,14 @@
   return answer ? std::string(answer.value().headers.Get(kVerdictField)) : "no answer";
 }
 
+/// \brief Object in the body of an answer; empty if there is none.
+[[nodiscard]] inline boost::json::object ObjectOf(const result<http_response>& answer) {
+  if (!answer)
+    return {};
+  const auto parsed = ParseJson(answer.value().body);
+  return parsed && parsed.value().is_object() ? parsed.value().get_object() : boost::json::object{};
+}
+
 /// \brief Sends a request from a thread of its own.
 [[nodiscard]] inline std::future<result<http_response>> CallLater(deployment& system,
                                                                   const std::string& process,
