Wait until all nodes know their peers before a region loses the platform

Cause: RegionWithoutTheServiceLearnsFromPeers failed in a run of all process tests, and 2 of 15 repetitions did not end in time. The likely cause: a node that is cut off before its first read of the host list knows no peers and can't learn the change; readiness does not cover the list.

Change: a first change that only peers spread has to arrive everywhere before the cut. The check after the cut is as strict as before.

--- a/tests/process/partition_test.cc
+++ b/tests/process/partition_test.cc
@@ -218,11 +218,20 @@
 // them from its peers in the other region and knows that they are recent.
 TEST_F(partition_process_test, RegionWithoutTheServiceLearnsFromPeers) {
   StartTwoRegions();
+  const auto in_force = [&](std::int64_t version) {
+    return deployment::WaitUntil(
+        [&] {
+          return Report("qc-west", version, "confirmed") && Report("qc-east", version, "confirmed");
+        },
+        kPatience);
+  };
+  // A first change that only peers spread shows that all nodes have read the host list. A node that
+  // is cut off before that knows no peers.
+  ASSERT_EQ(Drain("qc-east-b", false), 0) << output_;
+  ASSERT_TRUE(in_force(2));
   system().Cut(system().nodes("qc-west"), {"kv", "hosts"});
   ASSERT_EQ(Drain("qc-west-b", false), 0) << output_;
-  EXPECT_TRUE(deployment::WaitUntil(
-      [&] { return Report("qc-west", 2, "confirmed") && Report("qc-east", 2, "confirmed"); },
-      kPatience));
+  EXPECT_TRUE(in_force(3));
   const std::int64_t before = Counter(system(), "drafts-3", "completions");
   ServeDrafts("after ");
   EXPECT_EQ(Counter(system(), "drafts-3", "completions"), before);
