--- a/libs/net/include/quincebank/net/http_client.h
+++ b/libs/net/include/quincebank/net/http_client.h
@@ -45,7 +45,8 @@
 /// A call that times out closes the idle connections to its peer that have not answered since.
 class http_client {
  public:
-  explicit http_client(fiber_thread& thread);
+  /// \param source  IP address that connections come from; empty lets the system choose.
+  explicit http_client(fiber_thread& thread, const std::string& source = {});
   ~http_client();
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
