--- a/libs/expert_group/include/quincebank/expert_group/group_coordinator.h
+++ b/libs/expert_group/include/quincebank/expert_group/group_coordinator.h
@@ -80,7 +80,7 @@
   rpc_client rpc_;
   std::string lease_;
   bool leads_ = false;
-  std::size_t idle_ranks_ = 0;  ///< As reported in the last window.
+  std::size_t idle_ranks_ = 0;            ///< As reported in the last window.
   std::string hindrance_;                 ///< Why the last window made no plan.
   std::vector<count_reader> readers_;     ///< One for each rank; none without the lease.
   std::vector<rank_totals> last_totals_;  ///< Of each rank, as read last.
