Forget that an agent leaves when its successor answers

Cause: after an agent had said that it leaves, an entry kept that note until a successor accepted work as its first answer. A new agent rejects until it has a configuration. If an entry polled it in that time, the rejection named the new incarnation and kept the note, and every later answer came from a known incarnation: the entry never used the upstream again.

The note now ends with any answer of another incarnation. An entry also reads the incarnation before the flags that a traffic thread sets, so that a flag of the old incarnation isn't taken for one of its successor.

--- a/libs/entry/src/upstream_directory.cc
+++ b/libs/entry/src/upstream_directory.cc
@@ -95,7 +95,10 @@
       ForgetPrompts(name);
     if (slot->boot() != 0)
       taken.boot = slot->boot();
-    view_.OnContact(name, ContactOf(slot->leaving(), slot->draining()), slot->life(), Now());
+    // Read before the flags, which a traffic thread sets first: a flag of an old incarnation must
+    // not be taken for one of its successor.
+    const incarnation life = slot->life();
+    view_.OnContact(name, ContactOf(slot->leaving(), slot->draining()), life, Now());
   }
 }
 
--- a/libs/membership/src/host_view.cc
+++ b/libs/membership/src/host_view.cc
@@ -91,6 +91,10 @@
   entry.suspected = false;
   entry.silent = 0;
   entry.heard = now;
+  // An agent that leaves never returns; its successor may reject at first, until it has a
+  // configuration.
+  if (sender && entry.sender && *sender != *entry.sender)
+    entry.said_leaving = false;
   if (sender)
     entry.sender = sender;
 }
@@ -114,14 +118,11 @@
   if (!index)
     return;
   state& entry = states_[*index];
-  const bool same_process = !sender || !entry.sender || *sender == *entry.sender;
   switch (what) {
     case contact::kAccepting:
     case contact::kBusy:
       OnAnswer(entry, sender, now);
       entry.said_drained = false;
-      // An agent that leaves never returns; only its successor accepts work again.
-      entry.said_leaving = entry.said_leaving && same_process;
       break;
     case contact::kRejectedLeaving:
       OnAnswer(entry, sender, now);
