--- a/libs/agent/src/agent_impl.cc
+++ b/libs/agent/src/agent_impl.cc
@@ -25,6 +25,13 @@
   return *attempt;
 }
 
+result<incarnation> ReadIncarnation(json_reader& reader) {
+  const auto given = ParseIncarnation(reader.String("incarnation"));
+  if (!given)
+    return MakeError(error_code::kInvalidArgument, "incarnation: expected 16 hexadecimal digits");
+  return *given;
+}
+
 }  // namespace
 
 agent_service::impl::impl(fiber_thread& traffic_thread,
@@ -294,10 +301,8 @@
   const boost::json::value value(params);
   json_reader reader(value, "", errors);
   BOOST_OUTCOME_TRY(const attempt_id attempt, ReadAttemptId(reader));
-  const auto wanted = ParseIncarnation(reader.String("incarnation"));
-  if (!wanted)
-    return MakeError(error_code::kInvalidArgument, "incarnation: expected 16 hexadecimal digits");
-  const attempt_state state = ledger_.Block(attempt, *wanted, Now());
+  BOOST_OUTCOME_TRY(const incarnation wanted, ReadIncarnation(reader));
+  const attempt_state state = ledger_.Block(attempt, wanted, Now());
   return boost::json::value{{"state", ToString(state)}, {"load", ToJson(Load())}};
 }
 
@@ -324,10 +329,8 @@
   const boost::json::value value(params);
   json_reader reader(value, "", errors);
   BOOST_OUTCOME_TRY(const attempt_id attempt, ReadAttemptId(reader));
-  const auto wanted = ParseIncarnation(reader.String("incarnation"));
-  if (!wanted)
-    return MakeError(error_code::kInvalidArgument, "incarnation: expected 16 hexadecimal digits");
-  if (*wanted != self_)
+  BOOST_OUTCOME_TRY(const incarnation wanted, ReadIncarnation(reader));
+  if (wanted != self_)
     return MakeError(error_code::kStale, "the attempt belongs to another incarnation");
   bool cancelled = false;
   const auto running = running_.find(attempt);
@@ -341,7 +344,7 @@
   }
   // The cancellation may have overtaken the attempt itself, which then must not start.
   if (!cancelled)
-    cancelled = ledger_.Block(attempt, *wanted, Now()) == attempt_state::kBlocked;
+    cancelled = ledger_.Block(attempt, wanted, Now()) == attempt_state::kBlocked;
   return boost::json::value{{"cancelled", cancelled}, {"load", ToJson(Load())}};
 }
 
--- a/libs/scenario/tests/schedule_test.cc
+++ b/libs/scenario/tests/schedule_test.cc
@@ -8,39 +8,34 @@
 
 constexpr std::uint64_t kSeedsPerTest = 50;
 
-class schedule_test : public testing::TestWithParam<std::uint64_t> {};
-
-// Guards against combinations of faults that nobody wrote a script for.
-TEST_P(schedule_test, KeepsTheInvariants) {
+/// Draws and runs the schedules of one test; `block` chooses their seeds.
+void CheckSchedules(std::uint64_t block, const schedule_options& options) {
   for (std::uint64_t i = 0; i < kSeedsPerTest; ++i) {
-    const std::uint64_t seed = GetParam() * kSeedsPerTest + i;
-    const std::string text = DrawSchedule(seed, {});
+    const std::uint64_t seed = block * kSeedsPerTest + i;
+    const std::string text = DrawSchedule(seed, options);
     order_policy rules;
     const auto report = RunScript(text, seed, rules);
     ASSERT_TRUE(report.has_value()) << Describe(report.error()) << "\n" << text;
     for (const std::string& violation : report.value().violations)
       ADD_FAILURE() << "seed " << seed << ": " << violation << "\n" << text;
-    if (HasFailure())
+    if (testing::Test::HasFailure())
       return;
   }
 }
 
+class schedule_test : public testing::TestWithParam<std::uint64_t> {};
+
+// Guards against combinations of faults that nobody wrote a script for.
+TEST_P(schedule_test, KeepsTheInvariants) {
+  CheckSchedules(GetParam(), {});
+}
+
 class retention_schedule_test : public testing::TestWithParam<std::uint64_t> {};
 
 // Guards against entries and agents that know different retentions while claims are erased and
 // reduced.
 TEST_P(retention_schedule_test, KeepsTheInvariants) {
-  for (std::uint64_t i = 0; i < kSeedsPerTest; ++i) {
-    const std::uint64_t seed = GetParam() * kSeedsPerTest + i;
-    const std::string text = DrawSchedule(seed, {.retention = true});
-    order_policy rules;
-    const auto report = RunScript(text, seed, rules);
-    ASSERT_TRUE(report.has_value()) << Describe(report.error()) << "\n" << text;
-    for (const std::string& violation : report.value().violations)
-      ADD_FAILURE() << "seed " << seed << ": " << violation << "\n" << text;
-    if (HasFailure())
-      return;
-  }
+  CheckSchedules(GetParam(), {.retention = true});
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, retention_schedule_test, testing::Range<std::uint64_t>(0, 10));
