Wait for the count of won hedges, which comes after the answer

Under 40 process tests at once, SlowEngineIsHedgedAndTheLoserIsCancelled failed once: the caller had its whole answer from the second copy, and the entry's count of won hedges was still 0. The entry settles both copies and counts after the caller has the last byte, so the test read too early. It and the test of the record now wait for the count; that it is exactly 1 is still checked. After: the six hedging tests 4 times each, no failure.

--- a/tests/process/hedging_test.cc
+++ b/tests/process/hedging_test.cc
@@ -140,6 +140,8 @@
   EXPECT_EQ(VerdictOf(answer), "ran");
   EXPECT_NE(answer.value().body.find("[DONE]"), std::string::npos);
   EXPECT_EQ(Hedges("sent"), 1);
+  // Counted after the caller has the last byte.
+  EXPECT_TRUE(deployment::WaitUntil([&] { return Hedges("won") > 0; }));
   EXPECT_EQ(Hedges("won"), 1);
   EXPECT_TRUE(deployment::WaitUntil([&] {
     return MetricOf(system(), agent, cancelled) == agent_before + 1 &&
@@ -163,6 +165,8 @@
   const auto answer = Serve(DraftRequest("p", kTokens, true));
   ASSERT_TRUE(answer.has_value());
   const std::string request(answer.value().headers.Get(kRequestField));
+  // The request is recorded after the caller has the last byte.
+  EXPECT_TRUE(deployment::WaitUntil([&] { return Hedges("won") > 0; }));
   std::string output;
   EXPECT_EQ(
       system().RunTool({"explain", "--entry=" + ToString(system().AddressOf("entry-0")), request},
