--- a/libs/base/include/quincebank/base/event_log.h
+++ b/libs/base/include/quincebank/base/event_log.h
@@ -57,6 +57,8 @@
   event_log& operator=(const event_log&) = delete;
 
   void Write(event_line line);
+  /// \brief Waits until all lines are written, at most `limit`.
+  void Flush(std::chrono::milliseconds limit);
   [[nodiscard]] std::uint64_t dropped() const;
 
  private:
@@ -66,10 +68,12 @@
   const int descriptor_;
   mutable std::mutex mutex_;
   std::condition_variable changed_;
+  std::condition_variable written_;
   std::deque<std::string> lines_;
   std::uint64_t dropped_ = 0;
   std::uint64_t reported_ = 0;
   bool stop_ = false;
+  bool writing_ = false;
   std::thread thread_;
 };
 
--- a/libs/base/src/event_log.cc
+++ b/libs/base/src/event_log.cc
@@ -115,6 +115,11 @@
   changed_.notify_one();
 }
 
+void event_log::Flush(std::chrono::milliseconds limit) {
+  std::unique_lock lock(mutex_);
+  written_.wait_for(lock, limit, [this] { return lines_.empty() && !writing_; });
+}
+
 std::uint64_t event_log::dropped() const {
   const std::lock_guard lock(mutex_);
   return dropped_;
@@ -136,6 +141,7 @@
     for (const std::string& line : lines_)
       batch += line;
     lines_.clear();
+    writing_ = true;
     lock.unlock();
     std::string_view left = batch;
     while (!left.empty()) {
@@ -146,6 +152,8 @@
         left.remove_prefix(static_cast<std::size_t>(written));
     }
     lock.lock();
+    writing_ = false;
+    written_.notify_all();
   }
 }
 
--- a/libs/catalog/include/quincebank/catalog/service_catalog.h
+++ b/libs/catalog/include/quincebank/catalog/service_catalog.h
@@ -58,6 +58,8 @@
   int experts_per_set = 0;
   int places_per_rank = 0;       ///< Experts of one set that a rank can hold.
   int new_experts_per_plan = 0;  ///< Experts of one set that a rank can load beside its own.
+  milliseconds expert_load_time{0};  ///< For one expert of one set.
+  milliseconds report_lag{0};        ///< Age of what the engines report.
 };
 
 struct service_rule {
--- /dev/null
+++ b/libs/expert_control/include/quincebank/expert_control/map_rollout.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "quincebank/base/event_log.h"
+#include "quincebank/base/time.h"
+#include "quincebank/expert_control/engine_port.h"
+
+namespace quincebank {
+
+/// \brief Clock of a rollout; tests run on a virtual one.
+struct rollout_clock {
+  std::function<time_point()> now;
+  std::function<void(milliseconds)> sleep;  ///< Suspends the fiber.
+};
+
+struct rollout_settings {
+  milliseconds report_lag{200};       ///< Age of what ranks report.
+  milliseconds poll{200};             ///< Between reports while ranks load experts.
+  milliseconds load_limit{12'000};    ///< After it the plan is given up.
+  milliseconds settle_retry{150};     ///< Between repeats of an unanswered order.
+  milliseconds settle_limit{15'000};  ///< Unanswered orders may be carried out that late.
+  milliseconds switch_lead{350};      ///< From the hold to the pass that uses the new map.
+};
+
+enum class rollout_outcome : std::uint8_t {
+  kSwitched,   ///< All ranks use the new map from the same pass on.
+  kUnchanged,  ///< All ranks keep their map.
+  kGroupLost,  ///< The group has broken or formed anew; nothing is left of the orders.
+  kUnknown,    ///< Ranks did not answer; the next attempt has to recover the group first.
+};
+
+[[nodiscard]] std::string_view ToString(rollout_outcome outcome) noexcept;
+
+/// \brief Changes the map of one expert group so that no pass ever sees two maps.
+///
+/// A pass is held at one rank before any rank is armed for it, and released only after every rank
+/// has confirmed that it is armed. Every order names the epoch of the group and the number of
+/// orders that the rank has accepted, so that an order that arrives late, or that of a coordinator
+/// which lost its role, is refused. An order without an answer is repeated with the same number
+/// until the rank answers; from then on the first copy can't take effect any more.
+///
+/// Ranks keep all the state, so that any process can take over: `Recover` ends what another one
+/// left unfinished.
+class map_rollout {
+ public:
+  map_rollout(engine_port& port,
+              rollout_clock clock,
+              event_log& log,
+              const rollout_settings& settings = {});
+
+  /// \param ranks  all ranks of the group, in their order.
+  /// \param map  new experts, by set and rank.
+  [[nodiscard]] rollout_outcome Run(const std::vector<const upstream_record*>& ranks,
+                                    const std::vector<rank_experts>& map);
+  /// \brief Finishes or undoes what an earlier rollout has left: armed ranks and held passes.
+  [[nodiscard]] rollout_outcome Recover(const std::vector<const upstream_record*>& ranks);
+
+  /// \brief Highest version that this process has used or seen.
+  [[nodiscard]] std::uint64_t last_version() const noexcept { return last_version_; }
+
+ private:
+  struct rank_state {
+    const upstream_record* record = nullptr;
+    rank_report report;
+    std::uint64_t orders = 0;  ///< Accepted by the rank, as answered since the report.
+  };
+  using group_state = std::vector<rank_state>;
+
+  /// \brief Reads all ranks; nothing unless they form one open group.
+  [[nodiscard]] rollout_outcome Read(const std::vector<const upstream_record*>& ranks,
+                                     group_state& group);
+  /// \brief Sends an order to some ranks until each has answered.
+  /// \param wanted  whether a report shows the order's effect; decides after a conflict that may
+  ///     come from an earlier copy of the order itself.
+  /// \returns Whether all ranks are in the wanted state; nothing if some did not answer in time.
+  [[nodiscard]] std::optional<bool> Settle(group_state& group,
+                                           const std::vector<std::size_t>& members,
+                                           const engine_order& order,
+                                           const std::function<bool(const rank_report&)>& wanted);
+  [[nodiscard]] rollout_outcome WaitPrepared(group_state& group, std::uint64_t version);
+  [[nodiscard]] rollout_outcome Switch(group_state& group, std::uint64_t version);
+  [[nodiscard]] rollout_outcome Undo(group_state& group, std::uint64_t step);
+  [[nodiscard]] rollout_outcome Release(group_state& group, std::uint64_t step);
+  [[nodiscard]] std::uint64_t StepAfter(const group_state& group, milliseconds lead) const;
+
+  engine_port& port_;
+  const rollout_clock clock_;
+  event_log& log_;
+  const rollout_settings settings_;
+  std::uint64_t last_version_ = 0;
+  /// Time of one pass, from the last two reads; 0 if unknown.
+  nanoseconds pass_time_{0};
+  std::uint64_t seen_step_ = 0;
+  time_point seen_at_{};
+};
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/expert_control/src/map_rollout.cc
@@ -0,0 +1,359 @@
+#include "quincebank/expert_control/map_rollout.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace quincebank {
+namespace {
+
+// Passes between the newest one reported and a held one, at least: reports are old.
+constexpr std::uint64_t kLeastLead = 6;
+constexpr std::uint64_t kMostLead = 60;
+// Attempts to place a hold before its pass has begun.
+constexpr int kHoldTries = 3;
+// Rounds of a recovery; each begins with fresh reports.
+constexpr int kRecoverRounds = 8;
+constexpr milliseconds kReadRetry{150};
+constexpr int kReadTries = 3;
+
+std::vector<std::size_t> All(std::size_t count) {
+  std::vector<std::size_t> members(count);
+  for (std::size_t i = 0; i < count; ++i)
+    members[i] = i;
+  return members;
+}
+
+}  // namespace
+
+std::string_view ToString(order_kind kind) noexcept {
+  constexpr std::array<std::string_view, 5> kNames{"prepare", "arm", "disarm", "hold", "release"};
+  return kNames.at(static_cast<std::size_t>(kind));
+}
+
+std::string_view ToString(order_answer answer) noexcept {
+  constexpr std::array<std::string_view, 5> kNames{"begun", "holds", "conflict", "replaced",
+                                                   "unanswered"};
+  return kNames.at(static_cast<std::size_t>(answer));
+}
+
+std::string_view ToString(rollout_outcome outcome) noexcept {
+  constexpr std::array<std::string_view, 4> kNames{"switched", "unchanged", "group-lost",
+                                                   "unknown"};
+  return kNames.at(static_cast<std::size_t>(outcome));
+}
+
+map_rollout::map_rollout(engine_port& port,
+                         rollout_clock clock,
+                         event_log& log,
+                         const rollout_settings& settings)
+    : port_(port), clock_(std::move(clock)), log_(log), settings_(settings) {}
+
+rollout_outcome map_rollout::Read(const std::vector<const upstream_record*>& ranks,
+                                  group_state& group) {
+  for (int tries = 0; tries < kReadTries; ++tries) {
+    if (tries > 0)
+      clock_.sleep(kReadRetry);
+    const auto reports = port_.Reports(ranks);
+    group.clear();
+    for (std::size_t i = 0; i < ranks.size(); ++i) {
+      if (reports[i])
+        group.push_back({ranks[i], reports[i].value(), reports[i].value().orders});
+    }
+    if (group.size() == ranks.size())
+      break;
+  }
+  if (group.size() != ranks.size())
+    return rollout_outcome::kUnknown;
+  const rank_report& first = group.front().report;
+  std::uint64_t step = 0;
+  for (const rank_state& rank : group) {
+    if (!rank.report.open || rank.report.epoch != first.epoch || rank.report.group != first.group)
+      return rollout_outcome::kGroupLost;
+    step = std::max(step, rank.report.step);
+    last_version_ = std::max({last_version_, rank.report.map, rank.report.prepared.value_or(0),
+                              rank.report.armed ? rank.report.armed->version : 0});
+  }
+  const time_point now = clock_.now();
+  if (seen_step_ > 0 && step > seen_step_)
+    pass_time_ = (now - seen_at_) / static_cast<std::int64_t>(step - seen_step_);
+  seen_step_ = step;
+  seen_at_ = now;
+  return rollout_outcome::kUnchanged;
+}
+
+std::uint64_t map_rollout::StepAfter(const group_state& group, milliseconds lead) const {
+  std::uint64_t step = 0;
+  for (const rank_state& rank : group)
+    step = std::max(step, rank.report.step);
+  const nanoseconds ahead = lead + settings_.report_lag;
+  const std::uint64_t passes =
+      pass_time_.count() > 0 ? static_cast<std::uint64_t>(ahead / pass_time_) : kLeastLead;
+  return step + std::clamp(passes, kLeastLead, kMostLead);
+}
+
+std::optional<bool> map_rollout::Settle(group_state& group,
+                                        const std::vector<std::size_t>& members,
+                                        const engine_order& order,
+                                        const std::function<bool(const rank_report&)>& wanted) {
+  const time_point until = clock_.now() + settings_.settle_limit;
+  std::vector<std::size_t> open = members;
+  std::vector<std::size_t> disputed;
+  std::vector<bool> repeated(group.size(), false);
+  bool fits = true;
+  while (!open.empty()) {
+    std::vector<rank_order> orders;
+    for (const std::size_t member : open) {
+      orders.push_back({group[member].record, order});
+      orders.back().order.epoch = group[member].report.epoch;
+      orders.back().order.expected_orders = group[member].orders;
+    }
+    const std::vector<order_answer> answers = port_.Send(orders);
+    std::vector<std::size_t> unanswered;
+    for (std::size_t i = 0; i < open.size(); ++i) {
+      rank_state& rank = group[open[i]];
+      log_.Write(event_line("expert.order")
+                     .Add("upstream", rank.record->id)
+                     .Add("group", rank.report.group)
+                     .Add("order", ToString(order.kind))
+                     .Add("version", order.version)
+                     .Add("step", order.step)
+                     .Add("epoch", rank.report.epoch)
+                     .Add("expected_orders", rank.orders)
+                     .Add("answer", ToString(answers[i])));
+      switch (answers[i]) {
+        case order_answer::kBegun:
+          ++rank.orders;
+          break;
+        case order_answer::kHolds:
+          break;
+        case order_answer::kConflict:
+          if (repeated[open[i]])
+            disputed.push_back(open[i]);
+          else
+            fits = false;
+          break;
+        case order_answer::kReplaced:
+          fits = false;
+          break;
+        case order_answer::kUnanswered:
+          repeated[open[i]] = true;
+          unanswered.push_back(open[i]);
+          break;
+      }
+    }
+    open = std::move(unanswered);
+    if (open.empty())
+      break;
+    if (clock_.now() >= until)
+      return std::nullopt;
+    clock_.sleep(settings_.settle_retry);
+  }
+  if (disputed.empty())
+    return fits;
+  // The conflict may come from the first copy of the order, which then has taken effect.
+  clock_.sleep(settings_.report_lag * 2);
+  std::vector<const upstream_record*> ranks;
+  for (const std::size_t member : disputed)
+    ranks.push_back(group[member].record);
+  const auto reports = port_.Reports(ranks);
+  for (std::size_t i = 0; i < disputed.size(); ++i) {
+    rank_state& rank = group[disputed[i]];
+    if (!reports[i])
+      return std::nullopt;
+    const bool same = reports[i].value().epoch == rank.report.epoch &&
+                      reports[i].value().incarnation == rank.report.incarnation;
+    fits = fits && same && wanted(reports[i].value());
+    rank.orders = reports[i].value().orders;
+  }
+  return fits;
+}
+
+rollout_outcome map_rollout::WaitPrepared(group_state& group, std::uint64_t version) {
+  std::vector<const upstream_record*> ranks;
+  for (const rank_state& rank : group)
+    ranks.push_back(rank.record);
+  const std::uint64_t epoch = group.front().report.epoch;
+  const time_point until = clock_.now() + settings_.load_limit;
+  while (clock_.now() < until) {
+    clock_.sleep(settings_.poll);
+    const rollout_outcome read = Read(ranks, group);
+    if (read == rollout_outcome::kUnknown)
+      continue;
+    if (read != rollout_outcome::kUnchanged || group.front().report.epoch != epoch)
+      return rollout_outcome::kGroupLost;
+    const bool ready = std::all_of(group.begin(), group.end(), [&](const rank_state& rank) {
+      return rank.report.prepared == version;
+    });
+    if (ready)
+      return rollout_outcome::kUnchanged;
+  }
+  return rollout_outcome::kUnknown;
+}
+
+rollout_outcome map_rollout::Run(const std::vector<const upstream_record*>& ranks,
+                                 const std::vector<rank_experts>& map) {
+  group_state group;
+  const rollout_outcome read = Read(ranks, group);
+  if (read != rollout_outcome::kUnchanged)
+    return read;
+  const bool idle = std::all_of(group.begin(), group.end(), [&](const rank_state& rank) {
+    return !rank.report.armed && !rank.report.held && rank.report.map == group.front().report.map;
+  });
+  if (!idle)
+    return Recover(ranks);
+  const std::uint64_t version = ++last_version_;
+  const auto prepared = Settle(
+      group, All(group.size()), {order_kind::kPrepare, version, 0, 0, 0, &map},
+      // Loading takes a while, so only the number of orders shows that it has begun.
+      [&](const rank_report& report) { return !report.armed; });
+  if (!prepared)
+    return rollout_outcome::kUnknown;
+  if (!*prepared)
+    return rollout_outcome::kUnchanged;
+  const rollout_outcome loaded = WaitPrepared(group, version);
+  if (loaded != rollout_outcome::kUnchanged)
+    return loaded;
+  return Switch(group, version);
+}
+
+rollout_outcome map_rollout::Switch(group_state& group, std::uint64_t version) {
+  std::vector<const upstream_record*> ranks;
+  for (const rank_state& rank : group)
+    ranks.push_back(rank.record);
+  std::uint64_t step = 0;
+  bool holds = false;
+  for (int tries = 0; tries < kHoldTries && !holds; ++tries) {
+    if (tries > 0) {
+      clock_.sleep(settings_.report_lag * 2);
+      const rollout_outcome read = Read(ranks, group);
+      if (read != rollout_outcome::kUnchanged)
+        return read;
+    }
+    step = StepAfter(group, settings_.switch_lead);
+    const auto held = Settle(group, {0}, {order_kind::kHold, 0, step, 0, 0, nullptr},
+                             [&](const rank_report& report) { return report.held == step; });
+    if (!held)
+      return Recover(ranks);
+    holds = *held;
+  }
+  if (!holds)
+    return rollout_outcome::kUnchanged;
+  group.front().report.held = step;
+  const auto armed = Settle(group, All(group.size()),
+                            {order_kind::kArm, version, step, 0, 0, nullptr},
+                            [&](const rank_report& report) {
+                              return report.armed && report.armed->version == version;
+                            });
+  if (!armed || !*armed)
+    return Recover(ranks);
+  const rollout_outcome released = Release(group, step);
+  if (released != rollout_outcome::kUnchanged)
+    return Recover(ranks);
+  return rollout_outcome::kSwitched;
+}
+
+rollout_outcome map_rollout::Release(group_state& group, std::uint64_t step) {
+  for (std::size_t i = 0; i < group.size(); ++i) {
+    if (!group[i].report.held)
+      continue;
+    const engine_order order{order_kind::kRelease, 0, *group[i].report.held, 0, 0, nullptr};
+    const auto released =
+        Settle(group, {i}, order, [](const rank_report& report) { return !report.held; });
+    if (!released || !*released)
+      return rollout_outcome::kUnknown;
+  }
+  log_.Write(event_line("expert.released")
+                 .Add("group", group.front().report.group)
+                 .Add("step", step));
+  return rollout_outcome::kUnchanged;
+}
+
+rollout_outcome map_rollout::Recover(const std::vector<const upstream_record*>& ranks) {
+  for (int round = 0; round < kRecoverRounds; ++round) {
+    // Reports older than the last order would hide its effect.
+    clock_.sleep(settings_.report_lag * 2);
+    group_state group;
+    const rollout_outcome read = Read(ranks, group);
+    if (read == rollout_outcome::kUnknown)
+      continue;
+    if (read != rollout_outcome::kUnchanged)
+      return read;
+    std::uint64_t step = 0;
+    std::size_t armed = 0;
+    std::size_t held = 0;
+    bool equal = true;
+    const auto first = group.front().report.armed;
+    for (const rank_state& rank : group) {
+      equal = equal && rank.report.armed == first;
+      armed += rank.report.armed ? 1 : 0;
+      held += rank.report.held ? 1 : 0;
+      step = std::max({step, rank.report.armed ? rank.report.armed->step : 0,
+                       rank.report.held.value_or(0)});
+    }
+    log_.Write(event_line("expert.recover")
+                   .Add("group", group.front().report.group)
+                   .Add("epoch", group.front().report.epoch)
+                   .Add("armed", static_cast<std::uint64_t>(armed))
+                   .Add("held", static_cast<std::uint64_t>(held))
+                   .Add("step", step));
+    if (armed == 0 && held == 0)
+      return rollout_outcome::kUnchanged;
+    if (armed == group.size() && equal && held == 0)
+      return rollout_outcome::kSwitched;  // The pass has not begun yet, since the group is idle.
+    const bool finish = armed == group.size() && equal;
+    if (!finish) {
+      const rollout_outcome undone = Undo(group, step);
+      if (undone != rollout_outcome::kUnchanged)
+        continue;
+    }
+    (void)Release(group, step);
+  }
+  return rollout_outcome::kUnknown;
+}
+
+/// Holds the pass at every rank, so that no earlier coordinator can release it, then disarms all.
+rollout_outcome map_rollout::Undo(group_state& group, std::uint64_t step) {
+  std::vector<std::size_t> free;
+  std::vector<std::size_t> held;
+  std::vector<std::size_t> armed;
+  for (std::size_t i = 0; i < group.size(); ++i) {
+    (group[i].report.held ? held : free).push_back(i);
+    if (group[i].report.armed)
+      armed.push_back(i);
+  }
+  const auto is_held = [](const rank_report& report) { return report.held.has_value(); };
+  const engine_order hold{order_kind::kHold, 0, step, 0, 0, nullptr};
+  if (!Settle(group, free, hold, is_held).value_or(false))
+    return rollout_outcome::kUnknown;
+  // An order moves the count on, so that a release or arm under way is refused. The other ranks
+  // hold the pass meanwhile.
+  for (const std::size_t member : held) {
+    const engine_order release{order_kind::kRelease, 0, *group[member].report.held, 0, 0, nullptr};
+    const bool moved =
+        Settle(group, {member}, release, [](const rank_report& r) { return !r.held; })
+            .value_or(false) &&
+        Settle(group, {member}, hold, is_held).value_or(false);
+    if (!moved)
+      return rollout_outcome::kUnknown;
+  }
+  for (const std::size_t member : armed) {
+    const engine_order disarm{order_kind::kDisarm, group[member].report.armed->version, 0, 0, 0,
+                              nullptr};
+    if (!Settle(group, {member}, disarm, [](const rank_report& report) { return !report.armed; })
+             .value_or(false))
+      return rollout_outcome::kUnknown;
+  }
+  clock_.sleep(settings_.report_lag * 2);
+  std::vector<const upstream_record*> ranks;
+  for (const rank_state& rank : group)
+    ranks.push_back(rank.record);
+  const rollout_outcome read = Read(ranks, group);
+  if (read != rollout_outcome::kUnchanged)
+    return read;
+  const bool clear = std::none_of(group.begin(), group.end(),
+                                  [](const rank_state& rank) { return rank.report.armed; });
+  return clear ? rollout_outcome::kUnchanged : rollout_outcome::kUnknown;
+}
+
+}  // namespace quincebank
--- /dev/null
+++ b/libs/expert_control/tests/map_rollout_test.cc
@@ -0,0 +1,331 @@
+#include "quincebank/expert_control/map_rollout.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <map>
+#include <optional>
+
+#include "quincebank/base/random.h"
+
+namespace quincebank {
+namespace {
+
+constexpr int kRanks = 4;
+
+/// Faults of one run.
+struct fault_case {
+  const char* name;
+  double unanswered = 0;     ///< Orders that get no answer ...
+  double carried_out = 0;    ///< ... of which this share is carried out at once, the rest late.
+  bool crash = false;        ///< The coordinator dies at a random call; another one takes over.
+  bool freeze = false;       ///< Another one acts in the middle of a call, then the first goes on.
+  bool restart_rank = false; ///< A rank restarts, and the group forms anew.
+};
+
+struct crash {};
+
+/// Group of ranks that follow the rules of their orders, on a virtual clock.
+class fake_group final : public engine_port {
+ public:
+  fake_group(const fault_case& faults, std::uint64_t seed) : faults_(faults), random_(seed) {
+    for (int i = 0; i < kRanks; ++i) {
+      upstream_record record;
+      record.id = "rank-" + std::to_string(i);
+      records_.push_back(record);
+      rank_state rank;
+      rank.orders = 0;
+      ranks_.push_back(rank);
+    }
+    fault_call_ = static_cast<int>(random_.Below(60));
+  }
+
+  [[nodiscard]] std::vector<const upstream_record*> Members() const {
+    std::vector<const upstream_record*> members;
+    for (const upstream_record& record : records_)
+      members.push_back(&record);
+    return members;
+  }
+
+  rollout_clock Clock() {
+    return {[this] { return now_; }, [this](milliseconds time) { Advance(time); }};
+  }
+
+  void Advance(milliseconds time) {
+    for (milliseconds passed{0}; passed < time; passed += kTick) {
+      now_ += kTick;
+      DeliverLate();
+      for (rank_state& rank : ranks_) {
+        if (rank.loading && now_ >= rank.loaded_at) {
+          rank.prepared = *rank.loading;
+          rank.loading.reset();
+        }
+      }
+      if (open_at_ <= now_ && now_ >= next_pass_)
+        BeginPass();
+      Remember();
+    }
+  }
+
+  std::vector<result<rank_report>> Reports(std::span<const upstream_record* const> ranks) override {
+    MaybeFault();
+    Advance(milliseconds(5));
+    std::vector<result<rank_report>> reports;
+    for (const upstream_record* const rank : ranks)
+      reports.emplace_back(history_.front()[Index(*rank)]);
+    return reports;
+  }
+  result<pick_counts> Counts(const upstream_record&) override { return pick_counts{}; }
+  result<held_experts> Held(const upstream_record&) override { return held_experts{}; }
+
+  std::vector<order_answer> Send(std::span<const rank_order> orders) override {
+    std::vector<order_answer> answers;
+    for (const rank_order& sent : orders) {
+      MaybeFault();
+      const std::size_t rank = Index(*sent.rank);
+      engine_order order = sent.order;
+      order.map = nullptr;
+      if (faults_on_ && random_.Unit() < faults_.unanswered) {
+        if (random_.Unit() < faults_.carried_out)
+          (void)Accept(rank, order);
+        else
+          late_.push_back({now_ + milliseconds(1'000 + random_.Below(8'000)), rank, order});
+        answers.push_back(order_answer::kUnanswered);
+        continue;
+      }
+      answers.push_back(Accept(rank, order));
+    }
+    Advance(milliseconds(5));
+    return answers;
+  }
+
+  void StopFaults() { faults_on_ = false; }
+  /// Runs another coordinator at a random call of the first one.
+  void SetInterloper(std::function<void()> run) { interloper_ = std::move(run); }
+
+  [[nodiscard]] bool mixed() const noexcept { return mixed_; }
+  [[nodiscard]] std::uint64_t pass() const noexcept { return step_; }
+  [[nodiscard]] std::uint64_t map(std::size_t rank) const { return ranks_[rank].map; }
+
+ private:
+  static constexpr milliseconds kTick{5};
+  static constexpr std::size_t kLagTicks = 40;  // 200 ms
+  static constexpr milliseconds kPass{30};
+
+  struct rank_state {
+    std::uint64_t orders = 0;
+    std::uint64_t map = 0;
+    std::uint64_t highest = 0;
+    std::optional<std::uint64_t> prepared;
+    std::optional<std::uint64_t> loading;
+    time_point loaded_at;
+    std::optional<armed_map> armed;
+    std::optional<std::uint64_t> held;
+  };
+  struct late_order {
+    time_point at;
+    std::size_t rank;
+    engine_order order;
+  };
+
+  std::size_t Index(const upstream_record& record) const {
+    return static_cast<std::size_t>(&record - records_.data());
+  }
+
+  void MaybeFault() {
+    if (!faults_on_ || ++calls_ != fault_call_)
+      return;
+    if (faults_.restart_rank) {
+      ++epoch_;
+      open_at_ = now_ + milliseconds(600);
+      for (rank_state& rank : ranks_) {
+        rank.map = 0;
+        rank.armed.reset();
+        rank.held.reset();
+        rank.prepared.reset();
+        rank.loading.reset();
+      }
+      ranks_[random_.Below(kRanks)] = {};
+    }
+    if (faults_.crash) {
+      Advance(milliseconds(random_.Below(4'000)));
+      throw crash{};
+    }
+    if (faults_.freeze) {
+      const auto run = std::exchange(interloper_, nullptr);
+      if (run)
+        run();
+    }
+  }
+
+  void DeliverLate() {
+    for (auto it = late_.begin(); it != late_.end();) {
+      if (it->at > now_) {
+        ++it;
+        continue;
+      }
+      (void)Accept(it->rank, it->order);
+      it = late_.erase(it);
+    }
+  }
+
+  order_answer Accept(std::size_t index, const engine_order& order) {
+    rank_state& rank = ranks_[index];
+    if (order.epoch != epoch_ || order.expected_orders != rank.orders || open_at_ > now_)
+      return order_answer::kConflict;
+    const order_answer answer = Carry(rank, order);
+    if (answer == order_answer::kBegun)
+      ++rank.orders;
+    return answer;
+  }
+
+  order_answer Carry(rank_state& rank, const engine_order& order) {
+    switch (order.kind) {
+      case order_kind::kPrepare:
+        if (order.version <= rank.highest || rank.armed)
+          return order_answer::kConflict;
+        rank.highest = order.version;
+        rank.prepared.reset();
+        rank.loading = order.version;
+        rank.loaded_at = now_ + milliseconds(random_.Below(900));
+        return order_answer::kBegun;
+      case order_kind::kArm:
+        if (rank.prepared != order.version || step_ >= order.step)
+          return order_answer::kConflict;
+        rank.armed = armed_map{order.version, order.step};
+        return order_answer::kBegun;
+      case order_kind::kDisarm:
+        if (rank.map == order.version)
+          return order_answer::kConflict;
+        if (!rank.armed)
+          return order_answer::kHolds;
+        rank.armed.reset();
+        return order_answer::kBegun;
+      case order_kind::kHold:
+        if (rank.held || step_ >= order.step)
+          return order_answer::kConflict;
+        rank.held = order.step;
+        return order_answer::kBegun;
+      case order_kind::kRelease:
+        if (rank.held != order.step)
+          return order_answer::kHolds;
+        rank.held.reset();
+        return order_answer::kBegun;
+    }
+    return order_answer::kConflict;
+  }
+
+  void BeginPass() {
+    const std::uint64_t next = step_ + 1;
+    const bool held = std::any_of(ranks_.begin(), ranks_.end(), [&](const rank_state& rank) {
+      return rank.held && *rank.held <= next;
+    });
+    if (held)
+      return;
+    step_ = next;
+    next_pass_ = now_ + kPass;
+    for (rank_state& rank : ranks_) {
+      if (!rank.armed || rank.armed->step != next)
+        continue;
+      rank.map = rank.armed->version;
+      rank.armed.reset();
+      rank.prepared.reset();
+    }
+    mixed_ = mixed_ || std::any_of(ranks_.begin(), ranks_.end(), [&](const rank_state& rank) {
+               return rank.map != ranks_.front().map;
+             });
+  }
+
+  void Remember() {
+    std::vector<rank_report> reports;
+    for (std::size_t i = 0; i < ranks_.size(); ++i) {
+      const rank_state& rank = ranks_[i];
+      rank_report report;
+      report.group = "group";
+      report.epoch = epoch_;
+      report.rank = static_cast<int>(i);
+      report.open = open_at_ <= now_;
+      report.step = step_;
+      report.map = rank.map;
+      report.prepared = rank.prepared;
+      report.armed = rank.armed;
+      report.held = rank.held;
+      report.orders = rank.orders;
+      reports.push_back(report);
+    }
+    history_.push_back(std::move(reports));
+    if (history_.size() > kLagTicks)
+      history_.pop_front();
+  }
+
+  const fault_case& faults_;
+  random_source random_;
+  std::vector<upstream_record> records_;
+  std::vector<rank_state> ranks_;
+  std::deque<std::vector<rank_report>> history_;
+  std::vector<late_order> late_;
+  std::function<void()> interloper_;
+  time_point now_{std::chrono::hours(1)};
+  time_point next_pass_{};
+  time_point open_at_{};
+  std::uint64_t epoch_ = 1;
+  std::uint64_t step_ = 10;
+  int calls_ = 0;
+  int fault_call_ = 0;
+  bool faults_on_ = true;
+  bool mixed_ = false;
+};
+
+class map_rollout_test : public testing::TestWithParam<fault_case> {};
+
+// Guards against a pass that sees two maps, and against a group that stays held, whatever happens
+// to the coordinator, the ranks and the orders.
+TEST_P(map_rollout_test, NoPassSeesTwoMapsAndTheGroupGoesOn) {
+  event_log log(10, /*descriptor=*/-1);
+  const std::vector<rank_experts> map{{{0}, {1}, {2}, {3}}};
+  int switched = 0;
+  for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+    fake_group group(GetParam(), seed);
+    group.Advance(milliseconds(500));
+    const auto act = [&] {
+      map_rollout rollout(group, group.Clock(), log);
+      switched += rollout.Run(group.Members(), map) == rollout_outcome::kSwitched ? 1 : 0;
+    };
+    group.SetInterloper(act);
+    try {
+      act();
+      act();
+    } catch (const crash&) {
+    }
+    group.StopFaults();
+    group.Advance(milliseconds(12'000));
+    act();
+    group.Advance(milliseconds(12'000));
+    const std::uint64_t pass = group.pass();
+    group.Advance(milliseconds(1'000));
+    ASSERT_GT(group.pass(), pass) << "held for good, seed " << seed;
+    ASSERT_FALSE(group.mixed()) << "seed " << seed;
+    for (int rank = 1; rank < kRanks; ++rank)
+      ASSERT_EQ(group.map(static_cast<std::size_t>(rank)), group.map(0)) << "seed " << seed;
+  }
+  EXPECT_GT(switched, 200);
+}
+
+INSTANTIATE_TEST_SUITE_P(faults,
+                         map_rollout_test,
+                         testing::Values(fault_case{"none"},
+                                         fault_case{"lost_answers", 0.2, 1.0},
+                                         fault_case{"late_orders", 0.2, 0.0},
+                                         fault_case{"late_and_lost", 0.35, 0.3},
+                                         fault_case{"crash", 0, 0, true},
+                                         fault_case{"crash_late", 0.2, 0.3, true},
+                                         fault_case{"freeze", 0, 0, false, true},
+                                         fault_case{"freeze_late", 0.15, 0.3, false, true},
+                                         fault_case{"restart", 0, 0, false, false, true},
+                                         fault_case{"restart_late", 0.2, 0.3, false, false, true}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+}  // namespace
+}  // namespace quincebank
--- a/libs/fleet/include/quincebank/fleet/fleet_records.h
+++ b/libs/fleet/include/quincebank/fleet/fleet_records.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "quincebank/base/time.h"
@@ -8,6 +9,17 @@
 
 namespace quincebank {
 
+/// \brief Place of an engine in a group of ranks.
+struct rank_membership {
+  std::string group;
+  std::uint64_t epoch = 0;  ///< Formation of the group.
+  int rank = 0;
+  int size = 0;       ///< Ranks of the group.
+  bool open = false;  ///< The group serves.
+
+  [[nodiscard]] bool operator==(const rank_membership&) const = default;
+};
+
 /// \brief Upstream as it registered itself.
 struct upstream_record {
   std::string id;
@@ -19,6 +31,7 @@
   bool leaving = false;
   milliseconds cold_left{0};       ///< Time it stays cold from the moment of the record.
   std::uint64_t incarnation = 0;   ///< Changes when it restarts under the same id; 0 if unknown.
+  std::optional<rank_membership> group;
   std::uint64_t store_revision = 0;
 };
 
--- /dev/null
+++ b/libs/gateway/include/quincebank/gateway/expert_steering.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "quincebank/base/event_log.h"
+#include "quincebank/expert_control/engine_port.h"
+#include "quincebank/expert_control/map_rollout.h"
+#include "quincebank/gateway/fleet_snapshot.h"
+#include "quincebank/gateway/fleet_sync.h"
+#include "quincebank/net/fiber_thread.h"
+
+namespace quincebank {
+
+/// \brief Keeps the expert maps of all groups balanced while this entry is the coordinator. Lives
+/// on the control thread; each group has a fiber of its own.
+class expert_steering {
+ public:
+  expert_steering(const gateway_settings& settings,
+                  fleet_sync& sync,
+                  engine_port& port,
+                  event_log& log,
+                  const fleet_snapshot_box& box);
+
+  void Start(fiber_thread& thread);
+  /// \brief Ends the loops; a change under way is finished first.
+  void Stop();
+  /// \brief Whether a change of a map is under way.
+  [[nodiscard]] bool busy() const noexcept { return changing_ > 0; }
+
+ private:
+  /// What is known of one group.
+  struct group_memory {
+    bool running = false;  ///< Its fiber is alive.
+    std::uint64_t epoch = 0;
+    bool recovered = false;
+    std::vector<rank_experts> map;  ///< By set and rank; empty if unknown.
+    /// Counts at the last read, and the loads since then, by set.
+    std::map<std::string, std::vector<std::uint64_t>> last_counts;
+    std::vector<std::vector<double>> loads;
+    std::uint64_t turn = 0;
+  };
+  /// Members of one group in one snapshot.
+  struct group_view {
+    ref_ptr<const fleet_snapshot> snapshot;  ///< Owner of the records.
+    std::vector<const upstream_record*> ranks;
+    engine_profile profile;
+    std::uint64_t epoch = 0;
+  };
+
+  void Loop(fiber_thread& thread);
+  void GroupLoop(const std::string& group, group_memory& memory);
+  [[nodiscard]] bool IsCoordinator() const;
+  [[nodiscard]] std::map<std::string, group_view> Groups() const;
+  void Balance(const std::string& group, const group_view& view, group_memory& memory);
+  [[nodiscard]] bool ReadMap(const group_view& view, group_memory& memory);
+  /// \brief Adds what one rank's requests have chosen since its last read.
+  [[nodiscard]] bool ReadCounts(const group_view& view, group_memory& memory);
+
+  const gateway_settings& settings_;
+  fleet_sync& sync_;
+  engine_port& port_;
+  event_log& log_;
+  const fleet_snapshot_box& box_;
+  stop_signal stop_;
+  int changing_ = 0;
+  std::map<std::string, group_memory> groups_;
+};
+
+}  // namespace quincebank
--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -38,6 +38,10 @@
   void Start(fiber_thread& thread);
   /// \brief Removes this entry's registration, so that look-ups no longer list it.
   void Leave();
+  /// \brief Tries to become the one entry that rebalances experts.
+  void ClaimCoordination();
+  /// \brief Whether this entry's registration, and so its role, surely stands.
+  [[nodiscard]] bool RegistrationHolds() const;
   /// \brief Ends the loops.
   void Stop();
 
@@ -69,6 +73,7 @@
   ref_ptr<const service_catalog> catalog_;
   std::map<std::string, known_upstream, std::less<>> upstreams_;  ///< By key.
   std::string lease_;
+  time_point lease_renewed_{};  ///< Sending of the last renewal that succeeded.
   bool leaving_ = false;
   bool whole_ = false;  ///< The next read must fetch the whole content.
   bool store_reachable_ = false;
--- a/libs/gateway/include/quincebank/gateway/gateway_service.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_service.h
@@ -11,6 +11,7 @@
 #include "quincebank/base/event_log.h"
 #include "quincebank/base/random.h"
 #include "quincebank/gateway/exchange_codec.h"
+#include "quincebank/gateway/expert_steering.h"
 #include "quincebank/gateway/fleet_snapshot.h"
 #include "quincebank/gateway/fleet_sync.h"
 #include "quincebank/gateway/gateway_metrics.h"
@@ -60,7 +61,8 @@
   /// \brief Starts the control loops and listens.
   [[nodiscard]] result<void> Start(const platform_handlers& handlers,
                                    const record_codec& records,
-                                   std::unique_ptr<shared_store> store);
+                                   std::unique_ptr<shared_store> store,
+                                   std::unique_ptr<engine_port> engines);
   /// \brief Leaves the look-ups, serves clients that still hold the address, and waits for running
   /// requests. Returns when all have ended or the grace period is over.
   void Shutdown();
@@ -91,6 +93,8 @@
   std::unique_ptr<http_client> traffic_http_;
   std::unique_ptr<rpc_client> rpc_client_;
   std::unique_ptr<fleet_sync> sync_;
+  std::unique_ptr<engine_port> engines_;
+  std::unique_ptr<expert_steering> steering_;
   std::unique_ptr<http_server> clients_;
   std::vector<std::unique_ptr<http_server>> servers_;
 };
--- a/libs/gateway/include/quincebank/gateway/gateway_settings.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_settings.h
@@ -31,6 +31,7 @@
   milliseconds engine_stall{1'500};  ///< After this time without a rank a group gives up its work.
 
   milliseconds store_timeout{600};   ///< For each call, beside a watch's own wait.
+  milliseconds engine_timeout{400};  ///< For each report, count or order.
   milliseconds watch_wait{1'500};    ///< Longest blocking watch.
   milliseconds peer_poll{500};       ///< Between reads from peers while the store does not answer.
   milliseconds lease{3'000};         ///< Of this entry's registration.
--- a/libs/gateway/include/quincebank/gateway/shared_store.h
+++ b/libs/gateway/include/quincebank/gateway/shared_store.h
@@ -29,6 +29,11 @@
   [[nodiscard]] virtual result<void> KeepLease(std::string_view lease) = 0;
   /// \brief Ends a lease and removes its keys.
   [[nodiscard]] virtual result<void> EndLease(std::string_view lease) = 0;
+  /// \brief Writes a key that must not exist, removed when the lease ends.
+  /// \returns False if it exists.
+  [[nodiscard]] virtual result<bool> Create(std::string_view key,
+                                            std::string_view value,
+                                            std::string_view lease) = 0;
   /// \brief Writes a key whatever its state, removed when the lease ends.
   [[nodiscard]] virtual result<void> Put(std::string_view key,
                                          std::string_view value,
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -15,6 +15,8 @@
 
 // Keys of the entries' registrations.
 constexpr std::string_view kEntryPrefix = "quincebank/entries/";
+// Holds the name of the entry that rebalances experts.
+constexpr std::string_view kCoordinatorKey = "quincebank/coordinator";
 // Pause after a failed read of the store; doubles up to the last one.
 constexpr milliseconds kFirstRetry{100};
 constexpr milliseconds kLastRetry{800};
@@ -330,6 +332,8 @@
       snapshot->evacuated.emplace(codec_.DecodeEvacuation(item.key));
   });
   snapshot->entries = Entries();
+  if (const store_item* const coordinator = mirror_.Find(kCoordinatorKey))
+    snapshot->coordinator = coordinator->value;
   box_.Set(std::move(snapshot));
 }
 
@@ -343,15 +347,20 @@
 
 result<void> fleet_sync::Register() {
   if (!lease_.empty()) {
+    const time_point sent = Now();
     const auto kept = store_.KeepLease(lease_);
+    if (kept)
+      lease_renewed_ = sent;
     if (kept || kept.error().code != error_code::kNotFound)
       return kept;
     log_.Write(event_line("registration.lapsed").Add("lease", lease_));
     lease_.clear();
   }
+  const time_point sent = Now();
   BOOST_OUTCOME_TRY(std::string lease, store_.OpenLease(settings_.lease));
   BOOST_OUTCOME_TRY(store_.Put(std::string(kEntryPrefix) + settings_.name, Registration(), lease));
   lease_ = std::move(lease);
+  lease_renewed_ = sent;
   log_.Write(event_line("registration.written").Add("lease", lease_));
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -370,6 +379,23 @@
   }
 }
 
+bool fleet_sync::RegistrationHolds() const {
+  return !lease_.empty() && !leaving_ && Now() - lease_renewed_ < settings_.lease;
+}
+
+void fleet_sync::ClaimCoordination() {
+  if (!RegistrationHolds() || mirror_.Find(kCoordinatorKey) != nullptr)
+    return;
+  const auto created = store_.Create(kCoordinatorKey, settings_.name, lease_);
+  event_line line("coordinator.claim");
+  line.Add("revision", mirror_.revision());
+  if (created)
+    line.Add("claimed", created.value());
+  else
+    line.Add("reason", created.error().message);
+  log_.Write(std::move(line));
+}
+
 void fleet_sync::Leave() {
   leaving_ = true;
   if (lease_.empty())
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -62,6 +62,8 @@
 }
 
 gateway_service::~gateway_service() {
+  if (steering_)
+    steering_->Stop();
   if (sync_)
     sync_->Stop();
   clients_.reset();
@@ -78,11 +80,15 @@
 
 result<void> gateway_service::Start(const platform_handlers& handlers,
                                     const record_codec& records,
-                                    std::unique_ptr<shared_store> store) {
+                                    std::unique_ptr<shared_store> store,
+                                    std::unique_ptr<engine_port> engines) {
   store_ = std::move(store);
   sync_ = std::make_unique<fleet_sync>(settings_, records, *store_, *rpc_client_, log_,
                                        shared_.snapshots, incarnation_);
   sync_->AddMethods(rpc_);
+  engines_ = std::move(engines);
+  steering_ = std::make_unique<expert_steering>(settings_, *sync_, *engines_, log_,
+                                                shared_.snapshots);
   http_limits limits;
   limits.idle_timeout = std::chrono::minutes(5);
   BOOST_OUTCOME_TRY(clients_, http_server::Listen(
@@ -99,6 +105,7 @@
                                                     [this](http_exchange& e) { rpc_.Serve(e); }));
   servers_.push_back(std::move(peers));
   sync_->Start(control_);
+  steering_->Start(control_);
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -147,6 +154,7 @@
   leaving_ = true;
   log_.Write(event_line("process.leaving").Add("running", clients_->running()));
   clients_->AnnounceClose();
+  steering_->Stop();
   control_.Spawn([this] { sync_->Leave(); });
   // Clients that hold the address still come until their look-ups have lapsed.
   std::this_thread::sleep_until(
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -1,6 +1,7 @@
 // quincebank-gateway: entry process that sends requests of clients to upstreams itself.
 
 #include <csignal>
+#include <cstdlib>
 
 #include "quincebank/adapter/adapter.h"
 #include "quincebank/base/base.h"
@@ -13,6 +14,9 @@
 namespace quincebank {
 namespace {
 
+// Longest wait for the reader of the log at the end.
+constexpr milliseconds kLogFlush{200};
+
 // Addresses and the store are bound at the start; a changed file is only checked until the next.
 void CheckReload(event_log& log, const std::string& path) {
   const auto text = ReadFile(path);
@@ -36,7 +40,8 @@
                 .Add("store", ToString(settings.store)));
   const auto started = gateway.Start(
       adapter::MakeHandlers(gateway), *records,
-      adapter::MakeStoreClient(gateway.control_http(), settings.store, settings.store_timeout));
+      adapter::MakeStoreClient(gateway.control_http(), settings.store, settings.store_timeout),
+      adapter::MakeEngineClient(gateway.control_http(), settings.engine_timeout));
   if (!started) {
     log.Write(event_line("process.failed").Add("reason", started.error().message));
     return kExitFailure;
@@ -44,7 +49,9 @@
   while (WaitForShutdown() == SIGHUP)
     CheckReload(log, path);
   gateway.Shutdown();
-  return kExitOk;
+  log.Flush(kLogFlush);
+  // Fibers may still wait some seconds for the store or an engine, and all state lives elsewhere.
+  std::_Exit(kExitOk);
 }
 
 }  // namespace
