--- a/libs/expert_control/include/quincebank/expert_control/map_rollout.h
+++ b/libs/expert_control/include/quincebank/expert_control/map_rollout.h
@@ -19,11 +19,13 @@
 
 struct rollout_settings {
   milliseconds report_lag{200};       ///< Age of what ranks report.
-  milliseconds poll{200};             ///< Between reports while ranks load experts.
+  milliseconds poll{100};             ///< Between reports while ranks load or switch.
   milliseconds load_limit{12'000};    ///< After it the plan is given up.
   milliseconds settle_retry{150};     ///< Between repeats of an unanswered order.
   milliseconds settle_limit{15'000};  ///< Unanswered orders may be carried out that late.
-  milliseconds switch_lead{350};      ///< From the hold to the pass that uses the new map.
+  /// From the hold to the pass that uses the new map, for the calls to all ranks.
+  milliseconds switch_lead{80};
+  milliseconds switch_limit{3'000};  ///< Longest wait for that pass.
 };
 
 enum class rollout_outcome : std::uint8_t {
@@ -83,6 +85,8 @@
                                            const std::function<bool(const rank_report&)>& wanted);
   [[nodiscard]] rollout_outcome WaitPrepared(group_state& group, std::uint64_t version);
   [[nodiscard]] rollout_outcome Switch(group_state& group, std::uint64_t version);
+  [[nodiscard]] rollout_outcome WaitSwitched(const std::vector<const upstream_record*>& ranks,
+                                             std::uint64_t version);
   [[nodiscard]] rollout_outcome Undo(group_state& group, std::uint64_t step);
   [[nodiscard]] rollout_outcome Release(group_state& group, std::uint64_t step);
   [[nodiscard]] std::uint64_t StepAfter(const group_state& group, milliseconds lead) const;
--- a/libs/expert_control/src/map_rollout.cc
+++ b/libs/expert_control/src/map_rollout.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Passes between the newest one reported and a held one, at least: reports are old.
-constexpr std::uint64_t kLeastLead = 6;
+constexpr std::uint64_t kLeastLead = 3;
 constexpr std::uint64_t kMostLead = 60;
 // Attempts to place a hold before its pass has begun.
 constexpr int kHoldTries = 3;
@@ -250,6 +250,24 @@
   const rollout_outcome released = Release(group, step);
   if (released != rollout_outcome::kUnchanged)
     return Recover(ranks);
+  return WaitSwitched(ranks, version);
+}
+
+/// The pass may take a while to begin; an idle group begins none.
+rollout_outcome map_rollout::WaitSwitched(const std::vector<const upstream_record*>& ranks,
+                                          std::uint64_t version) {
+  const time_point until = clock_.now() + settings_.switch_limit;
+  while (clock_.now() < until) {
+    clock_.sleep(settings_.poll);
+    group_state group;
+    const rollout_outcome read = Read(ranks, group);
+    if (read == rollout_outcome::kGroupLost)
+      return read;
+    if (read == rollout_outcome::kUnchanged &&
+        std::all_of(group.begin(), group.end(),
+                    [&](const rank_state& rank) { return rank.report.map == version; }))
+      break;
+  }
   return rollout_outcome::kSwitched;
 }
 
--- a/libs/experts/include/quincebank/experts/even_share_plan.h
+++ b/libs/experts/include/quincebank/experts/even_share_plan.h
@@ -21,9 +21,9 @@
 /// \brief What a plan weighs.
 struct even_share_limits {
   /// Least part of a set's peak that one step must take off it.
-  double least_gain = 0.005;
+  double least_gain = 0.015;
   /// Sets whose peak is within this part of the mean are left alone.
-  double good_enough = 0.08;
+  double good_enough = 0.12;
 };
 
 /// \brief Result of a planning decision.
--- a/libs/gateway/include/quincebank/gateway/expert_steering.h
+++ b/libs/gateway/include/quincebank/gateway/expert_steering.h
@@ -40,7 +40,6 @@
     /// Counts at the last read, and the loads since then, by set.
     std::map<std::string, std::vector<std::uint64_t>> last_counts;
     std::vector<std::vector<double>> loads;
-    std::uint64_t turn = 0;
   };
   /// Members of one group in one snapshot.
   struct group_view {
@@ -57,7 +56,9 @@
   void Balance(const std::string& group, const group_view& view, group_memory& memory);
   [[nodiscard]] bool ReadMap(const group_view& view, group_memory& memory);
   /// \brief Adds what one rank's requests have chosen since its last read.
-  [[nodiscard]] bool ReadCounts(const group_view& view, group_memory& memory);
+  [[nodiscard]] bool ReadCounts(const group_view& view,
+                                group_memory& memory,
+                                std::uint64_t sample);
 
   const gateway_settings& settings_;
   fleet_sync& sync_;
--- a/libs/gateway/src/expert_steering.cc
+++ b/libs/gateway/src/expert_steering.cc
@@ -13,7 +13,7 @@
 // Between looks for groups without a coordinator.
 constexpr milliseconds kLook{250};
 // Between reads of one group's counts: long enough for some hundred tokens of each request.
-constexpr milliseconds kCountPeriod{600};
+constexpr milliseconds kCountPeriod{500};
 // Ranks whose counts stand for their group; requests are spread evenly over all of them.
 constexpr std::uint64_t kSampledRanks = 2;
 // Weight that older counts keep at each read.
@@ -21,9 +21,11 @@
 // With fewer choices in a set the loads say little.
 constexpr double kLeastChoices = 3'000;
 // Least part of the expert time that a change of the map must save.
-constexpr double kLeastGain = 0.07;
+constexpr double kLeastGain = 0.12;
+// Peaks up to this multiple of the mean load are left alone.
+constexpr double kTolerablePeak = 1.3;
 // Experts that one rank may load for a change: popularity moves on while they load.
-constexpr int kLoadsPerRank = 6;
+constexpr int kLoadsPerRank = 3;
 
 }  // namespace
 
@@ -104,7 +106,7 @@
 void expert_steering::GroupLoop(const std::string& group, group_memory& memory) {
   memory = {.running = true};
   log_.Write(event_line("expert.steering").Add("group", group));
-  while (!stop_.WaitFor(kCountPeriod / kSampledRanks) && IsCoordinator()) {
+  while (!stop_.WaitFor(kCountPeriod) && IsCoordinator()) {
     const auto groups = Groups();
     const auto found = groups.find(group);
     if (found == groups.end())
@@ -133,14 +135,18 @@
   }
   if (memory.map.empty() && !ReadMap(view, memory))
     return;
-  if (!ReadCounts(view, memory))
+  bool known = false;
+  for (std::uint64_t sample = 0; sample < kSampledRanks; ++sample)
+    known = ReadCounts(view, memory, sample) || known;
+  if (!known)
     return;
   const even_share_shape shape{static_cast<int>(view.ranks.size()), view.profile.experts_per_set,
                                view.profile.places_per_rank, view.profile.new_experts_per_plan,
                                kLoadsPerRank};
   const even_share_plan plan = PlanEvenShares(shape, memory.map, memory.loads);
   const double gain = plan.peak_before > 0 ? 1 - plan.peak_after / plan.peak_before : 0;
-  const bool change = gain >= kLeastGain && plan.loaded > 0;
+  const bool change = gain >= kLeastGain && plan.loaded > 0 &&
+                      plan.peak_before > plan.mean * kTolerablePeak;
   log_.Write(event_line("expert.plan")
                  .Add("group", group)
                  .Add("epoch", memory.epoch)
@@ -200,8 +206,10 @@
   return true;
 }
 
-bool expert_steering::ReadCounts(const group_view& view, group_memory& memory) {
-  const upstream_record& rank = *view.ranks[memory.turn++ % kSampledRanks % view.ranks.size()];
+bool expert_steering::ReadCounts(const group_view& view,
+                                 group_memory& memory,
+                                 std::uint64_t sample) {
+  const upstream_record& rank = *view.ranks[sample % view.ranks.size()];
   auto read = port_.Counts(rank);
   const auto sets = static_cast<std::size_t>(view.profile.expert_sets);
   const auto experts = static_cast<std::size_t>(view.profile.experts_per_set);
@@ -219,11 +227,12 @@
   if (memory.loads.empty())
     memory.loads.assign(sets, std::vector<double>(experts, 0));
   if (!first) {
+    const double kept = sample == 0 ? kKeptShare : 1;
     for (std::size_t set = 0; set < sets; ++set) {
       for (std::size_t expert = 0; expert < experts; ++expert) {
         const std::size_t at = set * experts + expert;
         double& load = memory.loads[set][expert];
-        load = load * kKeptShare + static_cast<double>(now[at] - std::min(before[at], now[at]));
+        load = load * kept + static_cast<double>(now[at] - std::min(before[at], now[at]));
       }
     }
   }
