--- a/libs/expert_control/include/quincebank/expert_control/engine_port.h
+++ b/libs/expert_control/include/quincebank/expert_control/engine_port.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "quincebank/base/error.h"
+#include "quincebank/base/time.h"
 #include "quincebank/experts/even_share_plan.h"
 #include "quincebank/fleet/fleet_records.h"
 
@@ -21,7 +22,7 @@
   [[nodiscard]] bool operator==(const armed_map&) const noexcept = default;
 };
 
-/// \brief State of one rank, as of some hundred milliseconds ago.
+/// \brief State of one rank.
 struct rank_report {
   std::uint64_t incarnation = 0;
   std::string group;
@@ -34,12 +35,17 @@
   std::optional<armed_map> armed;
   std::optional<std::uint64_t> held;  ///< Pass that does not begin before a release.
   std::uint64_t orders = 0;           ///< Orders accepted since the start.
+  milliseconds age{0};                ///< Longest time since the state was so.
+
+  [[nodiscard]] bool operator==(const rank_report&) const = default;
 };
 
 /// \brief How often the requests of one rank chose each expert, since its start.
 struct pick_counts {
   std::uint64_t epoch = 0;
   std::vector<std::uint64_t> counts;  ///< Set by set.
+
+  [[nodiscard]] bool operator==(const pick_counts&) const = default;
 };
 
 /// \brief Experts that one rank holds, by set.
@@ -47,6 +53,8 @@
   std::uint64_t epoch = 0;
   std::uint64_t version = 0;
   std::vector<std::vector<int>> experts;
+
+  [[nodiscard]] bool operator==(const held_experts&) const = default;
 };
 
 enum class order_kind : std::uint8_t {
@@ -92,7 +100,8 @@
   /// \brief Reads all ranks at once.
   [[nodiscard]] virtual std::vector<result<rank_report>> Reports(
       std::span<const upstream_record* const> ranks) = 0;
-  [[nodiscard]] virtual result<pick_counts> Counts(const upstream_record& rank) = 0;
+  [[nodiscard]] virtual std::vector<result<pick_counts>> Counts(
+      std::span<const upstream_record* const> ranks) = 0;
   [[nodiscard]] virtual result<held_experts> Held(const upstream_record& rank) = 0;
   /// \brief Sends all orders at once; the answers are in the same order.
   [[nodiscard]] virtual std::vector<order_answer> Send(std::span<const rank_order> orders) = 0;
--- a/libs/expert_control/include/quincebank/expert_control/map_rollout.h
+++ b/libs/expert_control/include/quincebank/expert_control/map_rollout.h
@@ -18,8 +18,7 @@
 };
 
 struct rollout_settings {
-  milliseconds report_lag{200};       ///< Age of what ranks report.
-  milliseconds poll{100};             ///< Between reports while ranks load or switch.
+  milliseconds poll{40};              ///< Between reports while ranks load or switch.
   milliseconds load_limit{12'000};    ///< After it the plan is given up.
   milliseconds settle_retry{150};     ///< Between repeats of an unanswered order.
   milliseconds settle_limit{15'000};  ///< Unanswered orders may be carried out that late.
@@ -65,6 +64,9 @@
   [[nodiscard]] std::uint64_t last_version() const noexcept { return last_version_; }
 
  private:
+  /// Age of reports before the first read.
+  static constexpr milliseconds kAssumedAge{200};
+
   struct rank_state {
     const upstream_record* record = nullptr;
     rank_report report;
@@ -89,6 +91,8 @@
                                              std::uint64_t version);
   [[nodiscard]] rollout_outcome Undo(group_state& group, std::uint64_t step);
   [[nodiscard]] rollout_outcome Release(group_state& group, std::uint64_t step);
+  /// \brief Waits until reports show all that was ordered before.
+  void AwaitFreshReports();
   [[nodiscard]] std::uint64_t StepAfter(const group_state& group, milliseconds lead) const;
 
   engine_port& port_;
@@ -98,6 +102,7 @@
   std::uint64_t last_version_ = 0;
   /// Time of one pass, from the last two reads; 0 if unknown.
   nanoseconds pass_time_{0};
+  milliseconds report_age_{kAssumedAge};  ///< Of the oldest report in the last read.
   std::uint64_t seen_step_ = 0;
   time_point seen_at_{};
 };
--- /dev/null
+++ b/libs/expert_control/include/quincebank/expert_control/rank_messages.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
+#include <string>
+
+#include "quincebank/base/error.h"
+#include "quincebank/expert_control/engine_port.h"
+
+namespace quincebank {
+
+/// \name Messages between the coordinator of expert groups and the agents beside the engines.
+/// @{
+[[nodiscard]] boost::json::object ToJson(const rank_report& report);
+[[nodiscard]] result<rank_report> RankReportFromJson(const boost::json::value& value);
+
+[[nodiscard]] boost::json::object ToJson(const pick_counts& counts);
+[[nodiscard]] result<pick_counts> PickCountsFromJson(const boost::json::value& value);
+
+[[nodiscard]] boost::json::object ToJson(const held_experts& held);
+[[nodiscard]] result<held_experts> HeldExpertsFromJson(const boost::json::value& value);
+
+/// \brief Order that an agent passes on, with the map that it refers to.
+struct order_message {
+  engine_order order;  ///< Its map pointer is not set.
+  std::vector<rank_experts> map;
+};
+[[nodiscard]] boost::json::object ToJson(const engine_order& order);
+[[nodiscard]] result<order_message> OrderFromJson(const boost::json::object& object);
+
+[[nodiscard]] result<order_answer> OrderAnswerFromJson(const boost::json::value& value);
+/// @}
+
+}  // namespace quincebank
--- a/libs/expert_control/src/map_rollout.cc
+++ b/libs/expert_control/src/map_rollout.cc
@@ -8,13 +8,15 @@
 namespace {
 
 // Passes between the newest one reported and a held one, at least: reports are old.
-constexpr std::uint64_t kLeastLead = 3;
+constexpr std::uint64_t kLeastLead = 2;
 constexpr std::uint64_t kMostLead = 60;
 // Attempts to place a hold before its pass has begun.
 constexpr int kHoldTries = 3;
 // Rounds of a recovery; each begins with fresh reports.
 constexpr int kRecoverRounds = 8;
-constexpr milliseconds kReadRetry{150};
+constexpr milliseconds kReadRetry{100};
+// Time for an accepted order to show in a report that is made afterwards.
+constexpr milliseconds kReportMargin{15};
 constexpr int kReadTries = 3;
 
 std::vector<std::size_t> All(std::size_t count) {
@@ -67,7 +69,9 @@
     return rollout_outcome::kUnknown;
   const rank_report& first = group.front().report;
   std::uint64_t step = 0;
+  report_age_ = milliseconds(0);
   for (const rank_state& rank : group) {
+    report_age_ = std::max(report_age_, rank.report.age);
     if (!rank.report.open || rank.report.epoch != first.epoch || rank.report.group != first.group)
       return rollout_outcome::kGroupLost;
     step = std::max(step, rank.report.step);
@@ -82,11 +86,15 @@
   return rollout_outcome::kUnchanged;
 }
 
+void map_rollout::AwaitFreshReports() {
+  clock_.sleep(report_age_ * 2 + kReportMargin);
+}
+
 std::uint64_t map_rollout::StepAfter(const group_state& group, milliseconds lead) const {
   std::uint64_t step = 0;
   for (const rank_state& rank : group)
     step = std::max(step, rank.report.step);
-  const nanoseconds ahead = lead + settings_.report_lag;
+  const nanoseconds ahead = lead + report_age_;
   const std::uint64_t passes =
       pass_time_.count() > 0 ? static_cast<std::uint64_t>(ahead / pass_time_) : kLeastLead;
   return step + std::clamp(passes, kLeastLead, kMostLead);
@@ -152,7 +160,7 @@
   if (disputed.empty())
     return fits;
   // The conflict may come from the first copy of the order, which then has taken effect.
-  clock_.sleep(settings_.report_lag * 2);
+  AwaitFreshReports();
   std::vector<const upstream_record*> ranks;
   for (const std::size_t member : disputed)
     ranks.push_back(group[member].record);
@@ -225,7 +233,7 @@
   bool holds = false;
   for (int tries = 0; tries < kHoldTries && !holds; ++tries) {
     if (tries > 0) {
-      clock_.sleep(settings_.report_lag * 2);
+      AwaitFreshReports();
       const rollout_outcome read = Read(ranks, group);
       if (read != rollout_outcome::kUnchanged)
         return read;
@@ -290,7 +298,7 @@
 rollout_outcome map_rollout::Recover(const std::vector<const upstream_record*>& ranks) {
   for (int round = 0; round < kRecoverRounds; ++round) {
     // Reports older than the last order would hide its effect.
-    clock_.sleep(settings_.report_lag * 2);
+    AwaitFreshReports();
     group_state group;
     const rollout_outcome read = Read(ranks, group);
     if (read == rollout_outcome::kUnknown)
@@ -362,7 +370,7 @@
              .value_or(false))
       return rollout_outcome::kUnknown;
   }
-  clock_.sleep(settings_.report_lag * 2);
+  AwaitFreshReports();
   std::vector<const upstream_record*> ranks;
   for (const rank_state& rank : group)
     ranks.push_back(rank.record);
--- /dev/null
+++ b/libs/expert_control/src/rank_messages.cc
@@ -0,0 +1,199 @@
+#include "quincebank/expert_control/rank_messages.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/json/array.hpp>
+
+#include "quincebank/base/json_reader.h"
+
+namespace quincebank {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::array<order_kind, 5> kKinds{order_kind::kPrepare, order_kind::kArm,
+                                           order_kind::kDisarm, order_kind::kHold,
+                                           order_kind::kRelease};
+constexpr std::array<order_answer, 5> kAnswers{order_answer::kBegun, order_answer::kHolds,
+                                               order_answer::kConflict, order_answer::kReplaced,
+                                               order_answer::kUnanswered};
+
+std::uint64_t Number(json_reader& reader, std::string_view key) {
+  return static_cast<std::uint64_t>(reader.Int(key, {}));
+}
+
+template <typename Number>
+json::array Numbers(const std::vector<Number>& numbers) {
+  return json::array(numbers.begin(), numbers.end());
+}
+
+template <typename Value>
+result<std::vector<Value>> ReadNumbers(const json::value& value) {
+  const json::array* const array = value.if_array();
+  if (array == nullptr)
+    return MakeError(error_code::kInvalidArgument, "expected an array of numbers");
+  std::vector<Value> numbers;
+  numbers.reserve(array->size());
+  for (const json::value& item : *array) {
+    boost::system::error_code ec;
+    numbers.push_back(item.to_number<Value>(ec));
+    if (ec)
+      return MakeError(error_code::kInvalidArgument, "expected a number: " + ec.message());
+  }
+  return numbers;
+}
+
+const json::value& MemberOrNull(const json::value& value, std::string_view key) {
+  static const json::value kNull;
+  const json::object* const object = value.if_object();
+  const json::value* const member = object == nullptr ? nullptr : object->if_contains(key);
+  return member == nullptr ? kNull : *member;
+}
+
+}  // namespace
+
+json::object ToJson(const rank_report& report) {
+  json::object object{{"incarnation", report.incarnation}, {"group", report.group},
+                      {"epoch", report.epoch},             {"rank", report.rank},
+                      {"open", report.open},               {"step", report.step},
+                      {"map", report.map},                 {"orders", report.orders}};
+  if (report.prepared)
+    object["prepared"] = *report.prepared;
+  if (report.armed)
+    object["armed"] =
+        json::object{{"version", report.armed->version}, {"step", report.armed->step}};
+  if (report.held)
+    object["held"] = *report.held;
+  return object;
+}
+
+result<rank_report> RankReportFromJson(const json::value& value) {
+  std::vector<error> errors;
+  json_reader reader(value, "", errors);
+  rank_report report;
+  report.incarnation = Number(reader, "incarnation");
+  report.group = reader.String("group");
+  report.epoch = Number(reader, "epoch");
+  report.rank = static_cast<int>(reader.Int("rank", {0, 1'000'000}));
+  report.open = reader.Bool("open", false);
+  report.step = Number(reader, "step");
+  report.map = Number(reader, "map");
+  report.orders = Number(reader, "orders");
+  if (reader.Has("prepared"))
+    report.prepared = Number(reader, "prepared");
+  reader.Child("armed", [&](json_reader& armed) {
+    report.armed = armed_map{Number(armed, "version"), Number(armed, "step")};
+  });
+  if (reader.Has("held"))
+    report.held = Number(reader, "held");
+  if (!errors.empty())
+    return JoinErrors(errors);
+  return report;
+}
+
+json::object ToJson(const pick_counts& counts) {
+  return {{"epoch", counts.epoch}, {"counts", Numbers(counts.counts)}};
+}
+
+result<pick_counts> PickCountsFromJson(const json::value& value) {
+  std::vector<error> errors;
+  json_reader reader(value, "", errors);
+  pick_counts picked;
+  picked.epoch = Number(reader, "epoch");
+  if (!errors.empty())
+    return JoinErrors(errors);
+  BOOST_OUTCOME_TRY(picked.counts, ReadNumbers<std::uint64_t>(MemberOrNull(value, "counts")));
+  return picked;
+}
+
+json::object ToJson(const held_experts& held) {
+  json::array sets;
+  for (const std::vector<int>& set : held.experts)
+    sets.push_back(Numbers(set));
+  return {{"epoch", held.epoch}, {"version", held.version}, {"experts", std::move(sets)}};
+}
+
+result<held_experts> HeldExpertsFromJson(const json::value& value) {
+  std::vector<error> errors;
+  json_reader reader(value, "", errors);
+  held_experts held;
+  held.epoch = Number(reader, "epoch");
+  held.version = Number(reader, "version");
+  if (!errors.empty())
+    return JoinErrors(errors);
+  const json::array* const sets = MemberOrNull(value, "experts").if_array();
+  if (sets == nullptr)
+    return MakeError(error_code::kInvalidArgument, "an answer without experts");
+  for (const json::value& set : *sets) {
+    BOOST_OUTCOME_TRY(std::vector<int> experts, ReadNumbers<int>(set));
+    held.experts.push_back(std::move(experts));
+  }
+  return held;
+}
+
+json::object ToJson(const engine_order& order) {
+  json::object object{{"kind", ToString(order.kind)},
+                      {"version", order.version},
+                      {"step", order.step},
+                      {"epoch", order.epoch},
+                      {"expected_orders", order.expected_orders}};
+  if (order.map == nullptr)
+    return object;
+  json::array sets;
+  for (const rank_experts& ranks : *order.map) {
+    json::array of_set;
+    for (const std::vector<int>& held : ranks)
+      of_set.push_back(Numbers(held));
+    sets.push_back(std::move(of_set));
+  }
+  object["map"] = std::move(sets);
+  return object;
+}
+
+result<order_message> OrderFromJson(const json::object& object) {
+  const json::value value(object);
+  std::vector<error> errors;
+  json_reader reader(value, "", errors);
+  order_message message;
+  const std::string kind = reader.String("kind");
+  const auto* const known = std::find_if(kKinds.begin(), kKinds.end(), [&](order_kind candidate) {
+    return ToString(candidate) == kind;
+  });
+  if (known == kKinds.end())
+    reader.Fail("kind", "unknown order '" + kind + "'");
+  else
+    message.order.kind = *known;
+  message.order.version = Number(reader, "version");
+  message.order.step = Number(reader, "step");
+  message.order.epoch = Number(reader, "epoch");
+  message.order.expected_orders = Number(reader, "expected_orders");
+  if (!errors.empty())
+    return JoinErrors(errors);
+  const json::array* const sets = MemberOrNull(value, "map").if_array();
+  if (sets == nullptr)
+    return message;
+  for (const json::value& set : *sets) {
+    rank_experts ranks;
+    if (!set.is_array())
+      return MakeError(error_code::kInvalidArgument, "a set of the map is no array");
+    for (const json::value& rank : set.get_array()) {
+      BOOST_OUTCOME_TRY(std::vector<int> held, ReadNumbers<int>(rank));
+      ranks.push_back(std::move(held));
+    }
+    message.map.push_back(std::move(ranks));
+  }
+  return message;
+}
+
+result<order_answer> OrderAnswerFromJson(const json::value& value) {
+  std::vector<error> errors;
+  json_reader reader(value, "", errors);
+  const std::string answer = reader.String("answer");
+  for (const order_answer known : kAnswers) {
+    if (ToString(known) == answer)
+      return known;
+  }
+  return MakeError(error_code::kInvalidArgument, "unknown answer '" + answer + "'");
+}
+
+}  // namespace quincebank
--- a/libs/expert_control/tests/map_rollout_test.cc
+++ b/libs/expert_control/tests/map_rollout_test.cc
@@ -77,7 +77,9 @@
       reports.emplace_back(history_.front()[Index(*rank)]);
     return reports;
   }
-  result<pick_counts> Counts(const upstream_record&) override { return pick_counts{}; }
+  std::vector<result<pick_counts>> Counts(std::span<const upstream_record* const>) override {
+    return {};
+  }
   result<held_experts> Held(const upstream_record&) override { return held_experts{}; }
 
   std::vector<order_answer> Send(std::span<const rank_order> orders) override {
@@ -253,6 +255,7 @@
       report.armed = rank.armed;
       report.held = rank.held;
       report.orders = rank.orders;
+      report.age = kLagTicks * kTick;
       reports.push_back(report);
     }
     history_.push_back(std::move(reports));
--- /dev/null
+++ b/libs/gateway/include/quincebank/gateway/agent_engine_port.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "quincebank/base/event_log.h"
+#include "quincebank/expert_control/engine_port.h"
+#include "quincebank/rpc/rpc.h"
+
+namespace quincebank {
+
+/// \brief Reaches engines through the agents on their hosts, and directly where no agent answers.
+class agent_engine_port final : public engine_port {
+ public:
+  /// \param port  of the agents; each listens on the address of its engine's host.
+  agent_engine_port(rpc_client& rpc,
+                    std::uint16_t port,
+                    std::unique_ptr<engine_port> direct,
+                    event_log& log);
+
+  [[nodiscard]] std::vector<result<rank_report>> Reports(
+      std::span<const upstream_record* const> ranks) override;
+  [[nodiscard]] std::vector<result<pick_counts>> Counts(
+      std::span<const upstream_record* const> ranks) override;
+  [[nodiscard]] result<held_experts> Held(const upstream_record& rank) override;
+  [[nodiscard]] std::vector<order_answer> Send(std::span<const rank_order> orders) override;
+
+ private:
+  /// \brief Whether the agent beside an engine is worth a call now.
+  [[nodiscard]] bool Usable(const upstream_record& rank) const;
+  [[nodiscard]] result<boost::json::value> Call(const upstream_record& rank,
+                                                const std::string& method,
+                                                boost::json::object params);
+
+  rpc_client& rpc_;
+  const std::uint16_t port_;
+  const std::unique_ptr<engine_port> direct_;
+  event_log& log_;
+  std::map<std::string, time_point, std::less<>> silent_until_;  ///< By address.
+};
+
+}  // namespace quincebank
--- a/libs/gateway/include/quincebank/gateway/expert_steering.h
+++ b/libs/gateway/include/quincebank/gateway/expert_steering.h
@@ -55,10 +55,8 @@
   [[nodiscard]] std::map<std::string, group_view> Groups() const;
   void Balance(const std::string& group, const group_view& view, group_memory& memory);
   [[nodiscard]] bool ReadMap(const group_view& view, group_memory& memory);
-  /// \brief Adds what one rank's requests have chosen since its last read.
-  [[nodiscard]] bool ReadCounts(const group_view& view,
-                                group_memory& memory,
-                                std::uint64_t sample);
+  /// \brief Adds what the requests of all ranks have chosen since the last read.
+  [[nodiscard]] bool ReadCounts(const group_view& view, group_memory& memory);
 
   const gateway_settings& settings_;
   fleet_sync& sync_;
--- /dev/null
+++ b/libs/gateway/src/agent_engine_port.cc
@@ -0,0 +1,111 @@
+#include "quincebank/gateway/agent_engine_port.h"
+
+#include <array>
+
+#include "quincebank/base/clock.h"
+#include "quincebank/expert_control/rank_messages.h"
+#include "quincebank/net/run_parallel.h"
+
+namespace quincebank {
+namespace {
+
+// For one call to an agent, which answers within some milliseconds.
+constexpr milliseconds kAgentTimeout{350};
+// An agent that did not answer is not asked again for this time.
+constexpr milliseconds kSilence{1'500};
+
+}  // namespace
+
+agent_engine_port::agent_engine_port(rpc_client& rpc,
+                                     std::uint16_t port,
+                                     std::unique_ptr<engine_port> direct,
+                                     event_log& log)
+    : rpc_(rpc), port_(port), direct_(std::move(direct)), log_(log) {}
+
+bool agent_engine_port::Usable(const upstream_record& rank) const {
+  const auto found = silent_until_.find(rank.address.address);
+  return port_ != 0 && (found == silent_until_.end() || Now() >= found->second);
+}
+
+result<boost::json::value> agent_engine_port::Call(const upstream_record& rank,
+                                                   const std::string& method,
+                                                   boost::json::object params) {
+  params["upstream"] = rank.id;
+  auto answer = rpc_.Call({rank.address.address, port_}, method, params, kAgentTimeout);
+  const bool lost = !answer && (answer.error().code == error_code::kUnavailable ||
+                                answer.error().code == error_code::kTimeout ||
+                                answer.error().code == error_code::kTruncated);
+  if (!lost)
+    return answer;
+  const bool known = silent_until_.contains(rank.address.address);
+  silent_until_[rank.address.address] = Now() + kSilence;
+  if (!known) {
+    log_.Write(event_line("agent.lost")
+                   .Add("upstream", rank.id)
+                   .Add("reason", answer.error().message));
+  }
+  return answer;
+}
+
+std::vector<result<rank_report>> agent_engine_port::Reports(
+    std::span<const upstream_record* const> ranks) {
+  std::vector<result<rank_report>> reports(ranks.size(),
+                                           MakeError(error_code::kUnavailable, "not asked"));
+  RunParallel(ranks.size(), [&](std::size_t i) {
+    if (Usable(*ranks[i])) {
+      const auto answer = Call(*ranks[i], "rank.report", {});
+      if (answer) {
+        silent_until_.erase(ranks[i]->address.address);
+        reports[i] = RankReportFromJson(answer.value());
+        return;
+      }
+    }
+    const std::array<const upstream_record*, 1> one{ranks[i]};
+    reports[i] = std::move(direct_->Reports(one).front());
+  });
+  return reports;
+}
+
+std::vector<result<pick_counts>> agent_engine_port::Counts(
+    std::span<const upstream_record* const> ranks) {
+  std::vector<result<pick_counts>> counts(ranks.size(),
+                                          MakeError(error_code::kUnavailable, "no agent"));
+  // A read from another host pauses the whole group, so it is left out where no agent answers.
+  RunParallel(ranks.size(), [&](std::size_t i) {
+    if (!Usable(*ranks[i]))
+      return;
+    const auto answer = Call(*ranks[i], "rank.counts", {});
+    counts[i] = answer ? PickCountsFromJson(answer.value()) : answer.error();
+  });
+  return counts;
+}
+
+result<held_experts> agent_engine_port::Held(const upstream_record& rank) {
+  if (Usable(rank)) {
+    const auto answer = Call(rank, "rank.held", {});
+    if (answer)
+      return HeldExpertsFromJson(answer.value());
+  }
+  return direct_->Held(rank);
+}
+
+std::vector<order_answer> agent_engine_port::Send(std::span<const rank_order> orders) {
+  std::vector<order_answer> answers(orders.size(), order_answer::kUnanswered);
+  RunParallel(orders.size(), [&](std::size_t i) {
+    const rank_order& sent = orders[i];
+    if (!Usable(*sent.rank)) {
+      answers[i] = direct_->Send({&sent, 1}).front();
+      return;
+    }
+    // Without an answer the agent may pass the order on later, so the caller has to settle it.
+    const auto answer = Call(*sent.rank, "rank.order", {{"order", ToJson(sent.order)}});
+    if (!answer)
+      return;
+    const auto decoded = OrderAnswerFromJson(answer.value());
+    if (decoded)
+      answers[i] = decoded.value();
+  });
+  return answers;
+}
+
+}  // namespace quincebank
--- a/libs/gateway/src/expert_steering.cc
+++ b/libs/gateway/src/expert_steering.cc
@@ -12,12 +12,10 @@
 
 // Between looks for groups without a coordinator.
 constexpr milliseconds kLook{250};
-// Between reads of one group's counts: long enough for some hundred tokens of each request.
-constexpr milliseconds kCountPeriod{500};
-// Ranks whose counts stand for their group; requests are spread evenly over all of them.
-constexpr std::uint64_t kSampledRanks = 2;
+// Between reads of one group's counts.
+constexpr milliseconds kCountPeriod{200};
 // Weight that older counts keep at each read.
-constexpr double kKeptShare = 0.35;
+constexpr double kKeptShare = 0.6;
 // With fewer choices in a set the loads say little.
 constexpr double kLeastChoices = 3'000;
 // Least part of the expert time that a change of the map must save.
@@ -27,6 +25,19 @@
 // Experts that one rank may load for a change: popularity moves on while they load.
 constexpr int kLoadsPerRank = 3;
 
+/// Adds what was chosen between two reads of one rank.
+void AddCounts(const std::vector<std::uint64_t>& now,
+               std::vector<std::uint64_t>& before,
+               std::vector<std::vector<double>>& loads) {
+  const bool first = before.size() != now.size();
+  for (std::size_t at = 0; !first && at < now.size(); ++at) {
+    const std::size_t experts = loads.front().size();
+    loads[at / experts][at % experts] +=
+        static_cast<double>(now[at] - std::min(before[at], now[at]));
+  }
+  before = now;
+}
+
 }  // namespace
 
 expert_steering::expert_steering(const gateway_settings& settings,
@@ -118,11 +129,9 @@
 void expert_steering::Balance(const std::string& group,
                               const group_view& view,
                               group_memory& memory) {
-  rollout_settings rollout_timing;
-  rollout_timing.report_lag = std::max(view.profile.report_lag, rollout_timing.report_lag);
   map_rollout rollout(port_, {[] { return Now(); },
                               [](milliseconds time) { boost::this_fiber::sleep_for(time); }},
-                      log_, rollout_timing);
+                      log_);
   if (memory.epoch != view.epoch) {
     memory = {.running = true, .epoch = view.epoch};
     ++changing_;
@@ -135,10 +144,7 @@
   }
   if (memory.map.empty() && !ReadMap(view, memory))
     return;
-  bool known = false;
-  for (std::uint64_t sample = 0; sample < kSampledRanks; ++sample)
-    known = ReadCounts(view, memory, sample) || known;
-  if (!known)
+  if (!ReadCounts(view, memory))
     return;
   const even_share_shape shape{static_cast<int>(view.ranks.size()), view.profile.experts_per_set,
                                view.profile.places_per_rank, view.profile.new_experts_per_plan,
@@ -167,11 +173,6 @@
     memory.map = plan.sets;
   else if (outcome != rollout_outcome::kUnchanged)
     memory = {.running = true};
-  // Counts of the time before the change would hide what has shifted since.
-  for (std::vector<double>& loads : memory.loads) {
-    for (double& load : loads)
-      load *= kKeptShare;
-  }
 }
 
 bool expert_steering::ReadMap(const group_view& view, group_memory& memory) {
@@ -206,39 +207,24 @@
   return true;
 }
 
-bool expert_steering::ReadCounts(const group_view& view,
-                                 group_memory& memory,
-                                 std::uint64_t sample) {
-  const upstream_record& rank = *view.ranks[sample % view.ranks.size()];
-  auto read = port_.Counts(rank);
+bool expert_steering::ReadCounts(const group_view& view, group_memory& memory) {
   const auto sets = static_cast<std::size_t>(view.profile.expert_sets);
   const auto experts = static_cast<std::size_t>(view.profile.experts_per_set);
-  if (!read || read.value().counts.size() != sets * experts) {
-    log_.Write(event_line("expert.counts_unread")
-                   .Add("upstream", rank.id)
-                   .Add("reason", read ? "other dimensions" : read.error().message));
-    return false;
-  }
-  if (read.value().epoch != memory.epoch)
-    return false;
-  std::vector<std::uint64_t>& before = memory.last_counts[rank.id];
-  const std::vector<std::uint64_t> now = std::move(read.value().counts);
-  const bool first = before.size() != now.size();
   if (memory.loads.empty())
     memory.loads.assign(sets, std::vector<double>(experts, 0));
-  if (!first) {
-    const double kept = sample == 0 ? kKeptShare : 1;
-    for (std::size_t set = 0; set < sets; ++set) {
-      for (std::size_t expert = 0; expert < experts; ++expert) {
-        const std::size_t at = set * experts + expert;
-        double& load = memory.loads[set][expert];
-        load = load * kept + static_cast<double>(now[at] - std::min(before[at], now[at]));
-      }
-    }
+  for (std::vector<double>& loads : memory.loads) {
+    for (double& load : loads)
+      load *= kKeptShare;
+  }
+  const auto read = port_.Counts(view.ranks);
+  for (std::size_t i = 0; i < read.size(); ++i) {
+    if (!read[i] || read[i].value().epoch != memory.epoch ||
+        read[i].value().counts.size() != sets * experts)
+      continue;
+    AddCounts(read[i].value().counts, memory.last_counts[view.ranks[i]->id], memory.loads);
   }
-  before = now;
   const std::vector<double>& some = memory.loads.front();
-  return !first && std::accumulate(some.begin(), some.end(), 0.0) >= kLeastChoices;
+  return std::accumulate(some.begin(), some.end(), 0.0) >= kLeastChoices;
 }
 
 }  // namespace quincebank
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "forward_flow.h"
+#include "quincebank/gateway/agent_engine_port.h"
 #include "quincebank/base/clock.h"
 #include "quincebank/routing/entries.h"
 
@@ -86,7 +87,8 @@
   sync_ = std::make_unique<fleet_sync>(settings_, records, *store_, *rpc_client_, log_,
                                        shared_.snapshots, incarnation_);
   sync_->AddMethods(rpc_);
-  engines_ = std::move(engines);
+  engines_ = std::make_unique<agent_engine_port>(*rpc_client_, settings_.agent_port,
+                                                 std::move(engines), log_);
   steering_ = std::make_unique<expert_steering>(settings_, *sync_, *engines_, log_,
                                                 shared_.snapshots);
   http_limits limits;
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -48,6 +48,10 @@
   settings.store_timeout = reader.Millis("store_timeout_ms", kMillisRange, settings.store_timeout);
   settings.engine_timeout =
       reader.Millis("engine_timeout_ms", kMillisRange, settings.engine_timeout);
+  settings.engine_report_age =
+      reader.Millis("engine_report_age_ms", kMillisRange, settings.engine_report_age);
+  settings.agent_port =
+      static_cast<std::uint16_t>(reader.Int("agent_port", {0, 65'535}, settings.agent_port));
   settings.watch_wait = reader.Millis("watch_wait_ms", kMillisRange, settings.watch_wait);
   settings.peer_poll = reader.Millis("peer_poll_ms", kMillisRange, settings.peer_poll);
   settings.lease = reader.Millis("lease_ms", kMillisRange, settings.lease);
--- /dev/null
+++ b/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <boost/json/object.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "quincebank/base/error.h"
+#include "quincebank/base/event_log.h"
+#include "quincebank/expert_control/engine_port.h"
+#include "quincebank/net/fiber_thread.h"
+#include "quincebank/net/http_client.h"
+#include "quincebank/net/http_server.h"
+#include "quincebank/rpc/rpc.h"
+
+namespace quincebank {
+
+/// \brief Settings of an agent beside an engine.
+struct rank_agent_settings {
+  std::string name;
+  endpoint address;  ///< Where the coordinator of the expert groups calls.
+  endpoint engine;   ///< Engine on the same host.
+  milliseconds engine_timeout{300};
+  std::size_t log_lines = 500;  ///< Most log lines that wait for their reader.
+};
+
+/// \brief Reads and checks a settings file (JSON with comments).
+[[nodiscard]] result<rank_agent_settings> ParseRankAgentSettings(std::string_view text);
+
+/// \brief Passes reports, counts and orders between the coordinator and the engine beside it.
+///
+/// From its own host an engine tells its state without delay and does not pause its group to be
+/// read. The agent decides nothing and keeps nothing.
+class rank_agent {
+ public:
+  /// \param engines  reaches the engine on this host.
+  rank_agent(const rank_agent_settings& settings, event_log& log);
+  ~rank_agent();
+  rank_agent(const rank_agent&) = delete;
+  rank_agent& operator=(const rank_agent&) = delete;
+
+  [[nodiscard]] result<void> Start(std::unique_ptr<engine_port> engines);
+  [[nodiscard]] http_client& http() noexcept { return *http_; }
+
+ private:
+  using method = result<boost::json::value> (rank_agent::*)(const upstream_record& rank,
+                                                            const boost::json::object& params);
+  struct named_method {
+    std::string_view name;
+    method run;
+  };
+
+  [[nodiscard]] result<boost::json::value> Report(const upstream_record& rank,
+                                                  const boost::json::object& params);
+  [[nodiscard]] result<boost::json::value> Counts(const upstream_record& rank,
+                                                  const boost::json::object& params);
+  [[nodiscard]] result<boost::json::value> Held(const upstream_record& rank,
+                                                const boost::json::object& params);
+  [[nodiscard]] result<boost::json::value> Order(const upstream_record& rank,
+                                                 const boost::json::object& params);
+  void AddMethod(const named_method& named);
+
+  const rank_agent_settings settings_;
+  event_log& log_;
+  rpc_server rpc_;
+  fiber_thread thread_;
+  std::unique_ptr<http_client> http_;
+  std::unique_ptr<engine_port> engines_;
+  std::unique_ptr<http_server> server_;
+};
+
+}  // namespace quincebank
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -41,7 +41,8 @@
   const auto started = gateway.Start(
       adapter::MakeHandlers(gateway), *records,
       adapter::MakeStoreClient(gateway.control_http(), settings.store, settings.store_timeout),
-      adapter::MakeEngineClient(gateway.control_http(), settings.engine_timeout));
+      adapter::MakeEngineClient(gateway.control_http(),
+                                {settings.engine_timeout, settings.engine_report_age}));
   if (!started) {
     log.Write(event_line("process.failed").Add("reason", started.error().message));
     return kExitFailure;
--- /dev/null
+++ b/programs/rank_agent/main.cc
@@ -0,0 +1,55 @@
+// quincebank-rank-agent: passes reports, counts and orders to the engine on the same host.
+
+#include <csignal>
+#include <cstdlib>
+
+#include "quincebank/adapter/adapter.h"
+#include "quincebank/base/base.h"
+#include "quincebank/base/event_log.h"
+#include "quincebank/daemon/daemon_main.h"
+#include "quincebank/daemon/options.h"
+#include "quincebank/daemon/signals.h"
+#include "quincebank/rank_agent/rank_agent.h"
+
+namespace quincebank {
+namespace {
+
+// Longest wait for the reader of the log at the end.
+constexpr milliseconds kLogFlush{200};
+
+int Run(const rank_agent_settings& settings) {
+  event_log log(settings.log_lines);
+  rank_agent agent(settings, log);
+  log.Write(event_line("process.start")
+                .Add("name", settings.name)
+                .Add("version", QUINCEBANK_VERSION)
+                .Add("address", ToString(settings.address))
+                .Add("engine", ToString(settings.engine)));
+  const auto started = agent.Start(adapter::MakeEngineClient(
+      agent.http(), {settings.engine_timeout, /*report_age=*/milliseconds(0)}));
+  if (!started) {
+    log.Write(event_line("process.failed").Add("reason", started.error().message));
+    return kExitFailure;
+  }
+  // Nothing depends on settings that can change while the process runs.
+  while (WaitForShutdown() == SIGHUP)
+    log.Write(event_line("settings.reloaded").Add("changed", false));
+  log.Write(event_line("process.stopped"));
+  log.Flush(kLogFlush);
+  // An order under way may wait for the engine; the coordinator settles it.
+  std::_Exit(kExitOk);
+}
+
+}  // namespace
+}  // namespace quincebank
+
+int main(int argc, char** argv) {
+  using namespace quincebank;
+  rank_agent_settings settings;
+  return DaemonMain(argc, argv,
+                    {[&](std::string_view text) -> result<void> {
+                       BOOST_OUTCOME_TRY(settings, ParseRankAgentSettings(text));
+                       return BOOST_OUTCOME_V2_NAMESPACE::success();
+                     },
+                     [&] { return Run(settings); }, adapter::SettingsPath()});
+}
