--- a/libs/base/src/event_log.cc
+++ b/libs/base/src/event_log.cc
@@ -41,8 +41,8 @@
 }  // namespace
 
 event_line::event_line(std::string_view event) {
-  const auto at = std::chrono::duration_cast<std::chrono::milliseconds>(
-      WallNow().time_since_epoch());
+  const auto at =
+      std::chrono::duration_cast<std::chrono::milliseconds>(WallNow().time_since_epoch());
   text_ = R"({"at_ms":)";
   AppendNumber(text_, at.count());
   Add("event", event);
--- a/libs/catalog/include/quincebank/catalog/service_catalog.h
+++ b/libs/catalog/include/quincebank/catalog/service_catalog.h
@@ -31,7 +31,7 @@
   std::string hostname;
   std::string path_prefix;  ///< Begins and ends with a slash.
   repeat_rule repeats = repeat_rule::kUnsafe;
-  milliseconds timeout{10'000};          ///< Longest time from the request to its last byte.
+  milliseconds timeout{10'000};           ///< Longest time from the request to its last byte.
   milliseconds latency_objective{1'000};  ///< To the answer, or to a stream's first event.
   milliseconds event_gap_objective{0};    ///< Between events of a stream.
   int priority = 0;                       ///< 0 is the most urgent.
@@ -56,8 +56,8 @@
   int tokens_per_event = 1;         ///< Decoding steps of one pass.
   int expert_sets = 0;              ///< Sets of layers with experts; 0 without expert parallelism.
   int experts_per_set = 0;
-  int places_per_rank = 0;       ///< Experts of one set that a rank can hold.
-  int new_experts_per_plan = 0;  ///< Experts of one set that a rank can load beside its own.
+  int places_per_rank = 0;           ///< Experts of one set that a rank can hold.
+  int new_experts_per_plan = 0;      ///< Experts of one set that a rank can load beside its own.
   milliseconds expert_load_time{0};  ///< For one expert of one set.
   milliseconds report_lag{0};        ///< Age of what the engines report.
 };
--- a/libs/daemon/include/quincebank/daemon/signals.h
+++ b/libs/daemon/include/quincebank/daemon/signals.h
@@ -4,8 +4,8 @@
 
 namespace quincebank {
 
-/// \brief Makes SIGTERM, SIGINT and SIGHUP wait for `WaitForShutdown`, and ignores SIGPIPE. Call before
-/// the first thread starts, since threads inherit the signal mask.
+/// \brief Makes SIGTERM, SIGINT and SIGHUP wait for `WaitForShutdown`, and ignores SIGPIPE. Call
+/// before the first thread starts, since threads inherit the signal mask.
 void BlockShutdownSignals();
 
 /// \brief Blocks the calling thread until SIGTERM, SIGINT or SIGHUP comes.
--- a/libs/expert_control/include/quincebank/expert_control/engine_port.h
+++ b/libs/expert_control/include/quincebank/expert_control/engine_port.h
@@ -28,9 +28,9 @@
   std::string group;
   std::uint64_t epoch = 0;  ///< Formation of the group; a new one begins without any orders.
   int rank = 0;
-  bool open = false;  ///< The group serves.
-  std::uint64_t step = 0;  ///< Last pass that was begun.
-  std::uint64_t map = 0;   ///< Version of the map in use.
+  bool open = false;                      ///< The group serves.
+  std::uint64_t step = 0;                 ///< Last pass that was begun.
+  std::uint64_t map = 0;                  ///< Version of the map in use.
   std::optional<std::uint64_t> prepared;  ///< Version whose experts are all loaded.
   std::optional<armed_map> armed;
   std::optional<std::uint64_t> held;  ///< Pass that does not begin before a release.
@@ -78,9 +78,9 @@
 
 enum class order_answer : std::uint8_t {
   kBegun,
-  kHolds,     ///< The wanted state holds already.
-  kConflict,  ///< It does not fit the rank's state, or another order came between.
-  kReplaced,  ///< Another upstream has the address.
+  kHolds,       ///< The wanted state holds already.
+  kConflict,    ///< It does not fit the rank's state, or another order came between.
+  kReplaced,    ///< Another upstream has the address.
   kUnanswered,  ///< It may have been accepted, or may be carried out later.
 };
 
--- a/libs/expert_control/src/map_rollout.cc
+++ b/libs/expert_control/src/map_rollout.cc
@@ -162,6 +162,7 @@
   // The conflict may come from the first copy of the order, which then has taken effect.
   AwaitFreshReports();
   std::vector<const upstream_record*> ranks;
+  ranks.reserve(disputed.size());
   for (const std::size_t member : disputed)
     ranks.push_back(group[member].record);
   const auto reports = port_.Reports(ranks);
@@ -179,6 +180,7 @@
 
 rollout_outcome map_rollout::WaitPrepared(group_state& group, std::uint64_t version) {
   std::vector<const upstream_record*> ranks;
+  ranks.reserve(group.size());
   for (const rank_state& rank : group)
     ranks.push_back(rank.record);
   const std::uint64_t epoch = group.front().report.epoch;
@@ -211,10 +213,10 @@
   if (!idle)
     return Recover(ranks);
   const std::uint64_t version = ++last_version_;
-  const auto prepared = Settle(
-      group, All(group.size()), {order_kind::kPrepare, version, 0, 0, 0, &map},
-      // Loading takes a while, so only the number of orders shows that it has begun.
-      [&](const rank_report& report) { return !report.armed; });
+  const auto prepared =
+      Settle(group, All(group.size()), {order_kind::kPrepare, version, 0, 0, 0, &map},
+             // Loading takes a while, so only the number of orders shows that it has begun.
+             [&](const rank_report& report) { return !report.armed; });
   if (!prepared)
     return rollout_outcome::kUnknown;
   if (!*prepared)
@@ -227,6 +229,7 @@
 
 rollout_outcome map_rollout::Switch(group_state& group, std::uint64_t version) {
   std::vector<const upstream_record*> ranks;
+  ranks.reserve(group.size());
   for (const rank_state& rank : group)
     ranks.push_back(rank.record);
   std::uint64_t step = 0;
@@ -248,11 +251,9 @@
   if (!holds)
     return rollout_outcome::kUnchanged;
   group.front().report.held = step;
-  const auto armed = Settle(group, All(group.size()),
-                            {order_kind::kArm, version, step, 0, 0, nullptr},
-                            [&](const rank_report& report) {
-                              return report.armed && report.armed->version == version;
-                            });
+  const auto armed = Settle(
+      group, All(group.size()), {order_kind::kArm, version, step, 0, 0, nullptr},
+      [&](const rank_report& report) { return report.armed && report.armed->version == version; });
   if (!armed || !*armed)
     return Recover(ranks);
   const rollout_outcome released = Release(group, step);
@@ -289,9 +290,8 @@
     if (!released || !*released)
       return rollout_outcome::kUnknown;
   }
-  log_.Write(event_line("expert.released")
-                 .Add("group", group.front().report.group)
-                 .Add("step", step));
+  log_.Write(
+      event_line("expert.released").Add("group", group.front().report.group).Add("step", step));
   return rollout_outcome::kUnchanged;
 }
 
@@ -314,8 +314,8 @@
       equal = equal && rank.report.armed == first;
       armed += rank.report.armed ? 1 : 0;
       held += rank.report.held ? 1 : 0;
-      step = std::max({step, rank.report.armed ? rank.report.armed->step : 0,
-                       rank.report.held.value_or(0)});
+      step = std::max(
+          {step, rank.report.armed ? rank.report.armed->step : 0, rank.report.held.value_or(0)});
     }
     log_.Write(event_line("expert.recover")
                    .Add("group", group.front().report.group)
@@ -364,14 +364,16 @@
       return rollout_outcome::kUnknown;
   }
   for (const std::size_t member : armed) {
-    const engine_order disarm{order_kind::kDisarm, group[member].report.armed->version, 0, 0, 0,
-                              nullptr};
-    if (!Settle(group, {member}, disarm, [](const rank_report& report) { return !report.armed; })
-             .value_or(false))
+    const engine_order disarm{
+        order_kind::kDisarm, group[member].report.armed->version, 0, 0, 0, nullptr};
+    if (!Settle(group, {member}, disarm, [](const rank_report& report) {
+           return !report.armed;
+         }).value_or(false))
       return rollout_outcome::kUnknown;
   }
   AwaitFreshReports();
   std::vector<const upstream_record*> ranks;
+  ranks.reserve(group.size());
   for (const rank_state& rank : group)
     ranks.push_back(rank.record);
   const rollout_outcome read = Read(ranks, group);
--- a/libs/expert_control/src/rank_messages.cc
+++ b/libs/expert_control/src/rank_messages.cc
@@ -53,10 +53,14 @@
 }  // namespace
 
 json::object ToJson(const rank_report& report) {
-  json::object object{{"incarnation", report.incarnation}, {"group", report.group},
-                      {"epoch", report.epoch},             {"rank", report.rank},
-                      {"open", report.open},               {"step", report.step},
-                      {"map", report.map},                 {"orders", report.orders}};
+  json::object object{{"incarnation", report.incarnation},
+                      {"group", report.group},
+                      {"epoch", report.epoch},
+                      {"rank", report.rank},
+                      {"open", report.open},
+                      {"step", report.step},
+                      {"map", report.map},
+                      {"orders", report.orders}};
   if (report.prepared)
     object["prepared"] = *report.prepared;
   if (report.armed)
--- a/libs/expert_control/tests/map_rollout_test.cc
+++ b/libs/expert_control/tests/map_rollout_test.cc
@@ -18,11 +18,11 @@
 /// Faults of one run.
 struct fault_case {
   const char* name;
-  double unanswered = 0;     ///< Orders that get no answer ...
-  double carried_out = 0;    ///< ... of which this share is carried out at once, the rest late.
-  bool crash = false;        ///< The coordinator dies at a random call; another one takes over.
-  bool freeze = false;       ///< Another one acts in the middle of a call, then the first goes on.
-  bool restart_rank = false; ///< A rank restarts, and the group forms anew.
+  double unanswered = 0;      ///< Orders that get no answer ...
+  double carried_out = 0;     ///< ... of which this share is carried out at once, the rest late.
+  bool crash = false;         ///< The coordinator dies at a random call; another one takes over.
+  bool freeze = false;        ///< Another one acts in the middle of a call, then the first goes on.
+  bool restart_rank = false;  ///< A rank restarts, and the group forms anew.
 };
 
 struct crash {};
--- a/libs/experts/include/quincebank/experts/even_share_plan.h
+++ b/libs/experts/include/quincebank/experts/even_share_plan.h
@@ -13,9 +13,9 @@
 struct even_share_shape {
   int ranks = 0;
   int experts = 0;
-  int places = 0;           ///< Experts that one rank can hold in a set.
-  int new_per_set = 0;      ///< Experts of a set that one rank can load for one plan.
-  int new_per_rank = 0;     ///< Experts of all sets that one rank may load for one plan.
+  int places = 0;        ///< Experts that one rank can hold in a set.
+  int new_per_set = 0;   ///< Experts of a set that one rank can load for one plan.
+  int new_per_rank = 0;  ///< Experts of all sets that one rank may load for one plan.
 };
 
 /// \brief What a plan weighs.
--- a/libs/experts/src/even_share_plan.cc
+++ b/libs/experts/src/even_share_plan.cc
@@ -25,10 +25,10 @@
 struct step {
   int expert = kNone;
   int target = kNone;
-  int evicted = kNone;  ///< Spare copy on the target that makes room.
-  bool move = false;    ///< The peak rank gives the expert up.
+  int evicted = kNone;   ///< Spare copy on the target that makes room.
+  bool move = false;     ///< The peak rank gives the expert up.
   int returned = kNone;  ///< Expert of the target that moves to the peak rank in exchange.
-  double level = 0;     ///< Smooth peak of the rank loads afterwards.
+  double level = 0;      ///< Smooth peak of the rank loads afterwards.
 };
 
 /// One set of layers during the search.
@@ -195,8 +195,7 @@
         load += (candidate.move ? -share : share_after - share) + returned_share;
       else if (Holds(rank, candidate.expert))
         load += share_after - share;
-      if (candidate.evicted != kNone && rank != candidate.target &&
-          Holds(rank, candidate.evicted))
+      if (candidate.evicted != kNone && rank != candidate.target && Holds(rank, candidate.evicted))
         load += evicted_after - evicted_share;
       sum += Eighth(load);
     }
--- a/libs/experts/tests/even_share_plan_test.cc
+++ b/libs/experts/tests/even_share_plan_test.cc
@@ -86,13 +86,12 @@
   }
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    shapes,
-    even_share_test,
-    testing::Values(plan_case{"today", {8, 64, 11, 4, 6}, 6, 0.25, 1.2, 4},
-                    plan_case{"today_flat", {8, 64, 11, 4, 6}, 6, 0, 1.2, 4},
-                    plan_case{"grown", {32, 128, 5, 2, 8}, 12, 0.25, 1.9, 6}),
-    [](const auto& info) { return std::string(info.param.name); });
+INSTANTIATE_TEST_SUITE_P(shapes,
+                         even_share_test,
+                         testing::Values(plan_case{"today", {8, 64, 11, 4, 6}, 6, 0.25, 1.2, 4},
+                                         plan_case{"today_flat", {8, 64, 11, 4, 6}, 6, 0, 1.2, 4},
+                                         plan_case{"grown", {32, 128, 5, 2, 8}, 12, 0.25, 1.9, 6}),
+                         [](const auto& info) { return std::string(info.param.name); });
 
 // Guards against an estimate that differs from the loads of the resulting map.
 TEST(even_share_plan, ReportsTheLoadsOfItsMap) {
--- a/libs/gateway/include/quincebank/gateway/exchange_codec.h
+++ b/libs/gateway/include/quincebank/gateway/exchange_codec.h
@@ -16,7 +16,7 @@
   std::string host;
   std::string path;  ///< Without query.
   std::string api_key;
-  std::optional<milliseconds> time_left;  ///< How long the client waits.
+  std::optional<milliseconds> time_left;      ///< How long the client waits.
   std::optional<std::uint64_t> resume_after;  ///< Last event of a stream that the client has.
   std::int64_t prompt_tokens = 0;
   std::int64_t most_output_tokens = 0;
@@ -32,12 +32,12 @@
 
 /// \brief What the header of an upstream's answer says.
 struct answer_head {
-  std::string attempt_id;        ///< Of the request that it answers; empty if it names none.
-  bool authentic = false;        ///< It carries the upstream's own mark.
-  bool encoded = false;          ///< The body is not in the form that the upstream sends.
-  bool not_run = false;          ///< The upstream refused and will never run the request.
-  bool wrong_instance = false;   ///< Another upstream has the address; not run.
-  std::string faulty_upstream;   ///< Upstream whose failure made it refuse; may be empty.
+  std::string attempt_id;       ///< Of the request that it answers; empty if it names none.
+  bool authentic = false;       ///< It carries the upstream's own mark.
+  bool encoded = false;         ///< The body is not in the form that the upstream sends.
+  bool not_run = false;         ///< The upstream refused and will never run the request.
+  bool wrong_instance = false;  ///< Another upstream has the address; not run.
+  std::string faulty_upstream;  ///< Upstream whose failure made it refuse; may be empty.
   std::optional<milliseconds> retry_after;
 };
 
@@ -49,8 +49,7 @@
   [[nodiscard]] virtual client_request DecodeRequest(const http_request& request) const = 0;
   [[nodiscard]] virtual http_request EncodeForUpstream(const http_request& request,
                                                        const upstream_dispatch& dispatch) const = 0;
-  [[nodiscard]] virtual answer_head DecodeAnswer(int status,
-                                                 const http_headers& headers) const = 0;
+  [[nodiscard]] virtual answer_head DecodeAnswer(int status, const http_headers& headers) const = 0;
   /// \brief Fields of an upstream's answer that the client gets.
   [[nodiscard]] virtual http_headers EncodeForClient(const http_headers& headers) const = 0;
   /// \brief Marks an answer of this entry's own with the request it belongs to.
--- a/libs/gateway/include/quincebank/gateway/gateway_metrics.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_metrics.h
@@ -19,8 +19,8 @@
       {"quincebank_failed_total", "Requests that failed and may have run.", {}});
   counter& rejected = registry.AddCounter(
       {"quincebank_rejected_total", "Requests with an unknown route or API key.", {}});
-  counter& abandoned = registry.AddCounter(
-      {"quincebank_abandoned_total", "Requests whose client left first.", {}});
+  counter& abandoned =
+      registry.AddCounter({"quincebank_abandoned_total", "Requests whose client left first.", {}});
   counter& repeats = registry.AddCounter(
       {"quincebank_repeats_total", "Attempts after the first one of a request.", {}});
   counter& resumed = registry.AddCounter(
@@ -33,8 +33,8 @@
       registry.AddGauge({"quincebank_in_flight", "Requests that are being handled.", {}});
   latency_histogram& first_byte = registry.AddHistogram(
       {"quincebank_first_byte_seconds", "Time to the first byte of an answer's body.", {}});
-  latency_histogram& total = registry.AddHistogram(
-      {"quincebank_request_seconds", "Time to the end of an answer.", {}});
+  latency_histogram& total =
+      registry.AddHistogram({"quincebank_request_seconds", "Time to the end of an answer.", {}});
 };
 
 }  // namespace quincebank
--- a/libs/gateway/include/quincebank/gateway/gateway_settings.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_settings.h
@@ -23,22 +23,22 @@
   endpoint metrics;
   endpoint store;
 
-  double cold_factor = 1;            ///< Tolerance on the rate of a cold upstream.
-  double cold_allowance = 0;         ///< Requests that a cold upstream takes beyond it.
-  double repeat_ratio = 0.1;         ///< Repeats per request, over all entries.
-  double repeat_allowance = 0;       ///< Repeats beyond it, over all entries.
-  milliseconds stop_grace{8'000};    ///< From SIGTERM to the kill.
+  double cold_factor = 1;               ///< Tolerance on the rate of a cold upstream.
+  double cold_allowance = 0;            ///< Requests that a cold upstream takes beyond it.
+  double repeat_ratio = 0.1;            ///< Repeats per request, over all entries.
+  double repeat_allowance = 0;          ///< Repeats beyond it, over all entries.
+  milliseconds stop_grace{8'000};       ///< From SIGTERM to the kill.
   milliseconds most_lookup_ttl{5'000};  ///< Longest time that clients keep a looked-up address.
   milliseconds engine_stall{1'500};  ///< After this time without a rank a group gives up its work.
 
-  milliseconds store_timeout{600};   ///< For each call, beside a watch's own wait.
-  milliseconds engine_timeout{400};  ///< For each report, count or order.
+  milliseconds store_timeout{600};      ///< For each call, beside a watch's own wait.
+  milliseconds engine_timeout{400};     ///< For each report, count or order.
   milliseconds engine_report_age{300};  ///< Age of what engines tell other hosts.
-  std::uint16_t agent_port = 0;  ///< Of the agents beside engines; 0 if there are none.
-  milliseconds watch_wait{1'500};    ///< Longest blocking watch.
-  milliseconds peer_poll{500};       ///< Between reads from peers while the store does not answer.
-  milliseconds lease{3'000};         ///< Of this entry's registration.
-  std::size_t log_lines = 2'000;     ///< Most log lines that wait for their reader.
+  std::uint16_t agent_port = 0;         ///< Of the agents beside engines; 0 if there are none.
+  milliseconds watch_wait{1'500};       ///< Longest blocking watch.
+  milliseconds peer_poll{500};    ///< Between reads from peers while the store does not answer.
+  milliseconds lease{3'000};      ///< Of this entry's registration.
+  std::size_t log_lines = 2'000;  ///< Most log lines that wait for their reader.
 };
 
 /// \brief Reads and checks a settings file (JSON with comments).
--- a/libs/gateway/src/agent_engine_port.cc
+++ b/libs/gateway/src/agent_engine_port.cc
@@ -40,9 +40,8 @@
   const bool known = silent_until_.contains(rank.address.address);
   silent_until_[rank.address.address] = Now() + kSilence;
   if (!known) {
-    log_.Write(event_line("agent.lost")
-                   .Add("upstream", rank.id)
-                   .Add("reason", answer.error().message));
+    log_.Write(
+        event_line("agent.lost").Add("upstream", rank.id).Add("reason", answer.error().message));
   }
   return answer;
 }
--- a/libs/gateway/src/expert_steering.cc
+++ b/libs/gateway/src/expert_steering.cc
@@ -129,9 +129,9 @@
 void expert_steering::Balance(const std::string& group,
                               const group_view& view,
                               group_memory& memory) {
-  map_rollout rollout(port_, {[] { return Now(); },
-                              [](milliseconds time) { boost::this_fiber::sleep_for(time); }},
-                      log_);
+  map_rollout rollout(
+      port_, {[] { return Now(); }, [](milliseconds time) { boost::this_fiber::sleep_for(time); }},
+      log_);
   if (memory.epoch != view.epoch) {
     memory = {.running = true, .epoch = view.epoch};
     ++changing_;
@@ -151,8 +151,8 @@
                                kLoadsPerRank};
   const even_share_plan plan = PlanEvenShares(shape, memory.map, memory.loads);
   const double gain = plan.peak_before > 0 ? 1 - plan.peak_after / plan.peak_before : 0;
-  const bool change = gain >= kLeastGain && plan.loaded > 0 &&
-                      plan.peak_before > plan.mean * kTolerablePeak;
+  const bool change =
+      gain >= kLeastGain && plan.loaded > 0 && plan.peak_before > plan.mean * kTolerablePeak;
   log_.Write(event_line("expert.plan")
                  .Add("group", group)
                  .Add("epoch", memory.epoch)
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -252,9 +252,8 @@
   }
   const std::uint64_t version = decoded.value()->version();
   if (catalog_ && version <= catalog_->version()) {
-    log_.Write(event_line("config.ignored")
-                   .Add("version", version)
-                   .Add("in_force", catalog_->version()));
+    log_.Write(
+        event_line("config.ignored").Add("version", version).Add("in_force", catalog_->version()));
     return;
   }
   log_.Write(event_line("config.in_force")
@@ -348,7 +347,7 @@
 result<void> fleet_sync::Register() {
   if (!lease_.empty()) {
     const time_point sent = Now();
-    const auto kept = store_.KeepLease(lease_);
+    auto kept = store_.KeepLease(lease_);
     if (kept)
       lease_renewed_ = sent;
     if (kept || kept.error().code != error_code::kNotFound)
@@ -370,7 +369,8 @@
   bool failing = false;
   while (!stop_.IsSet() && !leaving_) {
     // Callers need no entry that does not know the configuration yet.
-    const auto written = catalog_ ? Register() : result<void>(BOOST_OUTCOME_V2_NAMESPACE::success());
+    const auto written =
+        catalog_ ? Register() : result<void>(BOOST_OUTCOME_V2_NAMESPACE::success());
     if (!written && !failing)
       log_.Write(event_line("registration.failed").Add("reason", written.error().message));
     failing = !written;
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -41,8 +41,8 @@
 constexpr int kServerError = 500;
 
 std::string_view ToString(attempt_outcome outcome) noexcept {
-  constexpr std::array<std::string_view, 7> kNames{
-      "served", "full", "unreachable", "replaced", "failed", "stalled", "abandoned"};
+  constexpr std::array<std::string_view, 7> kNames{"served", "full",    "unreachable", "replaced",
+                                                   "failed", "stalled", "abandoned"};
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
@@ -187,8 +187,7 @@
 milliseconds forward_flow::GapPatience() const {
   if (!route_->MayRepeat())
     return Left();
-  return std::min(Left(),
-                  std::max(route_->event_gap_objective * kGapPatience, kLeastGapPatience));
+  return std::min(Left(), std::max(route_->event_gap_objective * kGapPatience, kLeastGapPatience));
 }
 
 void forward_flow::Forward() {
@@ -246,8 +245,8 @@
   call.cancellation = cancellation_;
   call.fresh_connection = !route_->MayRepeat();
   const std::size_t entries = std::max<std::size_t>(snapshot_->entries.size(), 1);
-  call.most_idle = std::max<std::size_t>(
-      static_cast<std::size_t>(service_->max_connections) / (2 * entries), 1);
+  call.most_idle =
+      std::max<std::size_t>(static_cast<std::size_t>(service_->max_connections) / (2 * entries), 1);
   call.belongs = [this](const http_headers& headers) {
     const answer_head head = shared_.codec.DecodeAnswer(0, headers);
     return head.attempt_id.empty() || head.attempt_id == request_.attempt_id;
@@ -277,7 +276,7 @@
   if (head.wrong_instance || head.not_run) {
     const auto body = stream.ReadSome();  // Frees the connection for the next request.
     report.ran = verdict::kNotRun;
-    report.outcome = head.wrong_instance               ? attempt_outcome::kReplaced
+    report.outcome = head.wrong_instance             ? attempt_outcome::kReplaced
                      : !head.faulty_upstream.empty() ? attempt_outcome::kStalled
                                                      : attempt_outcome::kFull;
     report.reason = "refused with " + std::to_string(stream.status()) +
@@ -319,8 +318,7 @@
       head_sent_ = true;
       status_ = stream.status();
       first_byte_ = Now();
-      client_open =
-          exchange_.StartStream(status_, shared_.codec.EncodeForClient(stream.headers()));
+      client_open = exchange_.StartStream(status_, shared_.codec.EncodeForClient(stream.headers()));
       stream.SetIdleTimeout(GapPatience());
     }
     client_open = client_open && exchange_.Write(whole);
@@ -417,15 +415,16 @@
   if (answer.retry_after.count() > 0) {
     // Clients that were refused together must not come back together.
     const double spread = 0.75 + shared_.random.Unit() / 2;
-    const milliseconds wait(static_cast<std::int64_t>(
-        spread * static_cast<double>(answer.retry_after.count())));
+    const milliseconds wait(
+        static_cast<std::int64_t>(spread * static_cast<double>(answer.retry_after.count())));
     response.headers.Set("Retry-After", Seconds(wait));
   }
   shared_.codec.MarkOwnAnswer(response, request_.attempt_id);
-  response.body = R"({"error":")" + std::string(answer.status == 503   ? "unavailable"
-                                                : answer.status == 404 ? "not-found"
-                                                : answer.status == 401 ? "unauthorized"
-                                                                       : "upstream-failed") +
+  response.body = R"({"error":")" +
+                  std::string(answer.status == 503   ? "unavailable"
+                              : answer.status == 404 ? "not-found"
+                              : answer.status == 401 ? "unauthorized"
+                                                     : "upstream-failed") +
                   "\"}";
   counter& counted = answer.status == 503  ? shared_.metrics.refused
                      : answer.status < 500 ? shared_.metrics.rejected
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "forward_flow.h"
-#include "quincebank/gateway/agent_engine_port.h"
 #include "quincebank/base/clock.h"
+#include "quincebank/gateway/agent_engine_port.h"
 #include "quincebank/routing/entries.h"
 
 namespace quincebank {
@@ -39,10 +39,9 @@
       std::max(kExpectedEntries, static_cast<double>(snapshots.Get()->entries.size()));
   const double burst = settings.repeat_allowance / (2 * entries);
   return repeats
-      .try_emplace(service,
-                   retry_budget_settings{.ratio = settings.repeat_ratio * 0.9,
-                                         .burst = std::max(burst, 1.0),
-                                         .initial = std::max(burst, 1.0)})
+      .try_emplace(service, retry_budget_settings{.ratio = settings.repeat_ratio * 0.9,
+                                                  .burst = std::max(burst, 1.0),
+                                                  .initial = std::max(burst, 1.0)})
       .first->second;
 }
 
@@ -89,16 +88,15 @@
   sync_->AddMethods(rpc_);
   engines_ = std::make_unique<agent_engine_port>(*rpc_client_, settings_.agent_port,
                                                  std::move(engines), log_);
-  steering_ = std::make_unique<expert_steering>(settings_, *sync_, *engines_, log_,
-                                                shared_.snapshots);
+  steering_ =
+      std::make_unique<expert_steering>(settings_, *sync_, *engines_, log_, shared_.snapshots);
   http_limits limits;
   limits.idle_timeout = std::chrono::minutes(5);
-  BOOST_OUTCOME_TRY(clients_, http_server::Listen(
-                                  {&traffic_}, settings_.clients,
-                                  [this](http_exchange& exchange) {
-                                    forward_flow(shared_, exchange).Run();
-                                  },
-                                  limits));
+  BOOST_OUTCOME_TRY(
+      clients_,
+      http_server::Listen(
+          {&traffic_}, settings_.clients,
+          [this](http_exchange& exchange) { forward_flow(shared_, exchange).Run(); }, limits));
   BOOST_OUTCOME_TRY(Listen(settings_.readiness, handlers.readiness));
   BOOST_OUTCOME_TRY(Listen(settings_.directory, handlers.directory));
   BOOST_OUTCOME_TRY(Listen(settings_.metrics, [this](http_exchange& e) { ServeMetrics(e); }));
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -38,7 +38,7 @@
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
-  time_point answered{};  ///< When its last answer ended.
+  time_point answered{};                   ///< When its last answer ended.
   time_point expires = time_point::max();  ///< The server may close it from then on.
 };
 
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -100,14 +100,13 @@
 
   void WatchPeer(std::function<void()> on_gone) override {
     watch_ = std::make_shared<std::function<void()>>(std::move(on_gone));
-    peer_.stream.socket().async_wait(
-        tcp::socket::wait_read,
-        [this, watch = std::weak_ptr(watch_)](boost::system::error_code ec) {
-          const auto call = watch.lock();
-          // Readable without a close means that the peer sent its next request early.
-          if (call && !ec && PeerGone())
-            (*call)();
-        });
+    peer_.stream.socket().async_wait(tcp::socket::wait_read, [this, watch = std::weak_ptr(watch_)](
+                                                                 boost::system::error_code ec) {
+      const auto call = watch.lock();
+      // Readable without a close means that the peer sent its next request early.
+      if (call && !ec && PeerGone())
+        (*call)();
+    });
   }
 
   [[nodiscard]] bool finished() const noexcept { return finished_; }
