Estimate popularity anew after a shift; let groups without a rank rest

Cause: after a shift the averaged counts hid what is popular now, so the first change fitted a mixture; a restarted coordinator waited 3 s for its own old lease; requests went to groups that had lost a rank.

--- a/libs/gateway/include/quincebank/gateway/expert_steering.h
+++ b/libs/gateway/include/quincebank/gateway/expert_steering.h
@@ -8,6 +8,7 @@
 #include "quincebank/base/event_log.h"
 #include "quincebank/expert_control/engine_port.h"
 #include "quincebank/expert_control/map_rollout.h"
+#include "quincebank/experts/shift_detector.h"
 #include "quincebank/gateway/fleet_snapshot.h"
 #include "quincebank/gateway/fleet_sync.h"
 #include "quincebank/net/fiber_thread.h"
@@ -18,8 +19,7 @@
 /// on the control thread; each group has a fiber of its own.
 class expert_steering {
  public:
-  expert_steering(const gateway_settings& settings,
-                  fleet_sync& sync,
+  expert_steering(fleet_sync& sync,
                   engine_port& port,
                   event_log& log,
                   const fleet_snapshot_box& box);
@@ -37,9 +37,8 @@
     std::uint64_t epoch = 0;
     bool recovered = false;
     std::vector<rank_experts> map;  ///< By set and rank; empty if unknown.
-    /// Counts at the last read, and the loads since then, by set.
-    std::map<std::string, std::vector<std::uint64_t>> last_counts;
-    std::vector<std::vector<double>> loads;
+    std::map<std::string, std::vector<std::uint64_t>> last_counts;  ///< By upstream.
+    popularity_window popularity;
   };
   /// Members of one group in one snapshot.
   struct group_view {
@@ -49,16 +48,15 @@
     std::uint64_t epoch = 0;
   };
 
+  [[nodiscard]] static group_memory MakeMemory(std::uint64_t epoch);
   void Loop(fiber_thread& thread);
   void GroupLoop(const std::string& group, group_memory& memory);
-  [[nodiscard]] bool IsCoordinator() const;
   [[nodiscard]] std::map<std::string, group_view> Groups() const;
   void Balance(const std::string& group, const group_view& view, group_memory& memory);
   [[nodiscard]] bool ReadMap(const group_view& view, group_memory& memory);
   /// \brief Adds what the requests of all ranks have chosen since the last read.
   [[nodiscard]] bool ReadCounts(const group_view& view, group_memory& memory);
 
-  const gateway_settings& settings_;
   fleet_sync& sync_;
   engine_port& port_;
   event_log& log_;
--- a/libs/gateway/include/quincebank/gateway/fleet_snapshot.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_snapshot.h
@@ -26,7 +26,6 @@
   std::map<std::string, std::vector<known_upstream>, std::less<>> upstreams;  ///< By service.
   std::set<std::string, std::less<>> evacuated;  ///< Failure domains that get no requests.
   std::vector<entry_record> entries;
-  std::string coordinator;  ///< Entry that rebalances experts; empty if there is none.
   std::uint64_t store_revision = 0;
 };
 
--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -40,6 +40,8 @@
   void Leave();
   /// \brief Tries to become the one entry that rebalances experts.
   void ClaimCoordination();
+  /// \brief Whether this incarnation of the entry is the coordinator.
+  [[nodiscard]] bool IsCoordinator() const;
   /// \brief Whether this entry's registration, and so its role, surely stands.
   [[nodiscard]] bool RegistrationHolds() const;
   /// \brief Ends the loops.
@@ -56,6 +58,7 @@
   void TakeCatalog(const store_item& item);
   void TakeUpstream(const std::string& key, const store_item* item);
   void Publish();
+  [[nodiscard]] std::string CoordinatorName() const;
   [[nodiscard]] result<void> Register();
   [[nodiscard]] std::string Registration() const;
   [[nodiscard]] std::vector<entry_record> Entries() const;
--- a/libs/gateway/include/quincebank/gateway/shared_store.h
+++ b/libs/gateway/include/quincebank/gateway/shared_store.h
@@ -34,6 +34,11 @@
   [[nodiscard]] virtual result<bool> Create(std::string_view key,
                                             std::string_view value,
                                             std::string_view lease) = 0;
+  /// \brief Writes a key whose last change is still that of `expected`.
+  /// \returns False if it has changed.
+  [[nodiscard]] virtual result<bool> Replace(const store_item& expected,
+                                             std::string_view value,
+                                             std::string_view lease) = 0;
   /// \brief Writes a key whatever its state, removed when the lease ends.
   [[nodiscard]] virtual result<void> Put(std::string_view key,
                                          std::string_view value,
--- a/libs/gateway/src/expert_steering.cc
+++ b/libs/gateway/src/expert_steering.cc
@@ -13,39 +13,62 @@
 // Between looks for groups without a coordinator.
 constexpr milliseconds kLook{250};
 // Between reads of one group's counts.
-constexpr milliseconds kCountPeriod{200};
-// Weight that older counts keep at each read.
-constexpr double kKeptShare = 0.6;
-// With fewer choices in a set the loads say little.
-constexpr double kLeastChoices = 3'000;
+constexpr milliseconds kCountPeriod{140};
 // Least part of the expert time that a change of the map must save.
 constexpr double kLeastGain = 0.12;
 // Peaks up to this multiple of the mean load are left alone.
-constexpr double kTolerablePeak = 1.3;
-// Experts that one rank may load for a change: popularity moves on while they load.
-constexpr int kLoadsPerRank = 3;
+constexpr double kTolerablePeak = 1.35;
+// Experts that one rank may load for a change.
+constexpr int kMostLoadsPerRank = 4;
+// Time of a change beside the loading of experts.
+constexpr milliseconds kSwitchTime{180};
+// How long a map is expected to fit: popularity shifts every few seconds at the busiest sites.
+constexpr milliseconds kPlanHorizon{2'500};
 
 /// Adds what was chosen between two reads of one rank.
 void AddCounts(const std::vector<std::uint64_t>& now,
                std::vector<std::uint64_t>& before,
-               std::vector<std::vector<double>>& loads) {
+               std::vector<std::vector<double>>& window) {
   const bool first = before.size() != now.size();
   for (std::size_t at = 0; !first && at < now.size(); ++at) {
-    const std::size_t experts = loads.front().size();
-    loads[at / experts][at % experts] +=
+    const std::size_t experts = window.front().size();
+    window[at / experts][at % experts] +=
         static_cast<double>(now[at] - std::min(before[at], now[at]));
   }
   before = now;
 }
 
+/// Chooses how many experts each rank loads: more loads even the ranks out better, but later.
+even_share_plan BestPlan(const engine_profile& profile,
+                         std::size_t ranks,
+                         const std::vector<rank_experts>& map,
+                         const std::vector<std::vector<double>>& loads) {
+  std::optional<even_share_plan> best;
+  double best_cost = 0;
+  for (int per_rank = 1; per_rank <= kMostLoadsPerRank; ++per_rank) {
+    even_share_plan plan = PlanEvenShares({static_cast<int>(ranks), profile.experts_per_set,
+                                           profile.places_per_rank, profile.new_experts_per_plan,
+                                           per_rank},
+                                          map, loads);
+    const milliseconds delay = kSwitchTime + per_rank * profile.expert_load_time;
+    const double before = std::min(1.0, static_cast<double>(delay.count()) /
+                                            static_cast<double>(kPlanHorizon.count()));
+    const double cost = before * plan.peak_before + (1 - before) * plan.peak_after;
+    if (best && cost >= best_cost)
+      continue;
+    best = std::move(plan);
+    best_cost = cost;
+  }
+  return std::move(*best);
+}
+
 }  // namespace
 
-expert_steering::expert_steering(const gateway_settings& settings,
-                                 fleet_sync& sync,
+expert_steering::expert_steering(fleet_sync& sync,
                                  engine_port& port,
                                  event_log& log,
                                  const fleet_snapshot_box& box)
-    : settings_(settings), sync_(sync), port_(port), log_(log), box_(box) {}
+    : sync_(sync), port_(port), log_(log), box_(box) {}
 
 void expert_steering::Start(fiber_thread& thread) {
   thread.Spawn([this, &thread] { Loop(thread); });
@@ -55,10 +78,6 @@
   stop_.Set();
 }
 
-bool expert_steering::IsCoordinator() const {
-  return sync_.RegistrationHolds() && box_.Get()->coordinator == settings_.name;
-}
-
 std::map<std::string, expert_steering::group_view> expert_steering::Groups() const {
   std::map<std::string, group_view> groups;
   const auto snapshot = box_.Get();
@@ -95,12 +114,10 @@
     const auto groups = Groups();
     if (groups.empty())
       continue;
-    if (box_.Get()->coordinator.empty()) {
+    if (!sync_.IsCoordinator()) {
       sync_.ClaimCoordination();
       continue;
     }
-    if (!IsCoordinator())
-      continue;
     for (const auto& [name, view] : groups) {
       group_memory& memory = groups_[name];
       if (memory.running)
@@ -115,9 +132,9 @@
 }
 
 void expert_steering::GroupLoop(const std::string& group, group_memory& memory) {
-  memory = {.running = true};
+  memory = MakeMemory(0);
   log_.Write(event_line("expert.steering").Add("group", group));
-  while (!stop_.WaitFor(kCountPeriod) && IsCoordinator()) {
+  while (!stop_.WaitFor(kCountPeriod) && sync_.IsCoordinator()) {
     const auto groups = Groups();
     const auto found = groups.find(group);
     if (found == groups.end())
@@ -126,6 +143,13 @@
   }
 }
 
+expert_steering::group_memory expert_steering::MakeMemory(std::uint64_t epoch) {
+  group_memory memory;
+  memory.running = true;
+  memory.epoch = epoch;
+  return memory;
+}
+
 void expert_steering::Balance(const std::string& group,
                               const group_view& view,
                               group_memory& memory) {
@@ -133,7 +157,7 @@
       port_, {[] { return Now(); }, [](milliseconds time) { boost::this_fiber::sleep_for(time); }},
       log_);
   if (memory.epoch != view.epoch) {
-    memory = {.running = true, .epoch = view.epoch};
+    memory = MakeMemory(view.epoch);
     ++changing_;
     const rollout_outcome recovered = rollout.Recover(view.ranks);
     --changing_;
@@ -146,10 +170,8 @@
     return;
   if (!ReadCounts(view, memory))
     return;
-  const even_share_shape shape{static_cast<int>(view.ranks.size()), view.profile.experts_per_set,
-                               view.profile.places_per_rank, view.profile.new_experts_per_plan,
-                               kLoadsPerRank};
-  const even_share_plan plan = PlanEvenShares(shape, memory.map, memory.loads);
+  const even_share_plan plan =
+      BestPlan(view.profile, view.ranks.size(), memory.map, memory.popularity.loads());
   const double gain = plan.peak_before > 0 ? 1 - plan.peak_after / plan.peak_before : 0;
   const bool change =
       gain >= kLeastGain && plan.loaded > 0 && plan.peak_before > plan.mean * kTolerablePeak;
@@ -158,6 +180,7 @@
                  .Add("epoch", memory.epoch)
                  .Add("peak_before", plan.peak_before / plan.mean)
                  .Add("peak_after", plan.peak_after / plan.mean)
+                 .Add("moved", memory.popularity.moved())
                  .Add("loaded", plan.loaded)
                  .Add("change", change));
   if (!change)
@@ -172,7 +195,7 @@
   if (outcome == rollout_outcome::kSwitched)
     memory.map = plan.sets;
   else if (outcome != rollout_outcome::kUnchanged)
-    memory = {.running = true};
+    memory = MakeMemory(0);
 }
 
 bool expert_steering::ReadMap(const group_view& view, group_memory& memory) {
@@ -199,7 +222,7 @@
       continue;
     const even_share_shape shape{static_cast<int>(view.ranks.size()), view.profile.experts_per_set,
                                  view.profile.places_per_rank, view.profile.new_experts_per_plan,
-                                 kLoadsPerRank};
+                                 kMostLoadsPerRank};
     map.assign(sets, InitialExperts(shape));
     break;
   }
@@ -210,21 +233,20 @@
 bool expert_steering::ReadCounts(const group_view& view, group_memory& memory) {
   const auto sets = static_cast<std::size_t>(view.profile.expert_sets);
   const auto experts = static_cast<std::size_t>(view.profile.experts_per_set);
-  if (memory.loads.empty())
-    memory.loads.assign(sets, std::vector<double>(experts, 0));
-  for (std::vector<double>& loads : memory.loads) {
-    for (double& load : loads)
-      load *= kKeptShare;
-  }
+  std::vector<std::vector<double>> window(sets, std::vector<double>(experts, 0));
   const auto read = port_.Counts(view.ranks);
   for (std::size_t i = 0; i < read.size(); ++i) {
     if (!read[i] || read[i].value().epoch != memory.epoch ||
         read[i].value().counts.size() != sets * experts)
       continue;
-    AddCounts(read[i].value().counts, memory.last_counts[view.ranks[i]->id], memory.loads);
+    AddCounts(read[i].value().counts, memory.last_counts[view.ranks[i]->id], window);
+  }
+  if (memory.popularity.Add(window)) {
+    log_.Write(event_line("expert.shift")
+                   .Add("epoch", memory.epoch)
+                   .Add("moved", memory.popularity.moved()));
   }
-  const std::vector<double>& some = memory.loads.front();
-  return std::accumulate(some.begin(), some.end(), 0.0) >= kLeastChoices;
+  return memory.popularity.known();
 }
 
 }  // namespace quincebank
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -6,6 +6,7 @@
 
 #include "quincebank/base/clock.h"
 #include "quincebank/base/digest.h"
+#include "quincebank/base/ids.h"
 #include "quincebank/base/json_reader.h"
 
 namespace quincebank {
@@ -20,6 +21,8 @@
 // Pause after a failed read of the store; doubles up to the last one.
 constexpr milliseconds kFirstRetry{100};
 constexpr milliseconds kLastRetry{800};
+// Between a watch that has returned changes and the next one.
+constexpr milliseconds kWatchPause{120};
 // Renewals in one time to live, so that two may be lost.
 constexpr int kRenewalsPerLease = 3;
 // Between checks for removals whose grace period is over.
@@ -128,6 +131,9 @@
       NoteStore(true, "answered");
       Take(update.value(), true);
       pause = kFirstRetry;
+      // Changes come in bursts, and each watch that returns is a call.
+      if (!update.value().events.empty() && stop_.WaitFor(kWatchPause))
+        return;
       continue;
     }
     if (update.error().code == error_code::kStale) {
@@ -331,8 +337,6 @@
       snapshot->evacuated.emplace(codec_.DecodeEvacuation(item.key));
   });
   snapshot->entries = Entries();
-  if (const store_item* const coordinator = mirror_.Find(kCoordinatorKey))
-    snapshot->coordinator = coordinator->value;
   box_.Set(std::move(snapshot));
 }
 
@@ -383,16 +387,31 @@
   return !lease_.empty() && !leaving_ && Now() - lease_renewed_ < settings_.lease;
 }
 
+std::string fleet_sync::CoordinatorName() const {
+  return settings_.name + "/" + ToString(incarnation{incarnation_});
+}
+
+bool fleet_sync::IsCoordinator() const {
+  const store_item* const holder = mirror_.Find(kCoordinatorKey);
+  return RegistrationHolds() && holder != nullptr && holder->value == CoordinatorName();
+}
+
 void fleet_sync::ClaimCoordination() {
-  if (!RegistrationHolds() || mirror_.Find(kCoordinatorKey) != nullptr)
+  const store_item* const holder = mirror_.Find(kCoordinatorKey);
+  if (!RegistrationHolds() || IsCoordinator())
+    return;
+  // An earlier incarnation of this entry is dead, although its lease has not ended yet.
+  const bool own = holder != nullptr && holder->value.starts_with(settings_.name + "/");
+  if (holder != nullptr && !own)
     return;
-  const auto created = store_.Create(kCoordinatorKey, settings_.name, lease_);
+  const auto claimed = own ? store_.Replace(*holder, CoordinatorName(), lease_)
+                           : store_.Create(kCoordinatorKey, CoordinatorName(), lease_);
   event_line line("coordinator.claim");
   line.Add("revision", mirror_.revision());
-  if (created)
-    line.Add("claimed", created.value());
+  if (claimed)
+    line.Add("claimed", claimed.value());
   else
-    line.Add("reason", created.error().message);
+    line.Add("reason", claimed.error().message);
   log_.Write(std::move(line));
 }
 
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -150,7 +150,7 @@
     view.slots = std::max(record.slots, 1);
     view.limit = view.slots + static_cast<int>(view.slots * kQueueShare);
     view.failure_share = upstream.evidence->failure_share();
-    view.rests = upstream.evidence->Rests(now);
+    view.rests = upstream.evidence->Rests(now) || (record.group && !record.group->open);
     view.rests_until = upstream.evidence->rests_until();
     view.on_trial = upstream.evidence->on_trial();
     view.rate_limited = !upstream.evidence->Allows(limit, now);
@@ -214,6 +214,8 @@
       shared_.metrics.resumed.Add();
     last = Send(*upstream);
     upstream->evidence->OnEnd(last.outcome, Now());
+    if (last.group_stalled)
+      RestGroup(*upstream);
     LogAttempt(*upstream, last, std::chrono::duration_cast<milliseconds>(Now() - sent));
     ran_ = Combine(ran_, last.ran);
     runs_ += last.ran == verdict::kNotRun ? 0 : 1;
@@ -224,6 +226,17 @@
   Finish(last);
 }
 
+void forward_flow::RestGroup(const known_upstream& upstream) const {
+  const auto& group = upstream.record.group;
+  const auto found = snapshot_->upstreams.find(upstream.record.service);
+  if (!group || found == snapshot_->upstreams.end())
+    return;
+  for (const known_upstream& member : found->second) {
+    if (member.record.group && member.record.group->group == group->group)
+      member.evidence->OnGroupStalled(Now());
+  }
+}
+
 bool forward_flow::MayRepeat(const attempt_report& report) {
   if (sends_ >= kMostSends || Left() < kLeastTime)
     return false;
@@ -279,6 +292,7 @@
     report.outcome = head.wrong_instance             ? attempt_outcome::kReplaced
                      : !head.faulty_upstream.empty() ? attempt_outcome::kStalled
                                                      : attempt_outcome::kFull;
+    report.group_stalled = report.outcome == attempt_outcome::kStalled;
     report.reason = "refused with " + std::to_string(stream.status()) +
                     (body ? "" : ", " + body.error().message);
     return report;
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -16,7 +16,8 @@
 struct attempt_report {
   attempt_outcome outcome = attempt_outcome::kFailed;
   verdict ran = verdict::kMayHaveRun;
-  bool delivered = false;  ///< The client has the whole answer.
+  bool delivered = false;     ///< The client has the whole answer.
+  bool group_stalled = false;  ///< A rank of the upstream's group is gone.
   std::string reason;
   std::optional<http_response> failure;  ///< The upstream's own failure, to be passed on at last.
 };
@@ -55,6 +56,8 @@
   [[nodiscard]] attempt_report TakeWhole(http_stream& stream);
   [[nodiscard]] attempt_report LostAnswer(const error& failure) const;
   [[nodiscard]] bool MayRepeat(const attempt_report& report);
+  /// \brief Lets the other ranks of an upstream's group rest.
+  void RestGroup(const known_upstream& upstream) const;
   void Finish(const attempt_report& last);
   void Answer(const own_answer& answer);
   void LogEnd(std::string_view outcome, int status, std::string_view reason);
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -89,7 +89,7 @@
   engines_ = std::make_unique<agent_engine_port>(*rpc_client_, settings_.agent_port,
                                                  std::move(engines), log_);
   steering_ =
-      std::make_unique<expert_steering>(settings_, *sync_, *engines_, log_, shared_.snapshots);
+      std::make_unique<expert_steering>(*sync_, *engines_, log_, shared_.snapshots);
   http_limits limits;
   limits.idle_timeout = std::chrono::minutes(5);
   BOOST_OUTCOME_TRY(
--- a/libs/placement/include/quincebank/placement/upstream_evidence.h
+++ b/libs/placement/include/quincebank/placement/upstream_evidence.h
@@ -25,6 +25,9 @@
   void OnSend(const send_limit& limit, time_point now);
   void OnEnd(attempt_outcome outcome, time_point now);
 
+  /// \brief Another rank of its group is gone, so that it can't serve for a while.
+  void OnGroupStalled(time_point now);
+
   [[nodiscard]] bool Allows(const send_limit& limit, time_point now) const noexcept {
     return window_.Allows(limit, now);
   }
--- a/libs/placement/src/upstream_evidence.cc
+++ b/libs/placement/src/upstream_evidence.cc
@@ -33,6 +33,10 @@
   on_trial_ = true;
 }
 
+void upstream_evidence::OnGroupStalled(time_point now) {
+  rests_until_ = std::max(rests_until_, now + kStalledRest);
+}
+
 void upstream_evidence::OnEnd(attempt_outcome outcome, time_point now) {
   --in_flight_;
   const bool failed = outcome == attempt_outcome::kFailed ||
