--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -58,6 +58,8 @@
   void TakeCatalog(const store_item& item);
   void TakeUpstream(const std::string& key, const store_item* item);
   void Publish();
+  /// \brief Sets the shares of this entry in what the upstreams can take when cold.
+  void ShareLimits(fleet_snapshot& snapshot) const;
   [[nodiscard]] std::string CoordinatorName() const;
   [[nodiscard]] result<void> Register();
   [[nodiscard]] std::string Registration() const;
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -23,6 +23,8 @@
 constexpr milliseconds kLastRetry{800};
 // Between a watch that has returned changes and the next one.
 constexpr milliseconds kWatchPause{120};
+// Entries that may join before this one knows them, for each known one.
+constexpr double kUnknownEntries = 0.5;
 // Renewals in one time to live, so that two may be lost.
 constexpr int kRenewalsPerLease = 3;
 // Between checks for removals whose grace period is over.
@@ -337,9 +339,36 @@
       snapshot->evacuated.emplace(codec_.DecodeEvacuation(item.key));
   });
   snapshot->entries = Entries();
+  ShareLimits(*snapshot);
   box_.Set(std::move(snapshot));
 }
 
+void fleet_sync::ShareLimits(fleet_snapshot& snapshot) const {
+  if (!catalog_)
+    return;
+  std::vector<std::string> entries;
+  entries.reserve(snapshot.entries.size());
+  for (const entry_record& entry : snapshot.entries)
+    entries.push_back(entry.name);
+  const auto expected = static_cast<std::size_t>(
+      static_cast<double>(std::max<std::size_t>(entries.size(), 1)) * (1 + kUnknownEntries) + 1);
+  for (auto& [service, upstreams] : snapshot.upstreams) {
+    const service_rule* const rule = catalog_->FindService(service);
+    if (rule == nullptr || rule->cold_requests_per_s <= 0)
+      continue;
+    const send_limit limit = ShareOfColdLimit(
+        rule->cold_requests_per_s * settings_.cold_factor + settings_.cold_allowance, expected);
+    // The rest of the limit is for entries whose lists differ while an entry joins.
+    const auto senders = static_cast<std::size_t>(static_cast<double>(limit.senders) /
+                                                  (1 + kUnknownEntries));
+    for (known_upstream& upstream : upstreams) {
+      upstream.limit = limit;
+      upstream.sender =
+          limit.senders == 0 || IsSender(upstream.record.id, settings_.name, entries, senders);
+    }
+  }
+}
+
 std::string fleet_sync::Registration() const {
   return json::serialize(json::object{{"name", settings_.name},
                                       {"incarnation", incarnation_ >> 1U},
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -29,8 +29,6 @@
 // A client gives a stream up after a gap of this many gap objectives.
 constexpr int kGapPatience = 8;
 constexpr milliseconds kLeastGapPatience{800};
-// Entries that may join before this one knows them, for each known one.
-constexpr double kUnknownEntries = 0.5;
 // Larger answers are refused: all of an answer is held until it is known to be complete.
 constexpr std::size_t kMostAnswerBytes = std::size_t{16} * 1024 * 1024;
 // When a client that was refused should come back: soon for a short burst, later if nothing can
@@ -121,20 +119,9 @@
   return std::nullopt;
 }
 
-send_limit forward_flow::LimitOf(const fleet_snapshot& snapshot,
-                                 const service_rule& service) const {
-  if (service.cold_requests_per_s <= 0)
-    return {};
-  const auto entries = std::max<std::size_t>(snapshot.entries.size(), 1);
-  return ShareOfColdLimit(
-      service.cold_requests_per_s * shared_.settings.cold_factor + shared_.settings.cold_allowance,
-      static_cast<std::size_t>(static_cast<double>(entries) * (1 + kUnknownEntries) + 1));
-}
-
 placement forward_flow::Place(const fleet_snapshot& snapshot,
                               std::vector<const known_upstream*>& candidates) {
   const time_point now = Now();
-  const send_limit limit = LimitOf(snapshot, *service_);
   std::vector<placement_candidate> views;
   const auto found = snapshot.upstreams.find(service_->name);
   if (found == snapshot.upstreams.end())
@@ -153,7 +140,7 @@
     view.rests = upstream.evidence->Rests(now) || (record.group && !record.group->open);
     view.rests_until = upstream.evidence->rests_until();
     view.on_trial = upstream.evidence->on_trial();
-    view.rate_limited = !upstream.evidence->Allows(limit, now);
+    view.rate_limited = !upstream.sender || !upstream.evidence->Allows(upstream.limit, now);
     view.same_domain = record.failure_domain == shared_.settings.failure_domain;
     candidates.push_back(&upstream);
     views.push_back(view);
@@ -205,8 +192,7 @@
       break;
     }
     const time_point sent = Now();
-    const auto limit = LimitOf(*snapshot_, *service_);
-    upstream->evidence->OnSend(limit, sent);
+    upstream->evidence->OnSend(upstream->limit, sent);
     ++sends_;
     if (sends_ > 1)
       shared_.metrics.repeats.Add();
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -48,8 +48,6 @@
   [[nodiscard]] std::optional<known_upstream> WaitForUpstream();
   [[nodiscard]] placement Place(const fleet_snapshot& snapshot,
                                 std::vector<const known_upstream*>& candidates);
-  [[nodiscard]] send_limit LimitOf(const fleet_snapshot& snapshot,
-                                   const service_rule& service) const;
   [[nodiscard]] attempt_report Send(const known_upstream& upstream);
   [[nodiscard]] attempt_report TakeAnswer(http_stream& stream);
   [[nodiscard]] attempt_report TakeStream(http_stream& stream);
--- a/libs/placement/include/quincebank/placement/send_window.h
+++ b/libs/placement/include/quincebank/placement/send_window.h
@@ -2,6 +2,9 @@
 
 #include <cstddef>
 #include <deque>
+#include <span>
+#include <string>
+#include <string_view>
 
 #include "quincebank/base/time.h"
 
@@ -11,6 +14,8 @@
 struct send_limit {
   std::size_t requests = 0;  ///< 0: no limit.
   milliseconds window{1'000};
+  /// Entries that may send at all, where there are more entries than requests in a second; 0: all.
+  std::size_t senders = 0;
 };
 
 /// \brief Divides what a cold upstream can take from all entries among them.
@@ -22,6 +27,14 @@
 /// \param entries  entries that may send, those that are about to join included.
 [[nodiscard]] send_limit ShareOfColdLimit(double per_second, std::size_t entries) noexcept;
 
+/// \brief Whether an entry is one of the `senders` entries that may send to an upstream.
+///
+/// All entries with the same list choose the same ones, and each upstream has others.
+[[nodiscard]] bool IsSender(std::string_view upstream,
+                            std::string_view self,
+                            std::span<const std::string> entries,
+                            std::size_t senders) noexcept;
+
 /// \brief Times of the last requests sent to one upstream.
 class send_window {
  public:
--- a/libs/placement/src/send_window.cc
+++ b/libs/placement/src/send_window.cc
@@ -1,7 +1,8 @@
 #include "quincebank/placement/send_window.h"
 
 #include <algorithm>
-#include <cmath>
+
+#include "quincebank/membership/rendezvous.h"
 
 namespace quincebank {
 namespace {
@@ -17,8 +18,21 @@
   const double share = per_second / static_cast<double>(std::max<std::size_t>(entries, 1));
   if (share >= 1)
     return {static_cast<std::size_t>(share), kWindow};
-  const double windows = std::ceil(1 / share);
-  return {1, milliseconds(static_cast<std::int64_t>(windows * kWindow.count()))};
+  // Entries that send rarely might still all send in the same second, so only some may send.
+  return {1, kWindow, std::max<std::size_t>(static_cast<std::size_t>(per_second), 1)};
+}
+
+bool IsSender(std::string_view upstream,
+              std::string_view self,
+              std::span<const std::string> entries,
+              std::size_t senders) noexcept {
+  if (senders == 0)
+    return true;
+  const std::uint64_t own = RendezvousScore(upstream, self);
+  const auto before = std::count_if(entries.begin(), entries.end(), [&](const std::string& entry) {
+    return entry != self && RendezvousScore(upstream, entry) > own;
+  });
+  return static_cast<std::size_t>(before) < senders;
 }
 
 bool send_window::Allows(const send_limit& limit, time_point now) const noexcept {
--- /dev/null
+++ b/libs/placement/tests/placement_test.cc
@@ -0,0 +1,176 @@
+#include <gtest/gtest.h>
+
+#include <functional>
+
+#include "quincebank/placement/choose_upstream.h"
+#include "quincebank/placement/send_window.h"
+#include "quincebank/placement/upstream_evidence.h"
+
+namespace quincebank {
+namespace {
+
+constexpr time_point kStart{std::chrono::hours(1)};
+
+placement_candidate Candidate(const std::function<void(placement_candidate&)>& change = {}) {
+  placement_candidate candidate;
+  candidate.slots = 4;
+  candidate.limit = 6;
+  if (change)
+    change(candidate);
+  return candidate;
+}
+
+struct choice_case {
+  const char* name;
+  std::vector<placement_candidate> candidates;
+  std::optional<std::size_t> chosen;
+  placement_obstacle obstacle;
+  bool resting = false;
+};
+
+class choose_upstream_test : public testing::TestWithParam<choice_case> {};
+
+TEST_P(choose_upstream_test, ChoosesTheShortestExpectedWait) {
+  random_source random(1);
+  const placement placed = ChooseUpstream(GetParam().candidates, random);
+  EXPECT_EQ(placed.chosen, GetParam().chosen);
+  EXPECT_EQ(placed.obstacle, GetParam().obstacle);
+  EXPECT_EQ(placed.resting, GetParam().resting);
+}
+
+const auto kBusy = [](placement_candidate& c) { c.in_flight = 3; };
+const auto kFull = [](placement_candidate& c) { c.in_flight = 6; };
+const auto kFailing = [](placement_candidate& c) { c.failure_share = 0.5; };
+const auto kResting = [](placement_candidate& c) {
+  c.rests = true;
+  c.rests_until = kStart + seconds(2);
+};
+const auto kRestingLess = [](placement_candidate& c) {
+  c.rests = true;
+  c.rests_until = kStart + seconds(1);
+};
+const auto kCold = [](placement_candidate& c) { c.rate_limited = true; };
+const auto kTrial = [](placement_candidate& c) {
+  c.on_trial = true;
+  c.in_flight = 1;
+};
+const auto kNear = [](placement_candidate& c) { c.same_domain = true; };
+
+INSTANTIATE_TEST_SUITE_P(
+    loads,
+    choose_upstream_test,
+    testing::Values(
+        choice_case{"none", {}, std::nullopt, placement_obstacle::kNoUpstream},
+        choice_case{"least_loaded", {Candidate(kBusy), Candidate()}, 1, placement_obstacle::kNone},
+        choice_case{"all_full", {Candidate(kFull)}, std::nullopt, placement_obstacle::kFull},
+        choice_case{"cold", {Candidate(kCold)}, std::nullopt, placement_obstacle::kRateLimited},
+        choice_case{"cold_and_full", {Candidate(kCold), Candidate(kFull)}, std::nullopt,
+                    placement_obstacle::kRateLimited},
+        // Grey upstreams: a busy sound one is better than an idle one that fails half the time.
+        choice_case{"grey", {Candidate(kFailing), Candidate([](auto& c) { c.in_flight = 1; })}, 1,
+                    placement_obstacle::kNone},
+        choice_case{"resting", {Candidate(kResting), Candidate(kBusy)}, 1,
+                    placement_obstacle::kNone},
+        choice_case{"only_resting", {Candidate(kResting), Candidate(kRestingLess)}, 1,
+                    placement_obstacle::kNone, true},
+        choice_case{"trial", {Candidate(kTrial), Candidate(kBusy)}, 1, placement_obstacle::kNone},
+        choice_case{"near", {Candidate(), Candidate(kNear)}, 1, placement_obstacle::kNone}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// Guards against equal upstreams that are filled one after the other by all entries at once.
+TEST(choose_upstream, DrawsAmongEquals) {
+  const std::vector<placement_candidate> equals(4, Candidate());
+  std::vector<int> chosen(equals.size(), 0);
+  random_source random(7);
+  for (int i = 0; i < 400; ++i)
+    ++chosen[ChooseUpstream(equals, random).chosen.value()];
+  for (const int count : chosen)
+    EXPECT_GT(count, 50);
+}
+
+struct share_case {
+  const char* name;
+  double per_second;
+  std::size_t entries;
+};
+
+class cold_share_test : public testing::TestWithParam<share_case> {};
+
+// Guards against a cold upstream that gets too much in some second from all entries together.
+TEST_P(cold_share_test, AllEntriesTogetherKeepTheLimit) {
+  const send_limit limit = ShareOfColdLimit(GetParam().per_second, GetParam().entries);
+  std::vector<std::string> entries;
+  for (std::size_t i = 0; i < GetParam().entries; ++i)
+    entries.push_back("entry-" + std::to_string(i));
+  std::vector<send_window> windows(entries.size());
+  std::vector<time_point> sent;
+  for (milliseconds at{0}; at < seconds(10); at += milliseconds(3)) {
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+      if (!IsSender("upstream", entries[i], entries, limit.senders) ||
+          !windows[i].Allows(limit, kStart + at))
+        continue;
+      windows[i].OnSend(limit, kStart + at);
+      sent.push_back(kStart + at);
+    }
+  }
+  ASSERT_FALSE(sent.empty());
+  const auto most = static_cast<std::size_t>(GetParam().per_second);
+  for (std::size_t first = 0; first + most < sent.size(); ++first)
+    ASSERT_GE(sent[first + most] - sent[first], seconds(1)) << "from send " << first;
+}
+
+INSTANTIATE_TEST_SUITE_P(shares,
+                         cold_share_test,
+                         testing::Values(share_case{"today", 59, 9},
+                                         share_case{"many_entries", 50, 44},
+                                         share_case{"less_than_one_each", 20, 64},
+                                         share_case{"target_size", 59, 400},
+                                         share_case{"alone", 59, 1}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+TEST(upstream_evidence, RestsAfterItCouldNotBeReachedAndReturnsOnTrial) {
+  upstream_evidence evidence;
+  evidence.OnSend({}, kStart);
+  evidence.OnEnd(attempt_outcome::kUnreachable, kStart);
+  EXPECT_TRUE(evidence.Rests(kStart + milliseconds(300)));
+  EXPECT_FALSE(evidence.Rests(kStart + milliseconds(500)));
+  EXPECT_TRUE(evidence.on_trial());
+  evidence.OnSend({}, kStart + milliseconds(500));
+  evidence.OnEnd(attempt_outcome::kServed, kStart + milliseconds(600));
+  EXPECT_FALSE(evidence.on_trial());
+}
+
+// Guards against a flapping upstream that is tried at full rate after each short rest.
+TEST(upstream_evidence, RestsGrowWhileItStaysUnreachable) {
+  upstream_evidence evidence;
+  time_point now = kStart;
+  milliseconds last{0};
+  for (int i = 0; i < 4; ++i) {
+    evidence.OnSend({}, now);
+    evidence.OnEnd(attempt_outcome::kUnreachable, now);
+    const auto rest = std::chrono::duration_cast<milliseconds>(evidence.rests_until() - now);
+    EXPECT_GT(rest, last);
+    last = rest;
+    now = evidence.rests_until();
+  }
+}
+
+// A single failure is common, so that resting for it would cost capacity.
+TEST(upstream_evidence, OneFailureOnlyRaisesTheFailureShare) {
+  upstream_evidence evidence;
+  evidence.OnSend({}, kStart);
+  evidence.OnEnd(attempt_outcome::kFailed, kStart);
+  EXPECT_FALSE(evidence.Rests(kStart));
+  EXPECT_GT(evidence.failure_share(), 0);
+}
+
+TEST(upstream_evidence, AClientThatLeavesSaysNothing) {
+  upstream_evidence evidence;
+  evidence.OnSend({}, kStart);
+  evidence.OnEnd(attempt_outcome::kAbandoned, kStart);
+  EXPECT_EQ(evidence.failure_share(), 0);
+  EXPECT_EQ(evidence.in_flight(), 0);
+}
+
+}  // namespace
+}  // namespace quincebank
