--- a/libs/gateway/include/quincebank/gateway/expert_steering.h
+++ b/libs/gateway/include/quincebank/gateway/expert_steering.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -25,11 +26,10 @@
                   const fleet_snapshot_box& box);
 
   void Start(fiber_thread& thread);
-  /// \brief Ends the loops; a change under way is finished first.
+  /// \brief Begins no further change of a map.
   void Stop();
-  /// \brief Whether a change of a map is under way.
-  [[nodiscard]] bool busy() const noexcept { return changing_ > 0; }
-
+  /// \brief Waits until a change under way is finished. Call after `Stop`, from another thread.
+  void Join() const;
  private:
   /// What is known of one group.
   struct group_memory {
@@ -62,7 +62,7 @@
   event_log& log_;
   const fleet_snapshot_box& box_;
   stop_signal stop_;
-  int changing_ = 0;
+  std::atomic<int> running_{0};  ///< Fibers that have not ended.
   std::map<std::string, group_memory> groups_;
 };
 
--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <map>
 #include <optional>
 #include <string>
@@ -44,7 +45,7 @@
   [[nodiscard]] bool IsCoordinator() const;
   /// \brief Whether this entry's registration, and so its role, surely stands.
   [[nodiscard]] bool RegistrationHolds() const;
-  /// \brief Ends the loops.
+  /// \brief Ends the loops and waits for them; a watch may last its whole time.
   void Stop();
 
  private:
@@ -74,6 +75,7 @@
   fleet_snapshot_box& box_;
   const std::uint64_t incarnation_;
   stop_signal stop_;
+  std::atomic<int> running_{0};  ///< Loops that have not ended.
   store_mirror mirror_;
   ref_ptr<const service_catalog> catalog_;
   std::map<std::string, known_upstream, std::less<>> upstreams_;  ///< By key.
--- a/libs/gateway/src/expert_steering.cc
+++ b/libs/gateway/src/expert_steering.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
 #include <numeric>
+#include <thread>
 #include <utility>
 
 #include "quincebank/base/clock.h"
@@ -71,7 +72,17 @@
     : sync_(sync), port_(port), log_(log), box_(box) {}
 
 void expert_steering::Start(fiber_thread& thread) {
-  thread.Spawn([this, &thread] { Loop(thread); });
+  ++running_;
+  thread.Spawn([this, &thread] {
+    Loop(thread);
+    --running_;
+  });
+}
+
+void expert_steering::Join() const {
+  constexpr milliseconds kPoll{2};
+  while (running_ > 0)
+    std::this_thread::sleep_for(kPoll);
 }
 
 void expert_steering::Stop() {
@@ -123,9 +134,11 @@
       if (memory.running)
         continue;
       memory.running = true;
+      ++running_;
       thread.Spawn([this, group = name, &memory] {
         GroupLoop(group, memory);
         memory.running = false;
+        --running_;
       });
     }
   }
@@ -158,10 +171,8 @@
       log_);
   if (memory.epoch != view.epoch) {
     memory = MakeMemory(view.epoch);
-    ++changing_;
-    const rollout_outcome recovered = rollout.Recover(view.ranks);
-    --changing_;
-    memory.recovered = recovered == rollout_outcome::kUnchanged;
+      const rollout_outcome recovered = rollout.Recover(view.ranks);
+      memory.recovered = recovered == rollout_outcome::kUnchanged;
     if (!memory.recovered)
       memory.epoch = 0;
     return;
@@ -185,9 +196,7 @@
                  .Add("change", change));
   if (!change)
     return;
-  ++changing_;
   const rollout_outcome outcome = rollout.Run(view.ranks, plan.sets);
-  --changing_;
   log_.Write(event_line("expert.rollout")
                  .Add("group", group)
                  .Add("version", rollout.last_version())
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -1,8 +1,10 @@
 #include "quincebank/gateway/fleet_sync.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/fiber/operations.hpp>
 #include <boost/json/serialize.hpp>
+#include <thread>
 
 #include "quincebank/base/clock.h"
 #include "quincebank/base/digest.h"
@@ -25,6 +27,8 @@
 constexpr milliseconds kWatchPause{120};
 // Entries that may join before this one knows them, for each known one.
 constexpr double kUnknownEntries = 0.5;
+// Between looks for loops that have not ended.
+constexpr milliseconds kStopPoll{2};
 // Renewals in one time to live, so that two may be lost.
 constexpr int kRenewalsPerLease = 3;
 // Between checks for removals whose grace period is over.
@@ -96,13 +100,21 @@
 }
 
 void fleet_sync::Start(fiber_thread& thread) {
-  thread.Spawn([this] { WatchLoop(); });
-  thread.Spawn([this] { RegisterLoop(); });
-  thread.Spawn([this] { PeerLoop(); });
+  constexpr std::array<void (fleet_sync::*)(), 3> kLoops{
+      &fleet_sync::WatchLoop, &fleet_sync::RegisterLoop, &fleet_sync::PeerLoop};
+  for (const auto loop : kLoops) {
+    ++running_;
+    thread.Spawn([this, loop] {
+      (this->*loop)();
+      --running_;
+    });
+  }
 }
 
 void fleet_sync::Stop() {
   stop_.Set();
+  while (running_ > 0)
+    std::this_thread::sleep_for(kStopPoll);
 }
 
 void fleet_sync::NoteStore(bool reachable, std::string_view reason) {
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -62,8 +62,10 @@
 }
 
 gateway_service::~gateway_service() {
-  if (steering_)
+  if (steering_) {
     steering_->Stop();
+    steering_->Join();
+  }
   if (sync_)
     sync_->Stop();
   clients_.reset();
