--- /dev/null
+++ b/libs/gateway/tests/gateway_settings_test.cc
@@ -0,0 +1,63 @@
+#include "quincebank/gateway/gateway_settings.h"
+
+#include <gtest/gtest.h>
+
+namespace quincebank {
+namespace {
+
+constexpr const char* kWhole = R"({
+  "name": "edge-1", "failure_domain": "a", "region": "r",
+  "addresses": {
+    "clients": "10.0.0.1:80", "readiness": "10.0.0.1:81", "directory": "10.0.0.1:82",
+    "peers": "10.0.0.1:83", "metrics": "10.0.0.1:84", "store": "10.0.0.9:85",
+  },
+  "rules": {"cold_factor": 1.5, "repeat_ratio": 0.2, "stop_grace_ms": 8000},
+  "control": {"agent_port": 83},  // Comments and trailing commas are allowed.
+})";
+
+TEST(gateway_settings, ReadsAWholeFile) {
+  const auto settings = ParseGatewaySettings(kWhole);
+  ASSERT_TRUE(settings) << Describe(settings.error());
+  EXPECT_EQ(settings.value().name, "edge-1");
+  EXPECT_EQ(settings.value().clients, (endpoint{"10.0.0.1", 80}));
+  EXPECT_EQ(settings.value().store, (endpoint{"10.0.0.9", 85}));
+  EXPECT_EQ(settings.value().cold_factor, 1.5);
+  EXPECT_EQ(settings.value().stop_grace, milliseconds(8'000));
+  EXPECT_EQ(settings.value().agent_port, 83);
+}
+
+struct wrong_case {
+  const char* name;
+  const char* from;
+  const char* to;
+  const char* path;  ///< Part of the error that names the place.
+};
+
+class wrong_settings_test : public testing::TestWithParam<wrong_case> {};
+
+// Guards against a process that starts with settings it has not understood.
+TEST_P(wrong_settings_test, AreRefusedWithTheirPlace) {
+  std::string text = kWhole;
+  const std::size_t at = text.find(GetParam().from);
+  ASSERT_NE(at, std::string::npos);
+  text.replace(at, std::string_view(GetParam().from).size(), GetParam().to);
+  const auto settings = ParseGatewaySettings(text);
+  ASSERT_FALSE(settings);
+  EXPECT_NE(Describe(settings.error()).find(GetParam().path), std::string::npos)
+      << Describe(settings.error());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    files,
+    wrong_settings_test,
+    testing::Values(wrong_case{"no_port", "10.0.0.1:80", "10.0.0.1", "/addresses/clients"},
+                    wrong_case{"host_name", "10.0.0.9:85", "store:85", "/addresses/store"},
+                    wrong_case{"unknown_key", "agent_port", "agents_port", "/control/agents_port"},
+                    wrong_case{"negative_time", "8000", "-1", "/rules/stop_grace_ms"},
+                    wrong_case{"ratio", "0.2", "2", "/rules/repeat_ratio"},
+                    wrong_case{"no_name", R"("name": "edge-1",)", "", "/name"},
+                    wrong_case{"syntax", "}", "]", "6:"}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+}  // namespace
+}  // namespace quincebank
