--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "quincebank/base/clock.h"
+#include "quincebank/placement/patience.h"
 
 namespace quincebank {
 namespace {
@@ -23,18 +24,10 @@
 constexpr double kQueueShare = 0.75;
 // Part of the latency objective that a request waits for room before it is refused.
 constexpr int kWaitShare = 2;
-// Patience with a silent upstream, in latency objectives, and at most this part of the time left.
-constexpr int kPatience = 2;
-constexpr int kPatienceLeft = 2;
-// A client gives a stream up after a gap of this many gap objectives.
-constexpr int kGapPatience = 8;
-constexpr milliseconds kLeastGapPatience{800};
 // Larger answers are refused: all of an answer is held until it is known to be complete.
 constexpr std::size_t kMostAnswerBytes = std::size_t{16} * 1024 * 1024;
-// When a client that was refused should come back: soon for a short burst, later if nothing can
-// serve it at present.
-constexpr milliseconds kRetryWhenFull{400};
-constexpr milliseconds kRetryWhenNone{1'000};
+// When a client should come back to an entry that does not know the configuration yet.
+constexpr milliseconds kRetryWhenStarting{1'000};
 
 constexpr int kServerError = 500;
 
@@ -101,7 +94,7 @@
 
 std::optional<forward_flow::own_answer> forward_flow::Resolve() {
   if (!catalog_)
-    return own_answer{503, "no-configuration", kRetryWhenNone};
+    return own_answer{503, "no-configuration", kRetryWhenStarting};
   route_ = catalog_->FindRoute(request_.host, request_.path);
   if (route_ == nullptr)
     return own_answer{404, "no-route", {}};
@@ -113,7 +106,7 @@
     return own_answer{401, "unknown-key", {}};
   service_ = catalog_->FindService(PickService(*route_, shared_.random.Unit()));
   if (service_ == nullptr)
-    return own_answer{503, "unknown-service", kRetryWhenNone};
+    return own_answer{503, "unknown-service", kRetryWhenStarting};
   deadline_ = started_ + std::min(request_.time_left.value_or(route_->timeout), route_->timeout);
   last_event_ = request_.resume_after;
   return std::nullopt;
@@ -165,21 +158,15 @@
   }
 }
 
-milliseconds forward_flow::FirstBytePatience() const {
-  if (!route_->MayRepeat())
-    return Left();
-  return std::min(route_->latency_objective * kPatience, Left() / kPatienceLeft);
-}
-
-milliseconds forward_flow::GapPatience() const {
-  if (!route_->MayRepeat())
-    return Left();
-  return std::min(Left(), std::max(route_->event_gap_objective * kGapPatience, kLeastGapPatience));
+bool forward_flow::MayFollow() {
+  return runs_ + 1 < route_->max_attempts && sends_ < kMostSends &&
+         shared_.RepeatsOf(service_->name).tokens() >= 1;
 }
 
 void forward_flow::Forward() {
   attempt_report last;
   last.ran = verdict::kNotRun;
+  last.outcome = attempt_outcome::kFull;
   for (;;) {
     const auto upstream = WaitForUpstream();
     if (client_gone_) {
@@ -239,7 +226,7 @@
   call.request = shared_.codec.EncodeForUpstream(
       exchange_.request(), {upstream.record.id, left, workspace_, last_event_});
   call.connect_timeout = std::min(kConnectTimeout, left);
-  call.response_timeout = std::min(FirstBytePatience(), left);
+  call.response_timeout = FirstBytePatience(*route_, left, MayFollow());
   call.idle_timeout = call.response_timeout;
   call.cancellation = cancellation_;
   call.fresh_connection = !route_->MayRepeat();
@@ -319,7 +306,7 @@
       status_ = stream.status();
       first_byte_ = Now();
       client_open = exchange_.StartStream(status_, shared_.codec.EncodeForClient(stream.headers()));
-      stream.SetIdleTimeout(GapPatience());
+      stream.SetIdleTimeout(GapPatience(*route_, Left(), MayFollow()));
     }
     client_open = client_open && exchange_.Write(whole);
     if (!client_open) {
@@ -402,9 +389,8 @@
     return;
   }
   if (ran_ == verdict::kNotRun) {
-    const milliseconds wait =
-        obstacle_ == placement_obstacle::kNoUpstream ? kRetryWhenNone : kRetryWhenFull;
-    Answer({503, last.reason, wait});
+    Answer({503, last.reason,
+            RetryAfter(obstacle_, last.outcome, shared_.settings.engine_stall)});
     return;
   }
   Answer({Left() <= milliseconds(0) ? 504 : 502, last.reason, {}});
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -62,9 +62,8 @@
   void LogAttempt(const known_upstream& upstream, const attempt_report& report, milliseconds took);
   [[nodiscard]] milliseconds Left() const;
   [[nodiscard]] milliseconds Elapsed() const;
-  /// \brief How long to wait for the first bytes of an answer before another upstream is tried.
-  [[nodiscard]] milliseconds FirstBytePatience() const;
-  [[nodiscard]] milliseconds GapPatience() const;
+  /// \brief Whether another attempt may follow the present one.
+  [[nodiscard]] bool MayFollow();
 
   gateway_shared& shared_;
   http_exchange& exchange_;
