Leave superseded registrations alone; recover a group without waiting for old reports

Cause: after all power is lost, registrations of dead upstreams stay for about three seconds beside those of their successors; requests went to them (421), and the coordinator gave a group up when an old record stood in a rank's place.

--- a/libs/expert_control/src/map_rollout.cc
+++ b/libs/expert_control/src/map_rollout.cc
@@ -302,10 +302,11 @@
 }
 
 rollout_outcome map_rollout::Recover(const std::vector<const upstream_record*>& ranks) {
+  group_state group;
+  (void)Read(ranks, group);  // Tells how old reports are.
   for (int round = 0; round < kRecoverRounds; ++round) {
     // Reports older than the last order would hide its effect.
     AwaitFreshReports();
-    group_state group;
     const rollout_outcome read = Read(ranks, group);
     if (read == rollout_outcome::kUnknown)
       continue;
--- a/libs/fleet/include/quincebank/fleet/fleet_records.h
+++ b/libs/fleet/include/quincebank/fleet/fleet_records.h
@@ -35,6 +35,10 @@
   std::uint64_t store_revision = 0;
 };
 
+/// \brief Whether `newer` shows that the other upstream has ended: it has taken over its address or
+/// its place in a group. Registrations of upstreams that crashed stay for some seconds.
+[[nodiscard]] bool Supersedes(const upstream_record& newer, const upstream_record& older) noexcept;
+
 /// \brief Entry process as it registered itself.
 struct entry_record {
   std::string name;
--- a/libs/fleet/tests/store_mirror_test.cc
+++ b/libs/fleet/tests/store_mirror_test.cc
@@ -24,9 +24,7 @@
 
 class store_mirror_test : public testing::TestWithParam<apply_case> {
  protected:
-  store_mirror_test() {
-    mirror_.Apply({{Put("a", 5), Put("b", 6)}, true, 8}, true, kStart);
-  }
+  store_mirror_test() { mirror_.Apply({{Put("a", 5), Put("b", 6)}, true, 8}, true, kStart); }
 
   store_mirror mirror_;
 };
--- a/libs/gateway/include/quincebank/gateway/fleet_snapshot.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_snapshot.h
@@ -18,8 +18,9 @@
 struct known_upstream {
   upstream_record record;
   ref_ptr<upstream_evidence> evidence;  ///< Kept while the same incarnation has the address.
-  send_limit limit;    ///< Share of this entry in what the upstream can take when cold.
-  bool sender = true;  ///< Whether this entry may send to it at all.
+  send_limit limit;         ///< Share of this entry in what the upstream can take when cold.
+  bool superseded = false;  ///< Another upstream has taken its place; used if there is no other.
+  bool sender = true;       ///< Whether this entry may send to it at all.
 };
 
 /// \brief What traffic threads read: configuration, upstreams and entries at one moment.
--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -61,6 +61,8 @@
   void Publish();
   /// \brief Sets the shares of this entry in what the upstreams can take when cold.
   void ShareLimits(fleet_snapshot& snapshot) const;
+  /// \brief Marks upstreams that have ended although they are still registered.
+  void MarkSuperseded(fleet_snapshot& snapshot) const;
   [[nodiscard]] std::string CoordinatorName() const;
   [[nodiscard]] result<void> Register();
   [[nodiscard]] std::string Registration() const;
--- a/libs/gateway/src/expert_steering.cc
+++ b/libs/gateway/src/expert_steering.cc
@@ -115,7 +115,7 @@
       continue;
     for (const known_upstream& upstream : upstreams) {
       const auto& membership = upstream.record.group;
-      if (!membership || membership->size <= 1)
+      if (!membership || membership->size <= 1 || upstream.superseded)
         continue;
       group_view& view = groups[service + "/" + membership->group];
       view.snapshot = snapshot;
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -352,9 +352,20 @@
   });
   snapshot->entries = Entries();
   ShareLimits(*snapshot);
+  MarkSuperseded(*snapshot);
   box_.Set(std::move(snapshot));
 }
 
+void fleet_sync::MarkSuperseded(fleet_snapshot& snapshot) const {
+  for (auto& [service, upstreams] : snapshot.upstreams) {
+    for (known_upstream& older : upstreams) {
+      older.superseded = std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& newer) {
+        return Supersedes(newer.second.record, older.record);
+      });
+    }
+  }
+}
+
 void fleet_sync::ShareLimits(fleet_snapshot& snapshot) const {
   if (!catalog_)
     return;
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -130,7 +130,8 @@
     view.slots = std::max(record.slots, 1);
     view.limit = view.slots + static_cast<int>(view.slots * kQueueShare);
     view.failure_share = upstream.evidence->failure_share();
-    view.rests = upstream.evidence->Rests(now) || (record.group && !record.group->open);
+    view.rests = upstream.evidence->Rests(now) || upstream.superseded ||
+                 (record.group && !record.group->open);
     view.rests_until = upstream.evidence->rests_until();
     view.on_trial = upstream.evidence->on_trial();
     view.rate_limited = !upstream.sender || !upstream.evidence->Allows(upstream.limit, now);
