Leave silent groups alone before they refuse work

Cause: when a rank freezes, its group falls silent for 1.5 s and each request sent there meanwhile lost a second. Change: a group from which several requests hear nothing for 0.5 s is used only if there is no other; a request does not try the same group twice after a stall.

--- a/libs/gateway/include/quincebank/gateway/fleet_snapshot.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_snapshot.h
@@ -10,6 +10,7 @@
 #include "quincebank/base/ref_counted.h"
 #include "quincebank/catalog/service_catalog.h"
 #include "quincebank/fleet/fleet_records.h"
+#include "quincebank/placement/group_pulse.h"
 #include "quincebank/placement/upstream_evidence.h"
 
 namespace quincebank {
@@ -18,6 +19,7 @@
 struct known_upstream {
   upstream_record record;
   ref_ptr<upstream_evidence> evidence;  ///< Kept while the same incarnation has the address.
+  ref_ptr<group_pulse> pulse;           ///< Of its group; null if it is in none.
   send_limit limit;         ///< Share of this entry in what the upstream can take when cold.
   bool superseded = false;  ///< Another upstream has taken its place; used if there is no other.
   bool sender = true;       ///< Whether this entry may send to it at all.
--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -63,6 +63,8 @@
   void ShareLimits(fleet_snapshot& snapshot) const;
   /// \brief Marks upstreams that have ended although they are still registered.
   void MarkSuperseded(fleet_snapshot& snapshot) const;
+  /// \brief Returns the pulse of an upstream's group; null if it is in none.
+  [[nodiscard]] ref_ptr<group_pulse> PulseOf(const upstream_record& record);
   [[nodiscard]] std::string CoordinatorName() const;
   [[nodiscard]] result<void> Register();
   [[nodiscard]] std::string Registration() const;
@@ -81,6 +83,7 @@
   store_mirror mirror_;
   ref_ptr<const service_catalog> catalog_;
   std::map<std::string, known_upstream, std::less<>> upstreams_;  ///< By key.
+  std::map<std::string, ref_ptr<group_pulse>> pulses_;            ///< By service and group.
   std::string lease_;
   time_point lease_renewed_{};  ///< Sending of the last renewal that succeeded.
   bool leaving_ = false;
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -322,7 +322,18 @@
                  .Add("revision", item->revision));
   ref_ptr<upstream_evidence> evidence =
       same ? known->second.evidence : ref_ptr<upstream_evidence>(new upstream_evidence);
-  upstreams_.insert_or_assign(key, known_upstream{std::move(record), std::move(evidence)});
+  ref_ptr<group_pulse> pulse = PulseOf(record);
+  upstreams_.insert_or_assign(
+      key, known_upstream{std::move(record), std::move(evidence), std::move(pulse)});
+}
+
+ref_ptr<group_pulse> fleet_sync::PulseOf(const upstream_record& record) {
+  if (!record.group)
+    return nullptr;
+  ref_ptr<group_pulse>& pulse = pulses_[record.service + "/" + record.group->group];
+  if (!pulse)
+    pulse = new group_pulse;
+  return pulse;
 }
 
 std::vector<entry_record> fleet_sync::Entries() const {
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -131,7 +131,8 @@
     view.limit = view.slots + static_cast<int>(view.slots * kQueueShare);
     view.failure_share = upstream.evidence->failure_share();
     view.rests = upstream.evidence->Rests(now) || upstream.superseded ||
-                 (record.group && !record.group->open);
+                 (record.group && !record.group->open) ||
+                 (upstream.pulse && upstream.pulse->Stalled(now)) || StalledBefore(record);
     view.rests_until = upstream.evidence->rests_until();
     view.on_trial = upstream.evidence->on_trial();
     view.rate_limited = !upstream.sender || !upstream.evidence->Allows(upstream.limit, now);
@@ -181,6 +182,9 @@
     }
     const time_point sent = Now();
     upstream->evidence->OnSend(upstream->limit, sent);
+    pulse_ = upstream->pulse;
+    if (pulse_)
+      pulse_->OnSend(sent);
     ++sends_;
     if (sends_ > 1)
       shared_.metrics.repeats.Add();
@@ -188,8 +192,12 @@
       shared_.metrics.resumed.Add();
     last = Send(*upstream);
     upstream->evidence->OnEnd(last.outcome, Now());
+    if (pulse_)
+      pulse_->OnEnd();
     if (last.group_stalled)
       RestGroup(*upstream);
+    if (last.outcome == attempt_outcome::kStalled && upstream->record.group)
+      stalled_groups_.push_back(upstream->record.group->group);
     LogAttempt(*upstream, last, std::chrono::duration_cast<milliseconds>(Now() - sent));
     ran_ = Combine(ran_, last.ran);
     runs_ += last.ran == verdict::kNotRun ? 0 : 1;
@@ -200,6 +208,11 @@
   Finish(last);
 }
 
+bool forward_flow::StalledBefore(const upstream_record& record) const {
+  return record.group && std::find(stalled_groups_.begin(), stalled_groups_.end(),
+                                   record.group->group) != stalled_groups_.end();
+}
+
 void forward_flow::RestGroup(const known_upstream& upstream) const {
   const auto& group = upstream.record.group;
   const auto found = snapshot_->upstreams.find(upstream.record.service);
@@ -290,6 +303,8 @@
       return LostAnswer(piece.error());
     if (!piece.value())
       break;
+    if (pulse_)
+      pulse_->OnHeard(Now());
     std::string whole;
     events.Feed(*piece.value(), [&](std::string_view event) {
       const auto id = SseEventId(event);
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -16,7 +16,7 @@
 struct attempt_report {
   attempt_outcome outcome = attempt_outcome::kFailed;
   verdict ran = verdict::kMayHaveRun;
-  bool delivered = false;     ///< The client has the whole answer.
+  bool delivered = false;      ///< The client has the whole answer.
   bool group_stalled = false;  ///< A rank of the upstream's group is gone.
   std::string reason;
   std::optional<http_response> failure;  ///< The upstream's own failure, to be passed on at last.
@@ -54,6 +54,8 @@
   [[nodiscard]] attempt_report TakeWhole(http_stream& stream);
   [[nodiscard]] attempt_report LostAnswer(const error& failure) const;
   [[nodiscard]] bool MayRepeat(const attempt_report& report);
+  /// \brief Whether an attempt of this request has stalled in the upstream's group.
+  [[nodiscard]] bool StalledBefore(const upstream_record& record) const;
   /// \brief Lets the other ranks of an upstream's group rest.
   void RestGroup(const known_upstream& upstream) const;
   void Finish(const attempt_report& last);
@@ -79,6 +81,8 @@
   bool client_gone_ = false;
   placement_obstacle obstacle_ = placement_obstacle::kNone;
   std::vector<std::string> tried_;
+  std::vector<std::string> stalled_groups_;  ///< Groups in which an attempt has stalled.
+  ref_ptr<group_pulse> pulse_;               ///< Of the present attempt's group.
   int sends_ = 0;
   int runs_ = 0;  ///< Attempts that may have run.
   verdict ran_ = verdict::kNotRun;
