--- a/libs/expert_control/include/quincebank/expert_control/rank_messages.h
+++ b/libs/expert_control/include/quincebank/expert_control/rank_messages.h
@@ -19,16 +19,6 @@
 
 [[nodiscard]] boost::json::object ToJson(const held_experts& held);
 [[nodiscard]] result<held_experts> HeldExpertsFromJson(const boost::json::value& value);
-
-/// \brief Order that an agent passes on, with the map that it refers to.
-struct order_message {
-  engine_order order;  ///< Its map pointer is not set.
-  std::vector<rank_experts> map;
-};
-[[nodiscard]] boost::json::object ToJson(const engine_order& order);
-[[nodiscard]] result<order_message> OrderFromJson(const boost::json::object& object);
-
-[[nodiscard]] result<order_answer> OrderAnswerFromJson(const boost::json::value& value);
 /// @}
 
 }  // namespace quincebank
--- a/libs/expert_control/src/rank_messages.cc
+++ b/libs/expert_control/src/rank_messages.cc
@@ -1,7 +1,5 @@
 #include "quincebank/expert_control/rank_messages.h"
 
-#include <algorithm>
-#include <array>
 #include <boost/json/array.hpp>
 
 #include "quincebank/base/json_reader.h"
@@ -11,13 +9,6 @@
 
 namespace json = boost::json;
 
-constexpr std::array<order_kind, 5> kKinds{order_kind::kPrepare, order_kind::kArm,
-                                           order_kind::kDisarm, order_kind::kHold,
-                                           order_kind::kRelease};
-constexpr std::array<order_answer, 5> kAnswers{order_answer::kBegun, order_answer::kHolds,
-                                               order_answer::kConflict, order_answer::kReplaced,
-                                               order_answer::kUnanswered};
-
 std::uint64_t Number(json_reader& reader, std::string_view key) {
   return static_cast<std::uint64_t>(reader.Int(key, {}));
 }
@@ -135,69 +126,4 @@
   return held;
 }
 
-json::object ToJson(const engine_order& order) {
-  json::object object{{"kind", ToString(order.kind)},
-                      {"version", order.version},
-                      {"step", order.step},
-                      {"epoch", order.epoch},
-                      {"expected_orders", order.expected_orders}};
-  if (order.map == nullptr)
-    return object;
-  json::array sets;
-  for (const rank_experts& ranks : *order.map) {
-    json::array of_set;
-    for (const std::vector<int>& held : ranks)
-      of_set.push_back(Numbers(held));
-    sets.push_back(std::move(of_set));
-  }
-  object["map"] = std::move(sets);
-  return object;
-}
-
-result<order_message> OrderFromJson(const json::object& object) {
-  const json::value value(object);
-  std::vector<error> errors;
-  json_reader reader(value, "", errors);
-  order_message message;
-  const std::string kind = reader.String("kind");
-  const auto* const known = std::find_if(kKinds.begin(), kKinds.end(), [&](order_kind candidate) {
-    return ToString(candidate) == kind;
-  });
-  if (known == kKinds.end())
-    reader.Fail("kind", "unknown order '" + kind + "'");
-  else
-    message.order.kind = *known;
-  message.order.version = Number(reader, "version");
-  message.order.step = Number(reader, "step");
-  message.order.epoch = Number(reader, "epoch");
-  message.order.expected_orders = Number(reader, "expected_orders");
-  if (!errors.empty())
-    return JoinErrors(errors);
-  const json::array* const sets = MemberOrNull(value, "map").if_array();
-  if (sets == nullptr)
-    return message;
-  for (const json::value& set : *sets) {
-    rank_experts ranks;
-    if (!set.is_array())
-      return MakeError(error_code::kInvalidArgument, "a set of the map is no array");
-    for (const json::value& rank : set.get_array()) {
-      BOOST_OUTCOME_TRY(std::vector<int> held, ReadNumbers<int>(rank));
-      ranks.push_back(std::move(held));
-    }
-    message.map.push_back(std::move(ranks));
-  }
-  return message;
-}
-
-result<order_answer> OrderAnswerFromJson(const json::value& value) {
-  std::vector<error> errors;
-  json_reader reader(value, "", errors);
-  const std::string answer = reader.String("answer");
-  for (const order_answer known : kAnswers) {
-    if (ToString(known) == answer)
-      return known;
-  }
-  return MakeError(error_code::kInvalidArgument, "unknown answer '" + answer + "'");
-}
-
 }  // namespace quincebank
--- a/libs/expert_control/tests/rank_messages_test.cc
+++ b/libs/expert_control/tests/rank_messages_test.cc
@@ -45,55 +45,32 @@
   EXPECT_EQ(experts.value(), held);
 }
 
-class order_message_test : public testing::TestWithParam<order_kind> {};
-
-// Guards against an order that an agent passes on with another kind, epoch or count.
-TEST_P(order_message_test, OrdersSurviveARoundTrip) {
-  const std::vector<rank_experts> map{{{0, 1}, {2}}, {{1}, {0, 2}}};
-  const engine_order order{GetParam(), 4, 820, 3, 9, &map};
-  const auto read = OrderFromJson(ToJson(order));
-  ASSERT_TRUE(read) << Describe(read.error());
-  EXPECT_EQ(read.value().order.kind, order.kind);
-  EXPECT_EQ(read.value().order.version, order.version);
-  EXPECT_EQ(read.value().order.step, order.step);
-  EXPECT_EQ(read.value().order.epoch, order.epoch);
-  EXPECT_EQ(read.value().order.expected_orders, order.expected_orders);
-  EXPECT_EQ(read.value().map, map);
-}
-
-INSTANTIATE_TEST_SUITE_P(kinds,
-                         order_message_test,
-                         testing::Values(order_kind::kPrepare,
-                                         order_kind::kArm,
-                                         order_kind::kDisarm,
-                                         order_kind::kHold,
-                                         order_kind::kRelease),
-                         [](const auto& info) { return std::string(ToString(info.param)); });
-
 struct bad_message {
   const char* name;
   const char* text;
 };
 
-class bad_order_test : public testing::TestWithParam<bad_message> {};
+class bad_report_test : public testing::TestWithParam<bad_message> {};
 
-TEST_P(bad_order_test, IsRefused) {
+// Guards against a report that lacks the count of orders, which would let late orders pass.
+TEST_P(bad_report_test, IsRefused) {
   const auto document = ParseJson(GetParam().text);
   ASSERT_TRUE(document);
-  EXPECT_FALSE(OrderFromJson(document.value().as_object()));
+  EXPECT_FALSE(RankReportFromJson(document.value()));
 }
 
 INSTANTIATE_TEST_SUITE_P(
     messages,
-    bad_order_test,
+    bad_report_test,
     testing::Values(
         bad_message{"empty", "{}"},
-        bad_message{"unknown_kind",
-                    R"({"kind":"x","version":1,"step":1,"epoch":1,"expected_orders":0})"},
-        bad_message{"no_epoch", R"({"kind":"arm","version":1,"step":1,"expected_orders":0})"},
-        bad_message{"bad_map",
-                    R"({"kind":"prepare","version":1,"step":0,"epoch":1,"expected_orders":0,)"
-                    R"("map":[[["a"]]]})"}),
+        bad_message{"no_orders",
+                    R"({"incarnation":1,"group":"g","epoch":1,"rank":0,"step":1,"map":0})"},
+        bad_message{"no_epoch",
+                    R"({"incarnation":1,"group":"g","rank":0,"step":1,"map":0,"orders":0})"},
+        bad_message{"text_as_step",
+                    R"({"incarnation":1,"group":"g","epoch":1,"rank":0,"step":"1","map":0,)"
+                    R"("orders":0})"}),
     [](const auto& info) { return std::string(info.param.name); });
 
 }  // namespace
--- a/libs/gateway/include/quincebank/gateway/agent_engine_port.h
+++ b/libs/gateway/include/quincebank/gateway/agent_engine_port.h
@@ -11,7 +11,8 @@
 
 namespace quincebank {
 
-/// \brief Reaches engines through the agents on their hosts, and directly where no agent answers.
+/// \brief Reads engines through the agents on their hosts, and directly where no agent answers.
+/// Orders always go directly.
 class agent_engine_port final : public engine_port {
  public:
   /// \param port  of the agents; each listens on the address of its engine's host.
--- a/libs/gateway/src/agent_engine_port.cc
+++ b/libs/gateway/src/agent_engine_port.cc
@@ -89,22 +89,7 @@
 }
 
 std::vector<order_answer> agent_engine_port::Send(std::span<const rank_order> orders) {
-  std::vector<order_answer> answers(orders.size(), order_answer::kUnanswered);
-  RunParallel(orders.size(), [&](std::size_t i) {
-    const rank_order& sent = orders[i];
-    if (!Usable(*sent.rank)) {
-      answers[i] = direct_->Send({&sent, 1}).front();
-      return;
-    }
-    // Without an answer the agent may pass the order on later, so the caller has to settle it.
-    const auto answer = Call(*sent.rank, "rank.order", {{"order", ToJson(sent.order)}});
-    if (!answer)
-      return;
-    const auto decoded = OrderAnswerFromJson(answer.value());
-    if (decoded)
-      answers[i] = decoded.value();
-  });
-  return answers;
+  return direct_->Send(orders);
 }
 
 }  // namespace quincebank
--- a/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
+++ b/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
@@ -6,7 +6,6 @@
 #include <string_view>
 
 #include "quincebank/base/error.h"
-#include "quincebank/base/event_log.h"
 #include "quincebank/expert_control/engine_port.h"
 #include "quincebank/net/fiber_thread.h"
 #include "quincebank/net/http_client.h"
@@ -27,41 +26,35 @@
 /// \brief Reads and checks a settings file (JSON with comments).
 [[nodiscard]] result<rank_agent_settings> ParseRankAgentSettings(std::string_view text);
 
-/// \brief Passes reports, counts and orders between the coordinator and the engine beside it.
+/// \brief Passes reports and counts of the engine beside it to the coordinator.
 ///
 /// From its own host an engine tells its state without delay and does not pause its group to be
-/// read. The agent decides nothing and keeps nothing.
+/// read. The agent decides nothing and keeps nothing; orders come from the coordinator itself, so
+/// that an agent that freezes can't hold one back.
 class rank_agent {
  public:
-  /// \param engines  reaches the engine on this host.
-  rank_agent(const rank_agent_settings& settings, event_log& log);
+  explicit rank_agent(const rank_agent_settings& settings);
   ~rank_agent();
   rank_agent(const rank_agent&) = delete;
   rank_agent& operator=(const rank_agent&) = delete;
 
+  /// \param engines  reaches the engine on this host.
   [[nodiscard]] result<void> Start(std::unique_ptr<engine_port> engines);
   [[nodiscard]] http_client& http() noexcept { return *http_; }
 
  private:
-  using method = result<boost::json::value> (rank_agent::*)(const upstream_record& rank,
-                                                            const boost::json::object& params);
+  using method = result<boost::json::value> (rank_agent::*)(const upstream_record& rank);
   struct named_method {
     std::string_view name;
     method run;
   };
 
-  [[nodiscard]] result<boost::json::value> Report(const upstream_record& rank,
-                                                  const boost::json::object& params);
-  [[nodiscard]] result<boost::json::value> Counts(const upstream_record& rank,
-                                                  const boost::json::object& params);
-  [[nodiscard]] result<boost::json::value> Held(const upstream_record& rank,
-                                                const boost::json::object& params);
-  [[nodiscard]] result<boost::json::value> Order(const upstream_record& rank,
-                                                 const boost::json::object& params);
+  [[nodiscard]] result<boost::json::value> Report(const upstream_record& rank);
+  [[nodiscard]] result<boost::json::value> Counts(const upstream_record& rank);
+  [[nodiscard]] result<boost::json::value> Held(const upstream_record& rank);
   void AddMethod(const named_method& named);
 
   const rank_agent_settings settings_;
-  event_log& log_;
   rpc_server rpc_;
   fiber_thread thread_;
   std::unique_ptr<http_client> http_;
--- a/libs/rank_agent/src/rank_agent.cc
+++ b/libs/rank_agent/src/rank_agent.cc
@@ -39,8 +39,8 @@
   return settings;
 }
 
-rank_agent::rank_agent(const rank_agent_settings& settings, event_log& log)
-    : settings_(settings), log_(log), thread_("agent") {
+rank_agent::rank_agent(const rank_agent_settings& settings)
+    : settings_(settings), thread_("agent") {
   http_ = std::make_unique<http_client>(thread_);
 }
 
@@ -58,16 +58,15 @@
     rank.address = settings_.engine;
     if (!errors.empty())
       return JoinErrors(errors);
-    return (this->*run)(rank, params);
+    return (this->*run)(rank);
   });
 }
 
 result<void> rank_agent::Start(std::unique_ptr<engine_port> engines) {
   engines_ = std::move(engines);
-  constexpr std::array<named_method, 4> kMethods{{{"rank.report", &rank_agent::Report},
+  constexpr std::array<named_method, 3> kMethods{{{"rank.report", &rank_agent::Report},
                                                   {"rank.counts", &rank_agent::Counts},
-                                                  {"rank.held", &rank_agent::Held},
-                                                  {"rank.order", &rank_agent::Order}}};
+                                                  {"rank.held", &rank_agent::Held}}};
   for (const named_method& named : kMethods)
     AddMethod(named);
   BOOST_OUTCOME_TRY(server_, http_server::Listen({&thread_}, settings_.address,
@@ -75,41 +74,21 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-result<json::value> rank_agent::Report(const upstream_record& rank, const json::object&) {
+result<json::value> rank_agent::Report(const upstream_record& rank) {
   const std::array<const upstream_record*, 1> ranks{&rank};
   BOOST_OUTCOME_TRY(const rank_report report, engines_->Reports(ranks).front());
   return json::value(ToJson(report));
 }
 
-result<json::value> rank_agent::Counts(const upstream_record& rank, const json::object&) {
+result<json::value> rank_agent::Counts(const upstream_record& rank) {
   const std::array<const upstream_record*, 1> ranks{&rank};
   BOOST_OUTCOME_TRY(const pick_counts counts, engines_->Counts(ranks).front());
   return json::value(ToJson(counts));
 }
 
-result<json::value> rank_agent::Held(const upstream_record& rank, const json::object&) {
+result<json::value> rank_agent::Held(const upstream_record& rank) {
   BOOST_OUTCOME_TRY(const held_experts held, engines_->Held(rank));
   return json::value(ToJson(held));
 }
 
-result<json::value> rank_agent::Order(const upstream_record& rank, const json::object& params) {
-  const json::value* const body = params.if_contains("order");
-  if (body == nullptr || !body->is_object())
-    return MakeError(error_code::kInvalidArgument, "the call has no order");
-  BOOST_OUTCOME_TRY(order_message message, OrderFromJson(body->get_object()));
-  if (!message.map.empty())
-    message.order.map = &message.map;
-  const std::array<rank_order, 1> orders{rank_order{&rank, message.order}};
-  const order_answer answer = engines_->Send(orders).front();
-  log_.Write(event_line("rank.order")
-                 .Add("upstream", rank.id)
-                 .Add("order", ToString(message.order.kind))
-                 .Add("version", message.order.version)
-                 .Add("step", message.order.step)
-                 .Add("epoch", message.order.epoch)
-                 .Add("expected_orders", message.order.expected_orders)
-                 .Add("answer", ToString(answer)));
-  return json::value{{"answer", ToString(answer)}};
-}
-
 }  // namespace quincebank
--- a/programs/rank_agent/main.cc
+++ b/programs/rank_agent/main.cc
@@ -1,4 +1,4 @@
-// quincebank-rank-agent: passes reports, counts and orders to the engine on the same host.
+// quincebank-rank-agent: passes reports and counts of the engine on the same host on.
 
 #include <csignal>
 #include <cstdlib>
@@ -19,7 +19,7 @@
 
 int Run(const rank_agent_settings& settings) {
   event_log log(settings.log_lines);
-  rank_agent agent(settings, log);
+  rank_agent agent(settings);
   log.Write(event_line("process.start")
                 .Add("name", settings.name)
                 .Add("version", QUINCEBANK_VERSION)
@@ -36,7 +36,7 @@
     log.Write(event_line("settings.reloaded").Add("changed", false));
   log.Write(event_line("process.stopped"));
   log.Flush(kLogFlush);
-  // An order under way may wait for the engine; the coordinator settles it.
+  // A call under way may wait for the engine; the coordinator asks again.
   std::_Exit(kExitOk);
 }
 
