Count the end of an outage from any successful call; steer expert maps through an outage of the store

The coordinator stopped whenever its lease could not be renewed, also while the store was down for all. Change: renewals end an outage; the role lasts until another claim is heard, 10 s at most.

--- a/libs/fleet/include/quincebank/fleet/store_mirror.h
+++ b/libs/fleet/include/quincebank/fleet/store_mirror.h
@@ -35,7 +35,9 @@
   /// \brief Carries out the removals whose grace period is over.
   /// \returns The keys removed.
   std::vector<std::string> Expire(time_point now);
-  /// \brief A read of the store failed.
+  /// \brief A call to the store succeeded; ends an outage. A watch tells so only when it returns.
+  void OnContact(time_point now);
+  /// \brief A call to the store failed.
   void OnStoreFailure(time_point now) noexcept {
     if (!failing_since_)
       failing_since_ = now;
@@ -66,7 +68,6 @@
     std::optional<time_point> remove_at;
   };
 
-  void OnContact(time_point now);
   bool Put(const store_item& item);
   bool Remove(std::string_view key, std::uint64_t revision, time_point now);
 
--- a/libs/fleet/tests/store_mirror_test.cc
+++ b/libs/fleet/tests/store_mirror_test.cc
@@ -66,6 +66,17 @@
   EXPECT_NE(mirror.Find("a"), nullptr);
 }
 
+// Guards against requests for an upstream that left long after the outage: the first watch after it
+// may return only then.
+TEST(store_mirror, TheGracePeriodCountsFromTheFirstSuccessfulCall) {
+  store_mirror mirror;
+  mirror.Apply({{Put("a", 5)}, true, 8}, true, kStart);
+  mirror.OnStoreFailure(kStart + seconds(1));
+  mirror.OnContact(kStart + seconds(9));
+  const time_point later = kStart + seconds(13);
+  EXPECT_EQ(mirror.Apply({{Removal("a", 9)}, false, 9}, true, later), strings{"a"});
+}
+
 TEST(store_mirror, RemovalsTakeEffectAtOnceWithoutAnOutage) {
   store_mirror mirror;
   mirror.Apply({{Put("a", 5)}, true, 8}, true, kStart);
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -29,6 +29,8 @@
 constexpr double kUnknownEntries = 0.5;
 // Between looks for loops that have not ended.
 constexpr milliseconds kStopPoll{2};
+// How long a coordinator goes on without a renewal of its lease, unless it hears of another one.
+constexpr milliseconds kCoordinatorPatience{10'000};
 // Renewals in one time to live, so that two may be lost.
 constexpr int kRenewalsPerLease = 3;
 // Between checks for removals whose grace period is over.
@@ -444,6 +446,8 @@
       NoteStore(false, written.error().message);
       store_.CancelWatch();
     }
+    if (written && catalog_)
+      mirror_.OnContact(Now());
     if (!written && !failing)
       log_.Write(event_line("registration.failed").Add("reason", written.error().message));
     failing = !written;
@@ -462,7 +466,9 @@
 
 bool fleet_sync::IsCoordinator() const {
   const store_item* const holder = mirror_.Find(kCoordinatorKey);
-  return RegistrationHolds() && holder != nullptr && holder->value == CoordinatorName();
+  // While the store is down nobody else can claim the role, and two coordinators do no harm.
+  return !leaving_ && Now() - lease_renewed_ < kCoordinatorPatience && holder != nullptr &&
+         holder->value == CoordinatorName();
 }
 
 void fleet_sync::ClaimCoordination() {
