--- a/libs/catalog/tests/service_catalog_test.cc
+++ b/libs/catalog/tests/service_catalog_test.cc
@@ -38,19 +38,19 @@
   EXPECT_EQ(route == nullptr ? "" : route->name, GetParam().route);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    requests,
-    route_match_test,
-    testing::Values(match_case{"root", "one.example", "/x", "root"},
-                    match_case{"longer", "one.example", "/api/x", "api"},
-                    match_case{"longest", "one.example", "/api/v2/x", "deep"},
-                    match_case{"no_slash", "one.example", "/apiv2", "root"},
-                    match_case{"port", "one.example:8080", "/api/x", "api"},
-                    match_case{"upper_case", "ONE.example", "/api/x", "api"},
-                    match_case{"other_host", "two.example", "/api/v2/x", "other"},
-                    match_case{"no_prefix", "two.example", "/x", ""},
-                    match_case{"unknown_host", "three.example", "/api/x", ""}),
-    [](const auto& info) { return std::string(info.param.name); });
+INSTANTIATE_TEST_SUITE_P(requests,
+                         route_match_test,
+                         testing::Values(match_case{"root", "one.example", "/x", "root"},
+                                         match_case{"longer", "one.example", "/api/x", "api"},
+                                         match_case{"longest", "one.example", "/api/v2/x", "deep"},
+                                         match_case{"no_slash", "one.example", "/apiv2", "root"},
+                                         match_case{"port", "one.example:8080", "/api/x", "api"},
+                                         match_case{"upper_case", "ONE.example", "/api/x", "api"},
+                                         match_case{"other_host", "two.example", "/api/v2/x",
+                                                    "other"},
+                                         match_case{"no_prefix", "two.example", "/x", ""},
+                                         match_case{"unknown_host", "three.example", "/api/x", ""}),
+                         [](const auto& info) { return std::string(info.param.name); });
 
 TEST(service_catalog, FindsWorkspacesByAnyOfTheirKeys) {
   const auto catalog = Catalog();
--- a/libs/net/tests/http_reuse_test.cc
+++ b/libs/net/tests/http_reuse_test.cc
@@ -17,8 +17,8 @@
 using boost::asio::ip::tcp;
 
 std::string Answer(const std::string& id, const std::string& body, const std::string& more = {}) {
-  return "HTTP/1.1 200 OK\r\nX-Id: " + id +
-         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + more + "\r\n" + body;
+  return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n" + more + "\r\n" + body;
 }
 
 /// Server on raw sockets that sends fixed bytes for each request of each connection.
@@ -130,8 +130,7 @@
                    4,
                    2},
         // The second copy comes where the next answer is expected.
-        reuse_case{"late",
-                   {Answer("1", "body 1"), Answer("1", "body 1") + Answer("2", "body 2")}},
+        reuse_case{"late", {Answer("1", "body 1"), Answer("1", "body 1") + Answer("2", "body 2")}},
         reuse_case{"short_keep_alive",
                    {Answer("1", "body 1", "Keep-Alive: timeout=0\r\n"), Answer("2", "body 2")},
                    false,
