--- /dev/null
+++ b/libs/gateway/src/fleet_records_intake.cc
@@ -0,0 +1,200 @@
+// Records of the shared store: how changes of single keys become a snapshot for traffic threads.
+
+#include <algorithm>
+
+#include "fleet_keys.h"
+#include "quincebank/base/clock.h"
+#include "quincebank/base/json_reader.h"
+#include "quincebank/gateway/fleet_sync.h"
+
+namespace quincebank {
+
+result<entry_record> ParseEntryRecord(std::string_view text) {
+  BOOST_OUTCOME_TRY(const boost::json::value document, ParseJson(text));
+  std::vector<error> errors;
+  json_reader reader(document, "", errors);
+  entry_record record;
+  record.name = reader.String("name");
+  record.incarnation = static_cast<std::uint64_t>(reader.Int("incarnation", {}));
+  record.failure_domain = reader.String("failure_domain");
+  const auto clients = ParseEndpoint(reader.String("clients"));
+  const auto peers = ParseEndpoint(reader.String("peers"));
+  if (!errors.empty())
+    return JoinErrors(errors);
+  if (!clients)
+    return clients.error();
+  if (!peers)
+    return peers.error();
+  record.clients = clients.value();
+  record.peers = peers.value();
+  return record;
+}
+
+void fleet_sync::TakeRecord(const std::string& key) {
+  const store_item* const item = mirror_.Find(key);
+  switch (codec_.KindOf(key)) {
+    case record_kind::kCatalog:
+      if (item != nullptr)
+        TakeCatalog(*item);
+      break;
+    case record_kind::kUpstream:
+      TakeUpstream(key, item);
+      break;
+    case record_kind::kEvacuation:
+      log_.Write(event_line(item != nullptr ? "domain.evacuated" : "domain.returned")
+                     .Add("domain", codec_.DecodeEvacuation(key))
+                     .Add("revision", mirror_.revision()));
+      break;
+    case record_kind::kEntry:
+      log_.Write(event_line(item != nullptr ? "entry.listed" : "entry.gone")
+                     .Add("key", key)
+                     .Add("revision", mirror_.revision()));
+      break;
+    case record_kind::kOther:
+      break;
+  }
+}
+
+void fleet_sync::TakeCatalog(const store_item& item) {
+  auto decoded = codec_.DecodeCatalog(item);
+  if (!decoded) {
+    log_.Write(event_line("config.unreadable")
+                   .Add("revision", item.revision)
+                   .Add("reason", Describe(decoded.error())));
+    return;
+  }
+  const std::uint64_t version = decoded.value()->version();
+  if (catalog_ && version <= catalog_->version()) {
+    log_.Write(
+        event_line("config.ignored").Add("version", version).Add("in_force", catalog_->version()));
+    return;
+  }
+  log_.Write(event_line("config.in_force")
+                 .Add("version", version)
+                 .Add("previous", catalog_ ? catalog_->version() : 0)
+                 .Add("revision", item.revision)
+                 .Add("routes", static_cast<std::uint64_t>(decoded.value()->routes().size())));
+  catalog_ = std::move(decoded).value();
+}
+
+void fleet_sync::TakeUpstream(const std::string& key, const store_item* item) {
+  const auto known = upstreams_.find(key);
+  if (item == nullptr) {
+    if (known == upstreams_.end())
+      return;
+    log_.Write(event_line("upstream.gone")
+                   .Add("upstream", known->second.record.id)
+                   .Add("service", known->second.record.service)
+                   .Add("revision", mirror_.revision()));
+    upstreams_.erase(known);
+    return;
+  }
+  auto decoded = codec_.DecodeUpstream(*item);
+  if (!decoded) {
+    // A record that can't be read names no upstream; an older state of it may be wrong by now.
+    log_.Write(event_line("upstream.unreadable")
+                   .Add("key", key)
+                   .Add("revision", item->revision)
+                   .Add("reason", Describe(decoded.error())));
+    if (known != upstreams_.end())
+      upstreams_.erase(known);
+    return;
+  }
+  upstream_record& record = decoded.value();
+  const bool same = known != upstreams_.end() &&
+                    known->second.record.incarnation == record.incarnation &&
+                    known->second.record.address == record.address;
+  log_.Write(event_line(record.leaving ? "upstream.leaving"
+                        : same         ? "upstream.changed"
+                                       : "upstream.listed")
+                 .Add("upstream", record.id)
+                 .Add("service", record.service)
+                 .Add("address", ToString(record.address))
+                 .Add("domain", record.failure_domain)
+                 .Add("cold_ms", record.cold_left)
+                 .Add("revision", item->revision));
+  ref_ptr<upstream_evidence> evidence =
+      same ? known->second.evidence : ref_ptr<upstream_evidence>(new upstream_evidence);
+  ref_ptr<group_pulse> pulse = PulseOf(record);
+  upstreams_.insert_or_assign(
+      key, known_upstream{std::move(record), std::move(evidence), std::move(pulse)});
+}
+
+ref_ptr<group_pulse> fleet_sync::PulseOf(const upstream_record& record) {
+  if (!record.group)
+    return nullptr;
+  ref_ptr<group_pulse>& pulse = pulses_[record.service + "/" + record.group->group];
+  if (!pulse)
+    pulse = new group_pulse;
+  return pulse;
+}
+
+std::vector<entry_record> fleet_sync::Entries() const {
+  std::vector<entry_record> entries;
+  mirror_.Each(kEntryPrefix, [&](const store_item& item) {
+    auto record = ParseEntryRecord(item.value);
+    if (!record) {
+      log_.Write(event_line("entry.unreadable")
+                     .Add("key", item.key)
+                     .Add("reason", Describe(record.error())));
+      return;
+    }
+    entries.push_back(std::move(record).value());
+  });
+  return entries;
+}
+
+void fleet_sync::Publish() {
+  ref_ptr<fleet_snapshot> snapshot(new fleet_snapshot);
+  snapshot->catalog = catalog_;
+  snapshot->store_revision = mirror_.revision();
+  for (const auto& [key, upstream] : upstreams_)
+    snapshot->upstreams[upstream.record.service].push_back(upstream);
+  mirror_.Each("", [&](const store_item& item) {
+    if (codec_.KindOf(item.key) == record_kind::kEvacuation)
+      snapshot->evacuated.emplace(codec_.DecodeEvacuation(item.key));
+  });
+  snapshot->entries = Entries();
+  ShareLimits(*snapshot);
+  MarkSuperseded(*snapshot);
+  box_.Set(std::move(snapshot));
+}
+
+void fleet_sync::MarkSuperseded(fleet_snapshot& snapshot) const {
+  for (auto& [service, upstreams] : snapshot.upstreams) {
+    for (known_upstream& older : upstreams) {
+      older.superseded = std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& newer) {
+        return Supersedes(newer.second.record, older.record);
+      });
+    }
+  }
+}
+
+void fleet_sync::ShareLimits(fleet_snapshot& snapshot) const {
+  if (!catalog_)
+    return;
+  std::vector<std::string> entries;
+  entries.reserve(snapshot.entries.size());
+  for (const entry_record& entry : snapshot.entries)
+    entries.push_back(entry.name);
+  const auto age = std::chrono::duration_cast<milliseconds>(Now() - started_);
+  for (auto& [service, upstreams] : snapshot.upstreams) {
+    const service_rule* const rule = catalog_->FindService(service);
+    if (rule == nullptr || rule->cold_requests_per_s <= 0)
+      continue;
+    const double per_second =
+        rule->cold_requests_per_s * settings_.cold_factor + settings_.cold_allowance;
+    const send_limit limit = ShareOfColdLimit(
+        per_second, ExpectedEntries(std::max<std::size_t>(entries.size(), 1), per_second, age));
+    // The rest of the limit is for entries whose lists differ while an entry joins.
+    const auto senders =
+        static_cast<std::size_t>(static_cast<double>(limit.senders) / (1 + kUnknownEntries));
+    for (known_upstream& upstream : upstreams) {
+      upstream.limit = limit;
+      upstream.sender =
+          limit.senders == 0 || IsSender(upstream.record.id, settings_.name, entries, senders);
+    }
+  }
+}
+
+}  // namespace quincebank
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -12,7 +12,7 @@
 namespace quincebank {
 namespace {
 
-// Entries that may repeat requests before this one knows them, for each known one.
+// Entries among which the budget of repeats is divided, at least: at the start few are known.
 constexpr double kExpectedEntries = 8;
 // Some clients keep a look-up three times as long as they may.
 constexpr int kStaleLookups = 3;
--- a/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
+++ b/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
@@ -40,6 +40,8 @@
 
   /// \param engines  reaches the engine on this host.
   [[nodiscard]] result<void> Start(std::unique_ptr<engine_port> engines);
+  /// \brief Where it listens; its port is set even if port 0 was asked for.
+  [[nodiscard]] const endpoint& address() const noexcept { return server_->address(); }
   [[nodiscard]] http_client& http() noexcept { return *http_; }
 
  private:
