--- a/libs/base/tests/event_log_test.cc
+++ b/libs/base/tests/event_log_test.cc
@@ -33,8 +33,8 @@
       log.Write(event_line("test").Add("text", std::string(100, 'x')));
     dropped = log.dropped();
     // The writer is stuck in the full pipe; a closed reader ends that.
-    close(ends[0]);
     signal(SIGPIPE, SIG_IGN);
+    close(ends[0]);
   }
   close(ends[1]);
   EXPECT_GT(dropped, 0U);
