Tell entries the load and the pace of engines; measure passes over 150 ms

Cause: an entry knew only its own requests at an engine; with 6 entries a sixth of them. Agents now send running and waiting requests and the last pass in datagrams, at most 250 a second for an entry. Placement adds the requests of others, prefers the group with shorter passes, and keeps queues short enough for the first token. Passes are counted over 150 ms now, and the log says what a hold was chosen from.

--- a/libs/expert_control/include/quincebank/expert_control/engine_port.h
+++ b/libs/expert_control/include/quincebank/expert_control/engine_port.h
@@ -35,6 +35,8 @@
   std::optional<armed_map> armed;
   std::optional<std::uint64_t> held;  ///< Pass that does not begin before a release.
   std::uint64_t orders = 0;           ///< Orders accepted since the start.
+  int running = 0;                    ///< Requests in its batch, from all entries.
+  int waiting = 0;                    ///< Requests in its queue.
   milliseconds age{0};                ///< Longest time since the state was so.
 
   [[nodiscard]] bool operator==(const rank_report&) const = default;
--- a/libs/expert_control/include/quincebank/expert_control/map_rollout.h
+++ b/libs/expert_control/include/quincebank/expert_control/map_rollout.h
@@ -100,6 +100,7 @@
                                              std::uint64_t version);
   [[nodiscard]] rollout_outcome Undo(group_state& group, std::uint64_t step);
   [[nodiscard]] rollout_outcome Release(group_state& group, std::uint64_t step);
+  void MeasurePasses(std::uint64_t step);
   /// \brief Waits until reports show all that was ordered before.
   void AwaitFreshReports();
   [[nodiscard]] std::uint64_t StepAfter(const group_state& group, milliseconds lead) const;
@@ -109,10 +110,10 @@
   event_log& log_;
   const rollout_settings settings_;
   std::uint64_t last_version_ = 0;
-  /// Time of one pass, from the last two reads; 0 if unknown.
+  /// Time of one pass; 0 if unknown.
   nanoseconds pass_time_{0};
   milliseconds report_age_{kAssumedAge};  ///< Of the oldest report in the last read.
-  std::uint64_t seen_step_ = 0;
+  std::uint64_t seen_step_ = 0;  ///< Where the present count of passes began.
   time_point seen_at_{};
 };
 
--- a/libs/expert_control/src/map_rollout.cc
+++ b/libs/expert_control/src/map_rollout.cc
@@ -22,6 +22,8 @@
 // Time for an accepted order to show in a report that is made afterwards.
 constexpr milliseconds kReportMargin{15};
 constexpr int kReadTries = 3;
+// Passes are counted over at least this time: reports of two ranks may be half a pass apart.
+constexpr milliseconds kPassSpan{150};
 
 std::vector<std::size_t> All(std::size_t count) {
   std::vector<std::size_t> members(count);
@@ -82,12 +84,19 @@
     last_version_ = std::max({last_version_, rank.report.map, rank.report.prepared.value_or(0),
                               rank.report.armed ? rank.report.armed->version : 0});
   }
+  MeasurePasses(step);
+  return rollout_outcome::kUnchanged;
+}
+
+void map_rollout::MeasurePasses(std::uint64_t step) {
   const time_point now = clock_.now();
-  if (seen_step_ > 0 && step > seen_step_)
+  if (seen_step_ != 0 && step >= seen_step_) {
+    if (step == seen_step_ || now - seen_at_ < kPassSpan)
+      return;
     pass_time_ = (now - seen_at_) / static_cast<std::int64_t>(step - seen_step_);
+  }
   seen_step_ = step;
   seen_at_ = now;
-  return rollout_outcome::kUnchanged;
 }
 
 void map_rollout::AwaitFreshReports() {
@@ -101,7 +110,15 @@
   const nanoseconds ahead = lead + report_age_;
   const std::uint64_t passes =
       pass_time_.count() > 0 ? static_cast<std::uint64_t>(ahead / pass_time_) : kLeastLead;
-  return step + std::clamp(passes, kLeastLead, kMostLead);
+  const std::uint64_t chosen = step + std::clamp(passes, kLeastLead, kMostLead);
+  log_.Write(event_line("expert.hold_chosen")
+                 .Add("group", group.front().report.group)
+                 .Add("begun", step)
+                 .Add("step", chosen)
+                 .Add("pass_us", static_cast<std::int64_t>(pass_time_.count() / 1'000))
+                 .Add("report_age_ms", report_age_)
+                 .Add("lead_ms", lead));
+  return chosen;
 }
 
 std::optional<bool> map_rollout::Settle(group_state& group,
--- a/libs/gateway/include/quincebank/gateway/gateway_service.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_service.h
@@ -16,6 +16,7 @@
 #include "quincebank/gateway/fleet_sync.h"
 #include "quincebank/gateway/gateway_metrics.h"
 #include "quincebank/gateway/gateway_settings.h"
+#include "quincebank/gateway/load_watch.h"
 #include "quincebank/net/http_client.h"
 #include "quincebank/net/http_server.h"
 
@@ -95,6 +96,7 @@
   std::unique_ptr<fleet_sync> sync_;
   std::unique_ptr<engine_port> engines_;
   std::unique_ptr<expert_steering> steering_;
+  std::unique_ptr<load_watch> loads_;
   std::unique_ptr<http_server> clients_;
   std::vector<std::unique_ptr<http_server>> servers_;
 };
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "quincebank/base/clock.h"
+#include "quincebank/placement/engine_room.h"
 #include "quincebank/placement/patience.h"
 
 namespace quincebank {
@@ -21,6 +22,8 @@
 constexpr milliseconds kPlaceRetry{10};
 // Requests that may wait in the queue of an upstream, as a share of its slots.
 constexpr double kQueueShare = 0.75;
+// Part of the latency objective that a request may spend in the queue of an engine.
+constexpr int kQueueWaitShare = 2;
 // Part of the latency objective that a request waits for room before it is refused.
 constexpr int kWaitShare = 2;
 // Larger answers are refused: all of an answer is held until it is known to be complete.
@@ -114,6 +117,8 @@
     view.in_flight = upstream.evidence->in_flight();
     view.slots = std::max(record.slots, 1);
     view.limit = view.slots + static_cast<int>(view.slots * kQueueShare);
+    if (const auto others = upstream.evidence->others(now))
+      AddEngineLoad(upstream, *others, view);
     view.failure_share = upstream.evidence->failure_share();
     view.rests = upstream.evidence->Rests(now) || upstream.superseded ||
                  (record.group && !record.group->open) ||
@@ -128,6 +133,20 @@
   return ChooseUpstream(views, shared_.random);
 }
 
+void forward_flow::AddEngineLoad(const known_upstream& upstream,
+                                 int others,
+                                 placement_candidate& view) const {
+  view.reported = others;
+  if (!service_->engine)
+    return;
+  const nanoseconds pass = upstream.pulse ? upstream.pulse->PassTime(Now()) : nanoseconds(0);
+  view.limit = EngineRoom(*service_->engine, pass, route_->latency_objective / kQueueWaitShare);
+  if (route_->event_gap_objective.count() > 0) {
+    view.pace = static_cast<double>(pass.count()) /
+                static_cast<double>(nanoseconds(route_->event_gap_objective).count());
+  }
+}
+
 std::optional<known_upstream> forward_flow::WaitForUpstream() {
   const time_point until =
       std::min(Now() + route_->latency_objective / kWaitShare, deadline_ - kLeastTime);
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -48,6 +48,10 @@
   [[nodiscard]] std::optional<known_upstream> WaitForUpstream();
   [[nodiscard]] placement Place(const fleet_snapshot& snapshot,
                                 std::vector<const known_upstream*>& candidates);
+  /// \brief Adds what the agent beside an engine has told of it.
+  void AddEngineLoad(const known_upstream& upstream,
+                     int others,
+                     placement_candidate& view) const;
   [[nodiscard]] attempt_report Send(const known_upstream& upstream);
   [[nodiscard]] attempt_report TakeAnswer(http_stream& stream);
   [[nodiscard]] attempt_report TakeStream(http_stream& stream);
--- /dev/null
+++ b/libs/gateway/src/load_watch.cc
@@ -0,0 +1,110 @@
+#include "quincebank/gateway/load_watch.h"
+
+#include <algorithm>
+#include <array>
+#include <thread>
+#include <vector>
+
+#include "quincebank/base/clock.h"
+
+namespace quincebank {
+namespace {
+
+// Between renewals of the subscriptions; agents keep them for more than three times as long.
+constexpr milliseconds kRenewal{1'000};
+// Least time between two loads of an engine: a tenth of the time that a request usually runs.
+constexpr milliseconds kLeastPeriod{200};
+// Added to the period by each engine: at most 250 loads a second arrive at an entry.
+constexpr milliseconds kPeriodPerEngine{4};
+constexpr milliseconds kStopPoll{2};
+
+}  // namespace
+
+milliseconds LoadPeriod(std::size_t engines) noexcept {
+  return std::max(kLeastPeriod, kPeriodPerEngine * static_cast<std::int64_t>(engines));
+}
+
+load_watch::load_watch(const fleet_snapshot_box& box, std::uint16_t agent_port, event_log& log)
+    : box_(box), agent_port_(agent_port), log_(log) {}
+
+load_watch::~load_watch() {
+  stop_.Set();
+  if (socket_)
+    socket_->Close();
+  while (running_ > 0)
+    std::this_thread::sleep_for(kStopPoll);
+}
+
+result<void> load_watch::Start(fiber_thread& thread, const endpoint& address) {
+  if (agent_port_ == 0)
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  BOOST_OUTCOME_TRY(socket_, datagram_socket::Bind(thread, address));
+  constexpr std::array<void (load_watch::*)(), 2> kLoops{&load_watch::SubscribeLoop,
+                                                         &load_watch::ReceiveLoop};
+  for (const auto loop : kLoops) {
+    ++running_;
+    thread.Spawn([this, loop] {
+      (this->*loop)();
+      --running_;
+    });
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void load_watch::SubscribeLoop() {
+  bool failing = false;
+  do {
+    const auto snapshot = box_.Get();
+    std::vector<const upstream_record*> engines;
+    for (const auto& [service, upstreams] : snapshot->upstreams) {
+      for (const known_upstream& upstream : upstreams) {
+        if (upstream.record.group && !upstream.superseded)
+          engines.push_back(&upstream.record);
+      }
+    }
+    bool sent = true;
+    for (const upstream_record* const engine : engines) {
+      sent &= socket_->Send({engine->address.address, agent_port_},
+                            Encode(load_subscription{engine->id, LoadPeriod(engines.size())}));
+    }
+    if (sent == failing)
+      log_.Write(event_line("load.subscription").Add("sent", sent));
+    failing = !sent;
+  } while (!stop_.WaitFor(kRenewal));
+}
+
+void load_watch::ReceiveLoop() {
+  for (;;) {
+    const auto received = socket_->Receive();
+    if (!received) {
+      if (stop_.IsSet())
+        return;
+      // An error that the network reports for an earlier datagram.
+      if (stop_.WaitFor(kStopPoll))
+        return;
+      continue;
+    }
+    const auto load = DecodeLoad(received.value().payload);
+    if (load)
+      Take(load.value());
+  }
+}
+
+void load_watch::Take(const engine_load& load) const {
+  const auto snapshot = box_.Get();
+  const time_point now = Now();
+  for (const auto& [service, upstreams] : snapshot->upstreams) {
+    const auto found =
+        std::find_if(upstreams.begin(), upstreams.end(), [&](const known_upstream& upstream) {
+          return upstream.record.id == load.upstream;
+        });
+    if (found == upstreams.end())
+      continue;
+    found->evidence->OnLoad(load.running + load.waiting, now);
+    if (found->pulse)
+      found->pulse->OnStep(load.step, now);
+    return;
+  }
+}
+
+}  // namespace quincebank
--- a/libs/placement/include/quincebank/placement/group_pulse.h
+++ b/libs/placement/include/quincebank/placement/group_pulse.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 #include "quincebank/base/ref_counted.h"
 #include "quincebank/base/time.h"
 
@@ -17,6 +19,10 @@
   }
   void OnHeard(time_point now) noexcept { heard_ = now; }
   void OnEnd() noexcept { --in_flight_; }
+  /// \brief A rank tells the last pass that was begun.
+  void OnStep(std::uint64_t step, time_point now) noexcept;
+  /// \brief Time of one pass; 0 if it is not known or the group is idle.
+  [[nodiscard]] nanoseconds PassTime(time_point now) const noexcept;
 
   /// \brief Whether several requests wait and none of them has heard anything for a while.
   [[nodiscard]] bool Stalled(time_point now) const noexcept {
@@ -31,6 +37,9 @@
 
   int in_flight_ = 0;
   time_point heard_{};
+  std::uint64_t step_ = 0;  ///< Last pass that was told, `step_at_` when.
+  time_point step_at_{};
+  nanoseconds pass_time_{0};
 };
 
 }  // namespace quincebank
--- a/libs/placement/include/quincebank/placement/upstream_evidence.h
+++ b/libs/placement/include/quincebank/placement/upstream_evidence.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "quincebank/base/ref_counted.h"
 #include "quincebank/base/time.h"
@@ -25,6 +26,11 @@
   void OnSend(const send_limit& limit, time_point now);
   void OnEnd(attempt_outcome outcome, time_point now);
 
+  /// \brief The engine tells how many requests it has, from all entries.
+  void OnLoad(int requests, time_point now) noexcept;
+  /// \brief Requests of other entries as last told; nothing if that is too long ago.
+  [[nodiscard]] std::optional<int> others(time_point now) const noexcept;
+
   /// \brief Another rank of its group is gone, so that it can't serve for a while.
   void OnGroupStalled(time_point now);
 
@@ -45,6 +51,8 @@
 
   send_window window_;
   int in_flight_ = 0;
+  int others_ = 0;
+  time_point told_{};  ///< When `others_` was told.
   int rests_in_a_row_ = 0;
   double failure_share_ = 0;
   time_point rests_until_{};
--- a/libs/placement/src/upstream_evidence.cc
+++ b/libs/placement/src/upstream_evidence.cc
@@ -15,6 +15,8 @@
 constexpr milliseconds kFailedRest{1'000};
 constexpr milliseconds kFullRest{60};
 constexpr milliseconds kLongestRest{4'000};
+// Loads are told several times a second; requests last about as long as this.
+constexpr milliseconds kLoadLife{1'000};
 
 }  // namespace
 
@@ -23,6 +25,17 @@
   window_.OnSend(limit, now);
 }
 
+void upstream_evidence::OnLoad(int requests, time_point now) noexcept {
+  others_ = std::max(0, requests - in_flight_);
+  told_ = now;
+}
+
+std::optional<int> upstream_evidence::others(time_point now) const noexcept {
+  if (told_ == time_point{} || now - told_ > kLoadLife)
+    return std::nullopt;
+  return others_;
+}
+
 void upstream_evidence::Rest(milliseconds first, time_point now) {
   if (Rests(now))
     return;
--- a/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
+++ b/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include <atomic>
 #include <boost/json/object.hpp>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 
 #include "quincebank/base/error.h"
 #include "quincebank/expert_control/engine_port.h"
+#include "quincebank/net/datagram_socket.h"
 #include "quincebank/net/fiber_thread.h"
 #include "quincebank/net/http_client.h"
 #include "quincebank/net/http_server.h"
@@ -26,7 +29,8 @@
 /// \brief Reads and checks a settings file (JSON with comments).
 [[nodiscard]] result<rank_agent_settings> ParseRankAgentSettings(std::string_view text);
 
-/// \brief Passes reports and counts of the engine beside it to the coordinator.
+/// \brief Passes reports and counts of the engine beside it to the coordinator, and its load to the
+/// entries that have subscribed.
 ///
 /// From its own host an engine tells its state without delay and does not pause its group to be
 /// read. The agent decides nothing and keeps nothing; orders come from the coordinator itself, so
@@ -51,6 +55,18 @@
     method run;
   };
 
+  /// Entry that wants to know the engine's load.
+  struct subscriber {
+    std::string upstream;
+    milliseconds period{0};
+    time_point next{};   ///< When the next load is due.
+    time_point until{};  ///< When the subscription lapses.
+  };
+
+  void ReceiveLoop();
+  void PushLoop();
+  /// \brief Sends the load of one engine to the subscribers that are due.
+  void Push(const std::string& upstream, const std::vector<endpoint>& receivers);
   [[nodiscard]] result<boost::json::value> Report(const upstream_record& rank);
   [[nodiscard]] result<boost::json::value> Counts(const upstream_record& rank);
   [[nodiscard]] result<boost::json::value> Held(const upstream_record& rank);
@@ -62,6 +78,10 @@
   std::unique_ptr<http_client> http_;
   std::unique_ptr<engine_port> engines_;
   std::unique_ptr<http_server> server_;
+  std::unique_ptr<datagram_socket> socket_;
+  std::map<endpoint, subscriber> subscribers_;
+  stop_signal stop_;
+  std::atomic<int> running_{0};  ///< Loops that have not ended.
 };
 
 }  // namespace quincebank
--- a/libs/rank_agent/src/rank_agent.cc
+++ b/libs/rank_agent/src/rank_agent.cc
@@ -1,8 +1,13 @@
 #include "quincebank/rank_agent/rank_agent.h"
 
+#include <algorithm>
 #include <array>
+#include <thread>
+#include <vector>
 
+#include "quincebank/base/clock.h"
 #include "quincebank/base/json_reader.h"
+#include "quincebank/expert_control/load_messages.h"
 #include "quincebank/expert_control/rank_messages.h"
 
 namespace quincebank {
@@ -10,6 +15,12 @@
 
 namespace json = boost::json;
 
+// Between looks for subscribers that are due; half of the shortest period that entries ask for.
+constexpr milliseconds kPushTick{100};
+// Subscriptions are renewed every second, so that two may be lost.
+constexpr milliseconds kSubscriptionLife{3'500};
+constexpr milliseconds kStopPoll{2};
+
 endpoint ReadEndpoint(json_reader& reader, std::string_view key) {
   const auto parsed = ParseEndpoint(reader.String(key));
   if (parsed)
@@ -45,6 +56,11 @@
 }
 
 rank_agent::~rank_agent() {
+  stop_.Set();
+  if (socket_)
+    socket_->Close();
+  while (running_ > 0)
+    std::this_thread::sleep_for(kStopPoll);
   server_.reset();
 }
 
@@ -71,9 +87,65 @@
     AddMethod(named);
   BOOST_OUTCOME_TRY(server_, http_server::Listen({&thread_}, settings_.address,
                                                  [this](http_exchange& e) { rpc_.Serve(e); }));
+  BOOST_OUTCOME_TRY(socket_, datagram_socket::Bind(thread_, server_->address()));
+  constexpr std::array<void (rank_agent::*)(), 2> kLoops{&rank_agent::ReceiveLoop,
+                                                         &rank_agent::PushLoop};
+  for (const auto loop : kLoops) {
+    ++running_;
+    thread_.Spawn([this, loop] {
+      (this->*loop)();
+      --running_;
+    });
+  }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+void rank_agent::ReceiveLoop() {
+  while (!stop_.IsSet()) {
+    const auto received = socket_->Receive();
+    if (!received)
+      return;
+    const auto asked = DecodeSubscription(received.value().payload);
+    if (!asked)
+      continue;  // Anyone may send here; entries repeat what is lost.
+    const time_point now = Now();
+    subscriber& entry = subscribers_[received.value().sender];
+    entry.upstream = asked.value().upstream;
+    entry.period = asked.value().period;
+    entry.until = now + kSubscriptionLife;
+  }
+}
+
+void rank_agent::PushLoop() {
+  while (!stop_.WaitFor(kPushTick)) {
+    const time_point now = Now();
+    std::erase_if(subscribers_, [&](const auto& named) { return named.second.until < now; });
+    std::map<std::string, std::vector<endpoint>> due;
+    for (auto& [address, entry] : subscribers_) {
+      if (entry.next > now)
+        continue;
+      entry.next = now + std::max(entry.period - kPushTick / 2, kPushTick / 2);
+      due[entry.upstream].push_back(address);
+    }
+    for (const auto& [upstream, receivers] : due)
+      Push(upstream, receivers);
+  }
+}
+
+void rank_agent::Push(const std::string& upstream, const std::vector<endpoint>& receivers) {
+  upstream_record rank;
+  rank.id = upstream;
+  rank.address = settings_.engine;
+  const std::array<const upstream_record*, 1> ranks{&rank};
+  const auto report = std::move(engines_->Reports(ranks).front());
+  if (!report)
+    return;  // Entries do without loads that grow old.
+  const std::string payload = Encode(engine_load{upstream, report.value().running,
+                                                 report.value().waiting, report.value().step});
+  for (const endpoint& receiver : receivers)
+    (void)socket_->Send(receiver, payload);
+}
+
 result<json::value> rank_agent::Report(const upstream_record& rank) {
   const std::array<const upstream_record*, 1> ranks{&rank};
   BOOST_OUTCOME_TRY(const rank_report report, engines_->Reports(ranks).front());
