--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -290,8 +290,10 @@
 
 bool fleet_sync::ClaimIsDue() {
   const time_point now = Now();
-  if (!vacant_since_)
+  if (!vacant_since_) {
     vacant_since_ = now;
+    log_.Write(event_line("coordinator.vacant").Add("revision", mirror_.revision()));
+  }
   std::vector<std::string> names;
   for (const entry_record& entry : Entries())
     names.push_back(entry.name);
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -141,10 +141,6 @@
     return;
   const nanoseconds pass = upstream.pulse ? upstream.pulse->PassTime(Now()) : nanoseconds(0);
   view.limit = EngineRoom(*service_->engine, pass, route_->latency_objective / kQueueWaitShare);
-  if (route_->event_gap_objective.count() > 0) {
-    view.pace = static_cast<double>(pass.count()) /
-                static_cast<double>(nanoseconds(route_->event_gap_objective).count());
-  }
 }
 
 std::optional<known_upstream> forward_flow::WaitForUpstream() {
--- a/libs/placement/include/quincebank/placement/choose_upstream.h
+++ b/libs/placement/include/quincebank/placement/choose_upstream.h
@@ -17,7 +17,6 @@
   int slots = 1;      ///< Requests that it runs at once.
   int limit = 1;      ///< Most requests in flight, those in its queue included.
   double failure_share = 0;
-  double pace = 0;  ///< Time of its group's passes in gap objectives; 0 if unknown.
   bool rests = false;
   time_point rests_until{};
   bool on_trial = false;
--- a/libs/placement/src/choose_upstream.cc
+++ b/libs/placement/src/choose_upstream.cc
@@ -11,9 +11,6 @@
 // A request in the queue of an upstream waits for a whole service time, one in a slot slows the
 // others down by a part of theirs.
 constexpr double kQueuedCost = 2;
-// Weight of the square of the pace: two groups whose passes take half and all of the time that a
-// stream may pause differ by as much as nine requests more in twelve slots.
-constexpr double kPaceCost = 1;
 
 double Cost(const placement_candidate& candidate) noexcept {
   const double in_flight = candidate.in_flight + candidate.reported + 1.0;
@@ -22,7 +19,6 @@
   double cost = (in_flight + kQueuedCost * queued) / slots;
   if (candidate.same_domain)
     cost -= kSameDomainBonus / slots;
-  cost += kPaceCost * candidate.pace * candidate.pace;
   return cost * (1 + kFailureCost * candidate.failure_share);
 }
 
