Note the number of entries in the store; claim the coordinator's role before groups form

The coordinator's role was claimed only once all ranks were open.

Change: the coordinator writes the number of entries to the store, where it outlives all of them; the first share is taken for that number and half as many again. The role is claimed at once. Retry-After follows the obstacle: a window of the cold limit, two objectives of a full service, twice the age of a process without a configuration.

Tests: cold_share.EntriesThatStartTogetherCarryTheUsualLoad (fails with the smallest share), retry_after_start.

--- a/libs/gateway/include/quincebank/gateway/expert_steering.h
+++ b/libs/gateway/include/quincebank/gateway/expert_steering.h
@@ -50,6 +50,8 @@
   };
 
   [[nodiscard]] static group_memory MakeMemory(std::uint64_t epoch);
+  /// \brief Whether any service has expert groups.
+  [[nodiscard]] bool HasExperts() const;
   void Loop(fiber_thread& thread);
   void GroupLoop(const std::string& group, group_memory& memory);
   [[nodiscard]] std::map<std::string, group_view> Groups() const;
--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -68,6 +68,10 @@
   /// \brief Returns the pulse of an upstream's group; null if it is in none.
   [[nodiscard]] ref_ptr<group_pulse> PulseOf(const upstream_record& record);
   [[nodiscard]] std::string CoordinatorName() const;
+  /// \brief Notes the number of entries in the store; a smaller one only after a while.
+  void NoteFleetSize();
+  /// \brief Number of entries that the store notes; 0 if it notes none.
+  [[nodiscard]] std::size_t RememberedEntries() const;
   /// \brief Whether the entries before this one have had time to claim the role.
   [[nodiscard]] bool ClaimIsDue();
   [[nodiscard]] result<void> Register();
@@ -94,6 +98,7 @@
   time_point coordinator_renewed_{};
   std::optional<time_point> vacant_since_;  ///< Nobody holds the role since then.
   time_point next_claim_{};
+  time_point fleet_as_noted_{};  ///< When there last were as many entries as the store notes.
   const time_point started_;
   bool starting_ = true;  ///< Entries that started at the same time may be unknown.
   bool leaving_ = false;
--- a/libs/gateway/include/quincebank/gateway/gateway_service.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_service.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "quincebank/admission/retry_budget.h"
+#include "quincebank/base/clock.h"
 #include "quincebank/base/event_log.h"
 #include "quincebank/base/random.h"
 #include "quincebank/gateway/exchange_codec.h"
@@ -38,6 +39,7 @@
   fleet_snapshot_box snapshots;
   gateway_metrics metrics;
   random_source random;
+  const time_point process_started = Now();
   http_client* http = nullptr;
   std::map<std::string, retry_budget, std::less<>> repeats;
 };
--- a/libs/gateway/src/expert_steering.cc
+++ b/libs/gateway/src/expert_steering.cc
@@ -135,16 +135,26 @@
   return groups;
 }
 
+bool expert_steering::HasExperts() const {
+  const auto snapshot = box_.Get();
+  if (!snapshot->catalog)
+    return false;
+  const auto& services = snapshot->catalog->services();
+  return std::any_of(services.begin(), services.end(), [](const service_rule& service) {
+    return service.engine && service.engine->expert_sets > 0;
+  });
+}
+
 void expert_steering::Loop(fiber_thread& thread) {
   while (!stop_.WaitFor(kLook)) {
-    const auto groups = Groups();
-    if (groups.empty())
+    if (!HasExperts())
       continue;
+    // The role is claimed before groups have formed, so that they are balanced as soon as they have.
     if (!sync_.IsCoordinator()) {
       sync_.ClaimCoordination();
       continue;
     }
-    for (const auto& [name, view] : groups) {
+    for (const auto& [name, view] : Groups()) {
       group_memory& memory = groups_[name];
       if (memory.running)
         continue;
--- a/libs/gateway/src/fleet_records_intake.cc
+++ b/libs/gateway/src/fleet_records_intake.cc
@@ -185,7 +185,8 @@
     const double per_second =
         rule->cold_requests_per_s * settings_.cold_factor + settings_.cold_allowance;
     const send_limit limit = ShareOfColdLimit(
-        per_second, ExpectedEntries(std::max<std::size_t>(entries.size(), 1), per_second, age));
+        per_second, ExpectedEntries(std::max<std::size_t>(entries.size(), 1), RememberedEntries(), per_second,
+                                    age));
     // The rest of the limit is for entries whose lists differ while an entry joins.
     const auto senders =
         static_cast<std::size_t>(static_cast<double>(limit.senders) / (1 + kUnknownEntries));
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/fiber/operations.hpp>
 #include <boost/json/serialize.hpp>
+#include <charconv>
 #include <thread>
 
 #include "fleet_keys.h"
@@ -29,6 +30,8 @@
 constexpr milliseconds kCoordinatorPatience{10'000};
 // Renewals in one time to live, so that two may be lost.
 constexpr int kRenewalsPerLease = 3;
+// A fleet that has been smaller for this time is meant to be so; restarts take some seconds.
+constexpr milliseconds kSmallerFleet{60'000};
 // Between claims of one entry: its own claim shows in the mirror after the pause of the watch.
 constexpr milliseconds kClaimPause{500};
 // Time that each entry leaves to those before it to claim the coordinator's role: a few calls.
@@ -338,11 +341,38 @@
   log_.Write(std::move(line));
 }
 
+std::size_t fleet_sync::RememberedEntries() const {
+  const store_item* const note = mirror_.Find(kFleetSizeKey);
+  std::size_t noted = 0;
+  if (note != nullptr)
+    std::from_chars(note->value.data(), note->value.data() + note->value.size(), noted);
+  return noted;
+}
+
+void fleet_sync::NoteFleetSize() {
+  const std::size_t present = Entries().size();
+  const std::size_t noted = RememberedEntries();
+  const time_point now = Now();
+  if (present >= noted)
+    fleet_as_noted_ = now;
+  const bool due = present > noted || now - fleet_as_noted_ >= kSmallerFleet;
+  if (present == noted || present == 0 || !due)
+    return;
+  const auto written = store_.Put(kFleetSizeKey, std::to_string(present), {});
+  fleet_as_noted_ = now;
+  log_.Write(event_line("fleet.size_noted")
+                 .Add("entries", static_cast<std::uint64_t>(present))
+                 .Add("before", static_cast<std::uint64_t>(noted))
+                 .Add("reason", written ? "" : written.error().message));
+}
+
 void fleet_sync::CoordinatorLoop() {
   const milliseconds period = settings_.coordinator_lease / kRenewalsPerLease;
   while (!stop_.WaitFor(period)) {
     if (coordinator_lease_.empty() || leaving_)
       continue;
+    if (IsCoordinator())
+      NoteFleetSize();
     const time_point sent = Now();
     const auto kept = store_.KeepLease(coordinator_lease_);
     if (kept) {
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -28,8 +28,8 @@
 constexpr int kWaitShare = 2;
 // Larger answers are refused: all of an answer is held until it is known to be complete.
 constexpr std::size_t kMostAnswerBytes = std::size_t{16} * 1024 * 1024;
-// When a client should come back to an entry that does not know the configuration yet.
-constexpr milliseconds kRetryWhenStarting{1'000};
+// When a client should come back whose route names a service that the configuration lacks.
+constexpr milliseconds kRetryUnknownService{1'000};
 
 constexpr int kServerError = 500;
 
@@ -82,7 +82,9 @@
 
 std::optional<forward_flow::own_answer> forward_flow::Resolve() {
   if (!catalog_)
-    return own_answer{503, "no-configuration", kRetryWhenStarting};
+    return own_answer{503, "no-configuration",
+                      RetryAfterStart(std::chrono::duration_cast<milliseconds>(
+                          Now() - shared_.process_started))};
   route_ = catalog_->FindRoute(request_.host, request_.path);
   if (route_ == nullptr)
     return own_answer{404, "no-route", {}};
@@ -94,7 +96,7 @@
     return own_answer{401, "unknown-key", {}};
   service_ = catalog_->FindService(PickService(*route_, shared_.random.Unit()));
   if (service_ == nullptr)
-    return own_answer{503, "unknown-service", kRetryWhenStarting};
+    return own_answer{503, "unknown-service", kRetryUnknownService};
   deadline_ = started_ + std::min(request_.time_left.value_or(route_->timeout), route_->timeout);
   last_event_ = request_.resume_after;
   return std::nullopt;
@@ -405,7 +407,7 @@
     return;
   }
   if (ran_ == verdict::kNotRun) {
-    Answer({503, last.reason, RetryAfter(obstacle_, last.outcome, shared_.settings.engine_stall)});
+    Answer({503, last.reason, RetryAfter(*route_, obstacle_, last.outcome, shared_.settings.engine_stall)});
     return;
   }
   Answer({Left() <= milliseconds(0) ? 504 : 502, last.reason, {}});
--- a/libs/placement/include/quincebank/placement/patience.h
+++ b/libs/placement/include/quincebank/placement/patience.h
@@ -25,13 +25,25 @@
 
 /// \brief When a client should come back whose request no upstream has run.
 ///
-/// A full service has room again soon; one whose upstreams are gone or whose group has lost a rank
-/// needs the time to form again.
+/// Clients come back once or twice, so a time that is too short costs them the answer, one that is
+/// too long only a moment. A full service has room again when some of its requests have ended, one
+/// whose upstreams are cold when the next window begins; one whose upstreams are gone or whose group
+/// has lost a rank needs the time to form again.
 ///
+/// \param route  route of the request.
 /// \param last  outcome of the last attempt; `kFull` if there was none.
 /// \param stall  time that a group without a rank takes to give up its work.
-[[nodiscard]] milliseconds RetryAfter(placement_obstacle obstacle,
+[[nodiscard]] milliseconds RetryAfter(const route_rule& route,
+                                      placement_obstacle obstacle,
                                       attempt_outcome last,
                                       milliseconds stall) noexcept;
 
+/// \brief When a client should come back to an entry that does not know the configuration yet.
+///
+/// The store answers within some hundred milliseconds, or it is down; an outage usually lasts for
+/// about as long again as it has lasted.
+///
+/// \param age  time since the process started.
+[[nodiscard]] milliseconds RetryAfterStart(milliseconds age) noexcept;
+
 }  // namespace quincebank
--- a/libs/placement/include/quincebank/placement/send_window.h
+++ b/libs/placement/include/quincebank/placement/send_window.h
@@ -34,13 +34,16 @@
 
 /// \brief Entries that may send to the upstreams of a service.
 ///
-/// An entry that has just started may know only a few of those that started with it, so it first
-/// takes the smallest share that needs no choice of senders.
+/// An entry that has just started may know only a few of those that started with it. It then counts
+/// as many as there were before, or takes the smallest share that needs no choice of senders if
+/// nobody has noted their number.
 ///
 /// \param known  entries registered at present, this one included.
+/// \param remembered  entries that the store's note tells; 0 if there is no note.
 /// \param per_second  requests that an upstream can take in one second.
 /// \param since_start  age of this process.
 [[nodiscard]] std::size_t ExpectedEntries(std::size_t known,
+                                          std::size_t remembered,
                                           double per_second,
                                           milliseconds since_start) noexcept;
 
--- a/libs/placement/src/patience.cc
+++ b/libs/placement/src/patience.cc
@@ -11,8 +11,15 @@
 // Clients give a stream up after a gap of eight gap objectives or two seconds.
 constexpr int kGapObjectives = 8;
 constexpr milliseconds kLeastGap{800};
-// A short burst is over after some hundred milliseconds.
-constexpr milliseconds kWhenFull{400};
+// When a service is full: in latency objectives, and at least the time of a few plain requests.
+constexpr int kFullObjectives = 2;
+constexpr milliseconds kLeastWhenFull{300};
+// Cold upstreams take some requests in each second.
+constexpr milliseconds kWhenRateLimited{1'000};
+// While the configuration is not known: in ages of the process.
+constexpr int kStartAges = 2;
+constexpr milliseconds kLeastWhenStarting{700};
+constexpr milliseconds kMostWhenStarting{4'000};
 // Time that a group takes to form again, beside the stall.
 constexpr milliseconds kFormTime{600};
 
@@ -32,13 +39,22 @@
   return std::min(left, std::max(route.event_gap_objective * kGapObjectives, kLeastGap));
 }
 
-milliseconds RetryAfter(placement_obstacle obstacle,
+milliseconds RetryAfterStart(milliseconds age) noexcept {
+  return std::clamp(age * kStartAges, kLeastWhenStarting, kMostWhenStarting);
+}
+
+milliseconds RetryAfter(const route_rule& route,
+                        placement_obstacle obstacle,
                         attempt_outcome last,
                         milliseconds stall) noexcept {
   const bool gone = obstacle == placement_obstacle::kNoUpstream ||
                     last == attempt_outcome::kStalled || last == attempt_outcome::kReplaced ||
                     last == attempt_outcome::kUnreachable;
-  return gone ? stall + kFormTime : kWhenFull;
+  if (gone)
+    return stall + kFormTime;
+  if (obstacle == placement_obstacle::kRateLimited)
+    return kWhenRateLimited;
+  return std::max(route.latency_objective * kFullObjectives, kLeastWhenFull);
 }
 
 }  // namespace quincebank
--- a/libs/placement/src/send_window.cc
+++ b/libs/placement/src/send_window.cc
@@ -23,11 +23,14 @@
 }
 
 std::size_t ExpectedEntries(std::size_t known,
+                            std::size_t remembered,
                             double per_second,
                             milliseconds since_start) noexcept {
-  const auto joining = static_cast<std::size_t>(static_cast<double>(known) * kUnknownEntries);
-  const std::size_t expected = known + joining + 1;
-  if (since_start >= kStartTime)
+  const bool starting = since_start < kStartTime;
+  const std::size_t sure = starting ? std::max(known, remembered) : known;
+  const auto joining = static_cast<std::size_t>(static_cast<double>(sure) * kUnknownEntries);
+  const std::size_t expected = sure + joining + 1;
+  if (!starting || remembered > 0)
     return expected;
   return std::max(expected, static_cast<std::size_t>(per_second));
 }
--- a/libs/placement/tests/patience_test.cc
+++ b/libs/placement/tests/patience_test.cc
@@ -50,11 +50,23 @@
 // Guards against clients that come back while the group is still forming and are refused again.
 TEST(retry_after, CoversTheTimeOfTheObstacle) {
   constexpr milliseconds kStall{1'500};
-  EXPECT_LT(RetryAfter(placement_obstacle::kFull, attempt_outcome::kFull, kStall), kStall);
+  route_rule route;
+  route.latency_objective = milliseconds(500);
+  EXPECT_LT(RetryAfter(route, placement_obstacle::kFull, attempt_outcome::kFull, kStall), kStall);
+  // A window of the cold limit.
+  EXPECT_GE(RetryAfter(route, placement_obstacle::kRateLimited, attempt_outcome::kFull, kStall),
+            milliseconds(1'000));
   for (const attempt_outcome gone :
        {attempt_outcome::kStalled, attempt_outcome::kReplaced, attempt_outcome::kUnreachable})
-    EXPECT_GT(RetryAfter(placement_obstacle::kNone, gone, kStall), kStall);
-  EXPECT_GT(RetryAfter(placement_obstacle::kNoUpstream, attempt_outcome::kFull, kStall), kStall);
+    EXPECT_GT(RetryAfter(route, placement_obstacle::kNone, gone, kStall), kStall);
+  EXPECT_GT(RetryAfter(route, placement_obstacle::kNoUpstream, attempt_outcome::kFull, kStall), kStall);
+}
+
+// Guards against clients that use up their retry while an outage at the start still lasts.
+TEST(retry_after_start, GrowsWithTheTimeThatTheOutageHasLasted) {
+  EXPECT_LE(RetryAfterStart(milliseconds(50)), milliseconds(1'000));
+  EXPECT_GE(RetryAfterStart(milliseconds(1'000)), milliseconds(2'000));
+  EXPECT_LE(RetryAfterStart(milliseconds(60'000)), milliseconds(5'000));
 }
 
 }  // namespace
--- a/libs/placement/tests/placement_test.cc
+++ b/libs/placement/tests/placement_test.cc
@@ -142,14 +142,30 @@
 TEST(cold_share, EntriesThatStartTogetherKeepTheLimit) {
   constexpr double kPerSecond = 44;
   constexpr std::size_t kEntries = 8;
-  double sum = 0;
-  for (std::size_t known = 1; known <= kEntries; ++known) {
-    const send_limit limit =
-        ShareOfColdLimit(kPerSecond, ExpectedEntries(known, kPerSecond, milliseconds(900)));
-    sum += static_cast<double>(limit.requests);
+  for (const std::size_t remembered : {std::size_t{0}, kEntries}) {
+    double sum = 0;
+    for (std::size_t known = 1; known <= kEntries; ++known) {
+      const send_limit limit = ShareOfColdLimit(
+          kPerSecond, ExpectedEntries(known, remembered, kPerSecond, milliseconds(900)));
+      sum += static_cast<double>(limit.requests);
+    }
+    EXPECT_LE(sum, kPerSecond);
   }
-  EXPECT_LE(sum, kPerSecond);
-  EXPECT_EQ(ExpectedEntries(kEntries, kPerSecond, kStartTime), 13U);
+  EXPECT_EQ(ExpectedEntries(kEntries, kEntries, kPerSecond, kStartTime), 13U);
+}
+
+// Guards against refusals after a loss of all power: 16 cold upstreams could carry ten times the 84
+// requests a second, but each entry took one request in a second for each of them.
+TEST(cold_share, EntriesThatStartTogetherCarryTheUsualLoad) {
+  constexpr double kPerSecond = 59;
+  constexpr double kEntries = 6;
+  constexpr double kUpstreams = 16;
+  constexpr double kLoad = 84;
+  const send_limit limit =
+      ShareOfColdLimit(kPerSecond, ExpectedEntries(1, 6, kPerSecond, milliseconds(300)));
+  const double windows_a_second = 1'000.0 / static_cast<double>(limit.window.count());
+  EXPECT_GT(kEntries * kUpstreams * static_cast<double>(limit.requests) * windows_a_second,
+            3 * kLoad);
 }
 
 TEST(upstream_evidence, RestsAfterItCouldNotBeReachedAndReturnsOnTrial) {
