Put changed settings in force without a restart; divide repeats among the entries that the store notes

The settings file is read again after SIGHUP and every 2 s; bounds take effect at once, changed addresses are logged as needing a restart.

--- a/libs/gateway/include/quincebank/gateway/fleet_snapshot.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_snapshot.h
@@ -31,6 +31,8 @@
   std::map<std::string, std::vector<known_upstream>, std::less<>> upstreams;  ///< By service.
   std::set<std::string, std::less<>> evacuated;  ///< Failure domains that get no requests.
   std::vector<entry_record> entries;
+  /// Entries registered, or noted by the store if those are more: some may just be starting.
+  std::size_t expected_entries = 0;
   std::uint64_t store_revision = 0;
 };
 
--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -26,6 +26,7 @@
 class fleet_sync {
  public:
   fleet_sync(const gateway_settings& settings,
+             const rules_box& rules,
              const record_codec& codec,
              shared_store& store,
              rpc_client& rpc,
@@ -80,6 +81,7 @@
   void NoteStore(bool reachable, std::string_view reason);
 
   const gateway_settings& settings_;
+  const rules_box& rules_;
   const record_codec& codec_;
   shared_store& store_;
   rpc_client& rpc_;
@@ -93,7 +95,7 @@
   std::map<std::string, known_upstream, std::less<>> upstreams_;  ///< By key.
   std::map<std::string, ref_ptr<group_pulse>> pulses_;            ///< By service and group.
   std::string lease_;
-  time_point lease_renewed_{};  ///< Sending of the last renewal that succeeded.
+  time_point lease_renewed_{};     ///< Sending of the last renewal that succeeded.
   std::string coordinator_lease_;  ///< Empty unless this entry has claimed the role.
   time_point coordinator_renewed_{};
   std::optional<time_point> vacant_since_;  ///< Nobody holds the role since then.
--- a/libs/gateway/include/quincebank/gateway/gateway_service.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_service.h
@@ -23,6 +23,12 @@
 
 namespace quincebank {
 
+/// \brief This entry's share of the repeats that a service bears from all entries.
+struct repeat_share {
+  double entries = 0;  ///< Entries among which the budget was divided.
+  std::unique_ptr<retry_budget> budget;
+};
+
 /// \brief What the handling of requests shares. Used by the traffic thread, but for the snapshots.
 struct gateway_shared {
   gateway_shared(const gateway_settings& process,
@@ -30,10 +36,11 @@
                  event_log& lines,
                  std::uint64_t seed);
 
-  /// \brief Budget of repeats of one service.
+  /// \brief Budget of repeats of one service; divided anew when there are more entries.
   [[nodiscard]] retry_budget& RepeatsOf(const std::string& service);
 
   const gateway_settings& settings;
+  rules_box rules;
   const exchange_codec& codec;
   event_log& log;
   fleet_snapshot_box snapshots;
@@ -41,7 +48,7 @@
   random_source random;
   const time_point process_started = Now();
   http_client* http = nullptr;
-  std::map<std::string, retry_budget, std::less<>> repeats;
+  std::map<std::string, repeat_share, std::less<>> repeats;
 };
 
 /// \brief Handlers for the calls of one deployment's platform.
@@ -66,6 +73,8 @@
                                    const record_codec& records,
                                    std::unique_ptr<shared_store> store,
                                    std::unique_ptr<engine_port> engines);
+  /// \brief Puts changed bounds in force; addresses need a new process.
+  void Reload(const gateway_settings& changed);
   /// \brief Leaves the look-ups, serves clients that still hold the address, and waits for running
   /// requests. Returns when all have ended or the grace period is over.
   void Shutdown();
--- a/libs/gateway/include/quincebank/gateway/gateway_settings.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <mutex>
 #include <string>
 #include <string_view>
 
@@ -10,6 +11,38 @@
 
 namespace quincebank {
 
+/// \brief Bounds that the operators set. They may change while the process runs.
+struct gateway_rules {
+  double cold_factor = 1;               ///< Tolerance on the rate of a cold upstream.
+  double cold_allowance = 0;            ///< Requests that a cold upstream takes beyond it.
+  double repeat_ratio = 0.1;            ///< Repeats per request, over all entries.
+  double repeat_allowance = 0;          ///< Repeats beyond it, over all entries.
+  milliseconds stop_grace{8'000};       ///< From SIGTERM to the kill.
+  milliseconds most_lookup_ttl{5'000};  ///< Longest time that clients keep a looked-up address.
+  milliseconds engine_stall{1'500};  ///< After this time without a rank a group gives up its work.
+
+  [[nodiscard]] bool operator==(const gateway_rules&) const = default;
+};
+
+/// \brief Hands the bounds in force from the thread that reads the settings to the others.
+class rules_box {
+ public:
+  explicit rules_box(const gateway_rules& rules) : rules_(rules) {}
+
+  void Set(const gateway_rules& rules) {
+    const std::lock_guard lock(mutex_);
+    rules_ = rules;
+  }
+  [[nodiscard]] gateway_rules Get() const {
+    const std::lock_guard lock(mutex_);
+    return rules_;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  gateway_rules rules_;
+};
+
 /// \brief Settings of a gateway process.
 struct gateway_settings {
   std::string name;
@@ -23,21 +56,15 @@
   endpoint metrics;
   endpoint store;
 
-  double cold_factor = 1;               ///< Tolerance on the rate of a cold upstream.
-  double cold_allowance = 0;            ///< Requests that a cold upstream takes beyond it.
-  double repeat_ratio = 0.1;            ///< Repeats per request, over all entries.
-  double repeat_allowance = 0;          ///< Repeats beyond it, over all entries.
-  milliseconds stop_grace{8'000};       ///< From SIGTERM to the kill.
-  milliseconds most_lookup_ttl{5'000};  ///< Longest time that clients keep a looked-up address.
-  milliseconds engine_stall{1'500};  ///< After this time without a rank a group gives up its work.
+  gateway_rules rules;
 
   milliseconds store_timeout{600};      ///< For each call, beside a watch's own wait.
   milliseconds engine_timeout{400};     ///< For each report, count or order.
   milliseconds engine_report_age{300};  ///< Age of what engines tell other hosts.
   std::uint16_t agent_port = 0;         ///< Of the agents beside engines; 0 if there are none.
   milliseconds watch_wait{10'000};      ///< Longest blocking watch.
-  milliseconds peer_poll{500};    ///< Between reads from peers while the store does not answer.
-  milliseconds lease{3'000};      ///< Of this entry's registration.
+  milliseconds peer_poll{500};  ///< Between reads from peers while the store does not answer.
+  milliseconds lease{3'000};    ///< Of this entry's registration.
   /// Of the coordinator's role: a pass that a frozen coordinator holds waits until it has ended.
   milliseconds coordinator_lease{1'000};
   std::size_t log_lines = 2'000;  ///< Most log lines that wait for their reader.
--- a/libs/gateway/src/fleet_records_intake.cc
+++ b/libs/gateway/src/fleet_records_intake.cc
@@ -155,6 +155,7 @@
       snapshot->evacuated.emplace(codec_.DecodeEvacuation(item.key));
   });
   snapshot->entries = Entries();
+  snapshot->expected_entries = std::max(snapshot->entries.size(), RememberedEntries());
   ShareLimits(*snapshot);
   MarkSuperseded(*snapshot);
   box_.Set(std::move(snapshot));
@@ -177,16 +178,16 @@
   entries.reserve(snapshot.entries.size());
   for (const entry_record& entry : snapshot.entries)
     entries.push_back(entry.name);
+  const gateway_rules rules = rules_.Get();
   const auto age = std::chrono::duration_cast<milliseconds>(Now() - started_);
   for (auto& [service, upstreams] : snapshot.upstreams) {
     const service_rule* const rule = catalog_->FindService(service);
     if (rule == nullptr || rule->cold_requests_per_s <= 0)
       continue;
-    const double per_second =
-        rule->cold_requests_per_s * settings_.cold_factor + settings_.cold_allowance;
-    const send_limit limit = ShareOfColdLimit(
-        per_second, ExpectedEntries(std::max<std::size_t>(entries.size(), 1), RememberedEntries(), per_second,
-                                    age));
+    const double per_second = rule->cold_requests_per_s * rules.cold_factor + rules.cold_allowance;
+    const send_limit limit =
+        ShareOfColdLimit(per_second, ExpectedEntries(std::max<std::size_t>(entries.size(), 1),
+                                                     RememberedEntries(), per_second, age));
     // The rest of the limit is for entries whose lists differ while an entry joins.
     const auto senders =
         static_cast<std::size_t>(static_cast<double>(limit.senders) / (1 + kUnknownEntries));
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -22,8 +22,13 @@
 // Pause after a failed read of the store; doubles up to the last one.
 constexpr milliseconds kFirstRetry{100};
 constexpr milliseconds kLastRetry{800};
-// Between a watch that has returned changes and the next one.
+// Between a watch that has returned changes and the next one: some more entries make it longer, so
+// that a change of the fleet, which all entries read, does not cost calls in proportion to its
+// square. The longest is a third of the time in which the strictest operators want a change in
+// force.
 constexpr milliseconds kWatchPause{200};
+constexpr milliseconds kLongestWatchPause{600};
+constexpr std::size_t kEntriesPerPause = 12;
 // Between looks for loops that have not ended.
 constexpr milliseconds kStopPoll{2};
 // How long a coordinator goes on without a renewal of its lease, unless it hears of another one.
@@ -39,9 +44,15 @@
 // Between checks for removals whose grace period is over.
 constexpr milliseconds kExpireCheck{200};
 
+milliseconds WatchPause(std::size_t entries) noexcept {
+  const auto steps = static_cast<std::int64_t>(entries / kEntriesPerPause);
+  return std::clamp(kWatchPause * steps, kWatchPause, kLongestWatchPause);
+}
+
 }  // namespace
 
 fleet_sync::fleet_sync(const gateway_settings& settings,
+                       const rules_box& rules,
                        const record_codec& codec,
                        shared_store& store,
                        rpc_client& rpc,
@@ -49,6 +60,7 @@
                        fleet_snapshot_box& box,
                        std::uint64_t incarnation)
     : settings_(settings),
+      rules_(rules),
       codec_(codec),
       store_(store),
       rpc_(rpc),
@@ -132,7 +144,7 @@
       Take(update.value(), true);
       pause = kFirstRetry;
       // Changes come in bursts, and each watch that returns is a call.
-      if (!update.value().events.empty() && stop_.WaitFor(kWatchPause))
+      if (!update.value().events.empty() && stop_.WaitFor(WatchPause(Entries().size())))
         return;
       continue;
     }
@@ -323,10 +335,9 @@
   vacant_since_.reset();
   next_claim_ = sent + kClaimPause;
   auto lease = store_.OpenLease(settings_.coordinator_lease);
-  const auto claimed =
-      !lease ? result<bool>(lease.error())
-      : own  ? store_.Replace(*holder, CoordinatorName(), lease.value())
-             : store_.Create(kCoordinatorKey, CoordinatorName(), lease.value());
+  const auto claimed = !lease ? result<bool>(lease.error())
+                       : own  ? store_.Replace(*holder, CoordinatorName(), lease.value())
+                              : store_.Create(kCoordinatorKey, CoordinatorName(), lease.value());
   // A write without an answer may still have made this entry the coordinator.
   if (lease && (!claimed || claimed.value())) {
     coordinator_lease_ = lease.value();
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -82,9 +82,9 @@
 
 std::optional<forward_flow::own_answer> forward_flow::Resolve() {
   if (!catalog_)
-    return own_answer{503, "no-configuration",
-                      RetryAfterStart(std::chrono::duration_cast<milliseconds>(
-                          Now() - shared_.process_started))};
+    return own_answer{
+        503, "no-configuration",
+        RetryAfterStart(std::chrono::duration_cast<milliseconds>(Now() - shared_.process_started))};
   route_ = catalog_->FindRoute(request_.host, request_.path);
   if (route_ == nullptr)
     return own_answer{404, "no-route", {}};
@@ -407,7 +407,8 @@
     return;
   }
   if (ran_ == verdict::kNotRun) {
-    Answer({503, last.reason, RetryAfter(*route_, obstacle_, last.outcome, shared_.settings.engine_stall)});
+    Answer({503, last.reason,
+            RetryAfter(*route_, obstacle_, last.outcome, shared_.rules.Get().engine_stall)});
     return;
   }
   Answer({Left() <= milliseconds(0) ? 504 : 502, last.reason, {}});
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -14,6 +14,8 @@
 
 // Entries among which the budget of repeats is divided, at least: at the start few are known.
 constexpr double kExpectedEntries = 8;
+// Part of the ratio that entries use: a request of a client may be counted in another window.
+constexpr double kRepeatShare = 0.9;
 // Some clients keep a look-up three times as long as they may.
 constexpr int kStaleLookups = 3;
 constexpr milliseconds kLookupTtl{1'000};
@@ -29,20 +31,21 @@
                                const exchange_codec& exchanges,
                                event_log& lines,
                                std::uint64_t seed)
-    : settings(process), codec(exchanges), log(lines), random(seed) {}
+    : settings(process), rules(process.rules), codec(exchanges), log(lines), random(seed) {}
 
 retry_budget& gateway_shared::RepeatsOf(const std::string& service) {
-  const auto found = repeats.find(service);
-  if (found != repeats.end())
-    return found->second;
   const double entries =
-      std::max(kExpectedEntries, static_cast<double>(snapshots.Get()->entries.size()));
-  const double burst = settings.repeat_allowance / (2 * entries);
-  return repeats
-      .try_emplace(service, retry_budget_settings{.ratio = settings.repeat_ratio * 0.9,
-                                                  .burst = std::max(burst, 1.0),
-                                                  .initial = std::max(burst, 1.0)})
-      .first->second;
+      std::max(kExpectedEntries, static_cast<double>(snapshots.Get()->expected_entries));
+  repeat_share& share = repeats[service];
+  if (share.budget && share.entries >= entries)
+    return *share.budget;
+  const gateway_rules bounds = rules.Get();
+  const double burst = std::max(bounds.repeat_allowance / (2 * entries), 1.0);
+  const double saved = share.budget ? std::min(share.budget->tokens(), burst) : burst;
+  share.entries = entries;
+  share.budget = std::make_unique<retry_budget>(retry_budget_settings{
+      .ratio = bounds.repeat_ratio * kRepeatShare, .burst = burst, .initial = saved});
+  return *share.budget;
 }
 
 gateway_service::gateway_service(const gateway_settings& settings,
@@ -86,8 +89,8 @@
                                     std::unique_ptr<shared_store> store,
                                     std::unique_ptr<engine_port> engines) {
   store_ = std::move(store);
-  sync_ = std::make_unique<fleet_sync>(settings_, records, *store_, *rpc_client_, log_,
-                                       shared_.snapshots, incarnation_);
+  sync_ = std::make_unique<fleet_sync>(settings_, shared_.rules, records, *store_, *rpc_client_,
+                                       log_, shared_.snapshots, incarnation_);
   sync_->AddMethods(rpc_);
   engines_ = std::make_unique<agent_engine_port>(*rpc_client_, settings_.agent_port,
                                                  std::move(engines), log_);
@@ -118,7 +121,7 @@
 }
 
 milliseconds gateway_service::lookup_ttl() const noexcept {
-  return std::min(kLookupTtl, settings_.most_lookup_ttl);
+  return std::min(kLookupTtl, shared_.rules.Get().most_lookup_ttl);
 }
 
 std::vector<endpoint> gateway_service::Lookup(std::string_view failure_domain) {
@@ -152,9 +155,20 @@
                     ToPrometheusText(shared_.metrics.registry.Snapshot())});
 }
 
+void gateway_service::Reload(const gateway_settings& changed) {
+  const bool rules_changed = changed.rules != shared_.rules.Get();
+  const bool moved = changed.clients != settings_.clients || changed.peers != settings_.peers ||
+                     changed.readiness != settings_.readiness ||
+                     changed.directory != settings_.directory || changed.store != settings_.store;
+  shared_.rules.Set(changed.rules);
+  log_.Write(event_line("settings.reloaded")
+                 .Add("rules_changed", rules_changed)
+                 .Add("needs_restart", moved));
+}
+
 void gateway_service::Shutdown() {
   const time_point started = Now();
-  const time_point last = started + settings_.stop_grace - kStopMargin;
+  const time_point last = started + shared_.rules.Get().stop_grace - kStopMargin;
   leaving_ = true;
   log_.Write(event_line("process.leaving").Add("running", clients_->running()));
   clients_->AnnounceClose();
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -30,17 +30,15 @@
   reader.Finish();
 }
 
-void ReadRules(json_reader& reader, gateway_settings& settings) {
+void ReadRules(json_reader& reader, gateway_rules& rules) {
   constexpr double kMost = 1e9;
-  settings.cold_factor = reader.Number("cold_factor", 0, kMost, settings.cold_factor);
-  settings.cold_allowance = reader.Number("cold_allowance", 0, kMost, settings.cold_allowance);
-  settings.repeat_ratio = reader.Number("repeat_ratio", 0, 1, settings.repeat_ratio);
-  settings.repeat_allowance =
-      reader.Number("repeat_allowance", 0, kMost, settings.repeat_allowance);
-  settings.stop_grace = reader.Millis("stop_grace_ms", kMillisRange, settings.stop_grace);
-  settings.most_lookup_ttl =
-      reader.Millis("most_lookup_ttl_ms", kMillisRange, settings.most_lookup_ttl);
-  settings.engine_stall = reader.Millis("engine_stall_ms", kMillisRange, settings.engine_stall);
+  rules.cold_factor = reader.Number("cold_factor", 0, kMost, rules.cold_factor);
+  rules.cold_allowance = reader.Number("cold_allowance", 0, kMost, rules.cold_allowance);
+  rules.repeat_ratio = reader.Number("repeat_ratio", 0, 1, rules.repeat_ratio);
+  rules.repeat_allowance = reader.Number("repeat_allowance", 0, kMost, rules.repeat_allowance);
+  rules.stop_grace = reader.Millis("stop_grace_ms", kMillisRange, rules.stop_grace);
+  rules.most_lookup_ttl = reader.Millis("most_lookup_ttl_ms", kMillisRange, rules.most_lookup_ttl);
+  rules.engine_stall = reader.Millis("engine_stall_ms", kMillisRange, rules.engine_stall);
   reader.Finish();
 }
 
@@ -74,7 +72,7 @@
   settings.failure_domain = reader.String("failure_domain");
   settings.region = reader.String("region");
   reader.Child("addresses", [&](json_reader& child) { ReadAddresses(child, settings); });
-  reader.Child("rules", [&](json_reader& child) { ReadRules(child, settings); });
+  reader.Child("rules", [&](json_reader& child) { ReadRules(child, settings.rules); });
   reader.Child("control", [&](json_reader& child) { ReadControl(child, settings); });
   reader.Finish();
   if (errors.empty() && settings.clients.port == 0)
--- a/libs/gateway/tests/gateway_settings_test.cc
+++ b/libs/gateway/tests/gateway_settings_test.cc
@@ -21,8 +21,8 @@
   EXPECT_EQ(settings.value().name, "edge-1");
   EXPECT_EQ(settings.value().clients, (endpoint{"10.0.0.1", 80}));
   EXPECT_EQ(settings.value().store, (endpoint{"10.0.0.9", 85}));
-  EXPECT_EQ(settings.value().cold_factor, 1.5);
-  EXPECT_EQ(settings.value().stop_grace, milliseconds(8'000));
+  EXPECT_EQ(settings.value().rules.cold_factor, 1.5);
+  EXPECT_EQ(settings.value().rules.stop_grace, milliseconds(8'000));
   EXPECT_EQ(settings.value().agent_port, 83);
 }
 
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -2,6 +2,8 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <string>
+#include <utility>
 
 #include "quincebank/adapter/adapter.h"
 #include "quincebank/base/base.h"
@@ -17,16 +19,43 @@
 // Longest wait for the reader of the log at the end.
 constexpr milliseconds kLogFlush{200};
 
-// Addresses and the store are bound at the start; a changed file is only checked until the next.
-void CheckReload(event_log& log, const std::string& path) {
-  const auto text = ReadFile(path);
-  const auto parsed =
-      text ? ParseGatewaySettings(text.value()) : result<gateway_settings>(text.error());
-  log.Write(event_line("settings.reloaded")
-                .Add("path", path)
-                .Add("valid", parsed.has_value())
-                .Add("reason", parsed ? "" : Describe(parsed.error())));
-}
+// Between looks at the settings file, which may change without a signal.
+constexpr milliseconds kSettingsCheck{2'000};
+
+/// Reads the settings file again and puts what has changed in force.
+class settings_watch {
+ public:
+  settings_watch(std::string path, event_log& log) : path_(std::move(path)), log_(log) {
+    const auto text = ReadFile(path_);
+    if (text)
+      seen_ = text.value();
+  }
+
+  /// \param signalled  whether the platform says that the file has changed.
+  void Check(gateway_service& gateway, bool signalled) {
+    const auto text = ReadFile(path_);
+    if (text && text.value() == seen_ && !signalled)
+      return;
+    const auto parsed =
+        text ? ParseGatewaySettings(text.value()) : result<gateway_settings>(text.error());
+    if (parsed) {
+      seen_ = text.value();
+      gateway.Reload(parsed.value());
+      return;
+    }
+    if (!signalled && text && text.value() == refused_)
+      return;
+    refused_ = text ? text.value() : std::string();
+    log_.Write(
+        event_line("settings.refused").Add("path", path_).Add("reason", Describe(parsed.error())));
+  }
+
+ private:
+  const std::string path_;
+  event_log& log_;
+  std::string seen_;
+  std::string refused_;  ///< Content that was reported as wrong.
+};
 
 int Run(const gateway_settings& settings, const std::string& path) {
   event_log log(settings.log_lines);
@@ -47,8 +76,13 @@
     log.Write(event_line("process.failed").Add("reason", started.error().message));
     return kExitFailure;
   }
-  while (WaitForShutdown() == SIGHUP)
-    CheckReload(log, path);
+  settings_watch watch(path, log);
+  for (;;) {
+    const int signal = WaitForShutdown(kSettingsCheck);
+    if (signal != 0 && signal != SIGHUP)
+      break;
+    watch.Check(gateway, signal == SIGHUP);
+  }
   gateway.Shutdown();
   log.Flush(kLogFlush);
   // Fibers may still wait some seconds for the store or an engine, and all state lives elsewhere.
