Draw two engines where loads are told; prefer larger hosts as coordinator

The coordinator had moved from a host with half a core to one with a quarter, where it planned 50 to 73 times in 22 s instead of 105 to 125: maps came late.

Change: power of two choices among engines that tell their load; entries register the processor share of their host, and larger hosts claim first.

--- a/libs/fleet/include/quincebank/fleet/fleet_records.h
+++ b/libs/fleet/include/quincebank/fleet/fleet_records.h
@@ -46,6 +46,7 @@
   std::string failure_domain;
   endpoint clients;  ///< Where clients connect.
   endpoint peers;    ///< Where other entries ask for its view of the store.
+  double cores = 0;  ///< Processor time that its host has; 0 if it does not tell.
 
   [[nodiscard]] bool operator==(const entry_record&) const = default;
 };
--- a/libs/gateway/include/quincebank/gateway/gateway_settings.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_settings.h
@@ -48,6 +48,7 @@
   std::string name;
   std::string failure_domain;
   std::string region;
+  double cores = 0;  ///< Processor time of the host, in cores; 0 if unknown.
 
   endpoint clients;    ///< Requests of clients.
   endpoint readiness;  ///< Health checks of the platform.
--- a/libs/gateway/src/fleet_records_intake.cc
+++ b/libs/gateway/src/fleet_records_intake.cc
@@ -17,6 +17,8 @@
   record.name = reader.String("name");
   record.incarnation = static_cast<std::uint64_t>(reader.Int("incarnation", {}));
   record.failure_domain = reader.String("failure_domain");
+  constexpr double kMostCores = 10'000;
+  record.cores = reader.Number("cores", 0, kMostCores, 0);
   const auto clients = ParseEndpoint(reader.String("clients"));
   const auto peers = ParseEndpoint(reader.String("peers"));
   if (!errors.empty())
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -12,7 +12,7 @@
 #include "quincebank/base/digest.h"
 #include "quincebank/base/ids.h"
 #include "quincebank/base/json_reader.h"
-#include "quincebank/membership/rendezvous.h"
+#include "quincebank/gateway/claim_order.h"
 
 namespace quincebank {
 namespace {
@@ -241,6 +241,7 @@
   return json::serialize(json::object{{"name", settings_.name},
                                       {"incarnation", incarnation_ >> 1U},
                                       {"failure_domain", settings_.failure_domain},
+                                      {"cores", settings_.cores},
                                       {"clients", ToString(settings_.clients)},
                                       {"peers", ToString(settings_.peers)}});
 }
@@ -309,13 +310,9 @@
     vacant_since_ = now;
     log_.Write(event_line("coordinator.vacant").Add("revision", mirror_.revision()));
   }
-  std::vector<std::string> names;
-  for (const entry_record& entry : Entries())
-    names.push_back(entry.name);
-  const std::uint64_t own = RendezvousScore(kCoordinatorKey, settings_.name);
-  const auto before = std::count_if(names.begin(), names.end(), [&](const std::string& name) {
-    return RendezvousScore(kCoordinatorKey, name) > own;
-  });
+  const std::vector<entry_record> entries = Entries();
+  const auto before = static_cast<std::int64_t>(
+      ClaimsBefore(kCoordinatorKey, {settings_.name, settings_.cores}, entries));
   return now - *vacant_since_ >= before * kClaimTurn;
 }
 
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -71,6 +71,8 @@
   settings.name = reader.String("name");
   settings.failure_domain = reader.String("failure_domain");
   settings.region = reader.String("region");
+  constexpr double kMostCores = 10'000;
+  settings.cores = reader.Number("cores", 0, kMostCores, settings.cores);
   reader.Child("addresses", [&](json_reader& child) { ReadAddresses(child, settings); });
   reader.Child("rules", [&](json_reader& child) { ReadRules(child, settings.rules); });
   reader.Child("control", [&](json_reader& child) { ReadControl(child, settings); });
--- a/libs/placement/include/quincebank/placement/choose_upstream.h
+++ b/libs/placement/include/quincebank/placement/choose_upstream.h
@@ -12,10 +12,10 @@
 
 /// \brief What the choice reads of one upstream.
 struct placement_candidate {
-  int in_flight = 0;  ///< Requests of this entry.
-  int reported = 0;   ///< Requests of other entries, as they last told.
-  int slots = 1;      ///< Requests that it runs at once.
-  int limit = 1;      ///< Most requests in flight, those in its queue included.
+  int in_flight = 0;            ///< Requests of this entry.
+  std::optional<int> reported;  ///< Requests of other entries, as the engine last told.
+  int slots = 1;                ///< Requests that it runs at once.
+  int limit = 1;                ///< Most requests in flight, those in its queue included.
   double failure_share = 0;
   bool rests = false;
   time_point rests_until{};
@@ -42,6 +42,9 @@
 /// The wait grows with the requests in flight for each slot, and with the share of attempts that
 /// fail, since each failure costs a repeat. Upstreams that rest are used only if there is no
 /// other one. Draws among equals.
+///
+/// Where the loads of engines are told, it is the better of two that are drawn: all entries see the
+/// same figures, some hundred milliseconds old, and would otherwise send to the same engine.
 [[nodiscard]] placement ChooseUpstream(std::span<const placement_candidate> candidates,
                                        random_source& random) noexcept;
 
--- a/libs/placement/src/choose_upstream.cc
+++ b/libs/placement/src/choose_upstream.cc
@@ -1,5 +1,7 @@
 #include "quincebank/placement/choose_upstream.h"
 
+#include <array>
+
 namespace quincebank {
 namespace {
 
@@ -13,7 +15,7 @@
 constexpr double kQueuedCost = 2;
 
 double Cost(const placement_candidate& candidate) noexcept {
-  const double in_flight = candidate.in_flight + candidate.reported + 1.0;
+  const double in_flight = candidate.in_flight + candidate.reported.value_or(0) + 1.0;
   const double slots = candidate.slots;
   const double queued = in_flight > slots ? in_flight - slots : 0;
   double cost = (in_flight + kQueuedCost * queued) / slots;
@@ -22,6 +24,16 @@
   return cost * (1 + kFailureCost * candidate.failure_share);
 }
 
+/// Keeps two of the usable candidates seen so far, each pair with the same probability.
+void Draw(std::array<std::size_t, 2>& drawn,
+          std::uint64_t usable,
+          std::size_t candidate,
+          random_source& random) noexcept {
+  const std::uint64_t place = usable <= drawn.size() ? usable - 1 : random.Below(usable);
+  if (place < drawn.size())
+    drawn[place] = candidate;
+}
+
 }  // namespace
 
 placement ChooseUpstream(std::span<const placement_candidate> candidates,
@@ -29,11 +41,14 @@
   placement best;
   best.obstacle = candidates.empty() ? placement_obstacle::kNoUpstream : placement_obstacle::kFull;
   double best_cost = 0;
+  std::uint64_t usable = 0;
   std::uint64_t equals = 0;
   std::optional<std::size_t> fallback;
+  std::array<std::size_t, 2> drawn{};
+  bool told = true;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const placement_candidate& candidate = candidates[i];
-    if (candidate.in_flight + candidate.reported >= candidate.limit)
+    if (candidate.in_flight + candidate.reported.value_or(0) >= candidate.limit)
       continue;
     if (candidate.rate_limited) {
       best.obstacle = placement_obstacle::kRateLimited;
@@ -44,6 +59,9 @@
         fallback = i;
       continue;
     }
+    ++usable;
+    told = told && candidate.reported.has_value();
+    Draw(drawn, usable, i, random);
     const double cost = Cost(candidate);
     if (best.chosen && cost > best_cost)
       continue;
@@ -53,6 +71,8 @@
     best.chosen = i;
     best_cost = cost;
   }
+  if (told && usable > drawn.size())
+    best.chosen = Cost(candidates[drawn[0]]) <= Cost(candidates[drawn[1]]) ? drawn[0] : drawn[1];
   if (!best.chosen && fallback) {
     best.chosen = fallback;
     best.resting = true;
