--- a/libs/expert_control/include/quincebank/expert_control/map_rollout.h
+++ b/libs/expert_control/include/quincebank/expert_control/map_rollout.h
@@ -18,8 +18,8 @@
 };
 
 struct rollout_settings {
-  milliseconds poll{25};              ///< Between reports while ranks load or switch.
-  milliseconds load_limit{12'000};    ///< After it the plan is given up.
+  milliseconds poll{25};            ///< Between reports while ranks load or switch.
+  milliseconds load_limit{12'000};  ///< After it the plan is given up.
   /// First wait for the answer to an order, many times a round trip; shorter than the pause that a
   /// stream may make, even after two losses, since a pass may be held meanwhile. Grows by half with
   /// each repeat.
@@ -27,7 +27,7 @@
   milliseconds prepare_patience{200};  ///< The same for a whole map over the link of a small host.
   milliseconds most_patience{400};     ///< Longest wait for one answer.
   milliseconds settle_retry{5};        ///< Between repeats of an unanswered order.
-  milliseconds settle_limit{15'000};  ///< Unanswered orders may be carried out that late.
+  milliseconds settle_limit{15'000};   ///< Unanswered orders may be carried out that late.
   /// From the hold to the pass that uses the new map, for the calls to all ranks.
   milliseconds switch_lead{30};
   milliseconds switch_limit{3'000};  ///< Longest wait for that pass.
@@ -113,7 +113,7 @@
   /// Time of one pass; 0 if unknown.
   nanoseconds pass_time_{0};
   milliseconds report_age_{kAssumedAge};  ///< Of the oldest report in the last read.
-  std::uint64_t seen_step_ = 0;  ///< Where the present count of passes began.
+  std::uint64_t seen_step_ = 0;           ///< Where the present count of passes began.
   time_point seen_at_{};
 };
 
--- a/libs/expert_control/src/map_rollout.cc
+++ b/libs/expert_control/src/map_rollout.cc
@@ -8,8 +8,8 @@
 namespace {
 
 // Passes between the newest one reported and a held one, at least: one may begin while the hold is
-// on its way, and the orders then have a whole pass before the group has to wait. If the pass begins
-// before the hold arrives, the hold is refused and tried again.
+// on its way, and the orders then have a whole pass before the group has to wait. If the pass
+// begins before the hold arrives, the hold is refused and tried again.
 constexpr std::uint64_t kLeastLead = 2;
 constexpr std::uint64_t kMostLead = 60;
 // Attempts to place a hold before its pass has begun.
--- a/libs/expert_control/tests/map_rollout_test.cc
+++ b/libs/expert_control/tests/map_rollout_test.cc
@@ -351,8 +351,8 @@
                          [](const auto& info) { return std::string(info.param.name); });
 
 // Guards against groups that stand still while the coordinator waits for an answer that is lost:
-// streams are late after a pause of 120 ms, and one order in ten is lost on the worst days. A second
-// loss in a row may hold a group for longer.
+// streams are late after a pause of 120 ms, and one order in ten is lost on the worst days. A
+// second loss in a row may hold a group for longer.
 TEST(map_rollout_pause, LostAnswersHoldThePassForLessThanStreamsMayPause) {
   constexpr milliseconds kStreamPause{120};
   const fault_case faults{"lost_answers", 0.1, 1.0};
--- a/libs/gateway/src/expert_steering.cc
+++ b/libs/gateway/src/expert_steering.cc
@@ -149,7 +149,8 @@
   while (!stop_.WaitFor(kLook)) {
     if (!HasExperts())
       continue;
-    // The role is claimed before groups have formed, so that they are balanced as soon as they have.
+    // The role is claimed before groups have formed, so that they are balanced as soon as they
+    // have.
     if (!sync_.IsCoordinator()) {
       sync_.ClaimCoordination();
       continue;
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -49,9 +49,7 @@
   [[nodiscard]] placement Place(const fleet_snapshot& snapshot,
                                 std::vector<const known_upstream*>& candidates);
   /// \brief Adds what the agent beside an engine has told of it.
-  void AddEngineLoad(const known_upstream& upstream,
-                     int others,
-                     placement_candidate& view) const;
+  void AddEngineLoad(const known_upstream& upstream, int others, placement_candidate& view) const;
   [[nodiscard]] attempt_report Send(const known_upstream& upstream);
   [[nodiscard]] attempt_report TakeAnswer(http_stream& stream);
   [[nodiscard]] attempt_report TakeStream(http_stream& stream);
--- a/libs/gateway/src/load_watch.cc
+++ b/libs/gateway/src/load_watch.cc
@@ -94,10 +94,9 @@
   const auto snapshot = box_.Get();
   const time_point now = Now();
   for (const auto& [service, upstreams] : snapshot->upstreams) {
-    const auto found =
-        std::find_if(upstreams.begin(), upstreams.end(), [&](const known_upstream& upstream) {
-          return upstream.record.id == load.upstream;
-        });
+    const auto found = std::find_if(
+        upstreams.begin(), upstreams.end(),
+        [&](const known_upstream& upstream) { return upstream.record.id == load.upstream; });
     if (found == upstreams.end())
       continue;
     found->evidence->OnLoad(load.running + load.waiting, now);
--- a/libs/placement/include/quincebank/placement/patience.h
+++ b/libs/placement/include/quincebank/placement/patience.h
@@ -27,8 +27,8 @@
 ///
 /// Clients come back once or twice, so a time that is too short costs them the answer, one that is
 /// too long only a moment. A full service has room again when some of its requests have ended, one
-/// whose upstreams are cold when the next window begins; one whose upstreams are gone or whose group
-/// has lost a rank needs the time to form again.
+/// whose upstreams are cold when the next window begins; one whose upstreams are gone or whose
+/// group has lost a rank needs the time to form again.
 ///
 /// \param route  route of the request.
 /// \param last  outcome of the last attempt; `kFull` if there was none.
--- a/libs/placement/src/engine_room.cc
+++ b/libs/placement/src/engine_room.cc
@@ -12,9 +12,7 @@
 
 }  // namespace
 
-int EngineRoom(const engine_profile& profile,
-               nanoseconds pass_time,
-               milliseconds budget) noexcept {
+int EngineRoom(const engine_profile& profile, nanoseconds pass_time, milliseconds budget) noexcept {
   const int slots = std::max(profile.batch_slots, 1);
   if (pass_time.count() <= 0 || profile.usual_answer_tokens <= 0)
     return slots + std::max(kLeastQueue, static_cast<int>(slots * kUnknownQueueShare));
--- a/libs/placement/tests/patience_test.cc
+++ b/libs/placement/tests/patience_test.cc
@@ -59,7 +59,8 @@
   for (const attempt_outcome gone :
        {attempt_outcome::kStalled, attempt_outcome::kReplaced, attempt_outcome::kUnreachable})
     EXPECT_GT(RetryAfter(route, placement_obstacle::kNone, gone, kStall), kStall);
-  EXPECT_GT(RetryAfter(route, placement_obstacle::kNoUpstream, attempt_outcome::kFull, kStall), kStall);
+  EXPECT_GT(RetryAfter(route, placement_obstacle::kNoUpstream, attempt_outcome::kFull, kStall),
+            kStall);
 }
 
 // Guards against clients that use up their retry while an outage at the start still lasts.
--- a/libs/rank_agent/src/rank_agent.cc
+++ b/libs/rank_agent/src/rank_agent.cc
@@ -140,8 +140,8 @@
   const auto report = std::move(engines_->Reports(ranks).front());
   if (!report)
     return;  // Entries do without loads that grow old.
-  const std::string payload = Encode(engine_load{upstream, report.value().running,
-                                                 report.value().waiting, report.value().step});
+  const std::string payload = Encode(
+      engine_load{upstream, report.value().running, report.value().waiting, report.value().step});
   for (const endpoint& receiver : receivers)
     (void)socket_->Send(receiver, payload);
 }
