Plan expert maps in stages with all places; tell counts as windows; read fewer ranks while they load

Cause: on the large site passes took 100 to 660 ms. PlanEvenShares asked each step to lower a smooth peak by 1.5%, which no single step does where 96 ranks are about equal, and used 179 of 1,536 free places. BestPlan planned four times, about 60 ms each. Change: even_share_search takes any step that relieves the most loaded rank and fills free places; one search goes through stages of loads and the cheapest stage is the plan. Agents tell what has come since the last read, packed. Ranks are asked for their state when they should have loaded, and then only those that have not.

--- a/libs/expert_control/include/quincebank/expert_control/map_rollout.h
+++ b/libs/expert_control/include/quincebank/expert_control/map_rollout.h
@@ -42,6 +42,15 @@
 
 [[nodiscard]] std::string_view ToString(rollout_outcome outcome) noexcept;
 
+/// \brief Map that a group is to use.
+struct map_change {
+  const std::vector<rank_experts>& map;  ///< New experts, by set and rank.
+  milliseconds loading{0};               ///< Expected time until all ranks have loaded theirs.
+  /// Grows from one coordinator to the next. Ranks refuse versions up to any that they have had,
+  /// and after the group has formed anew they no longer tell which.
+  std::uint64_t least_version = 0;
+};
+
 /// \brief Changes the map of one expert group so that no pass ever sees two maps.
 ///
 /// A pass is held at one rank before any rank is armed for it, and released only after every rank
@@ -60,12 +69,8 @@
               const rollout_settings& settings = {});
 
   /// \param ranks  all ranks of the group, in their order.
-  /// \param map  new experts, by set and rank.
-  /// \param least_version  grows from one coordinator to the next. Ranks refuse versions up to any
-  ///     that they have had, and after the group has formed anew they no longer tell which.
   [[nodiscard]] rollout_outcome Run(const std::vector<const upstream_record*>& ranks,
-                                    const std::vector<rank_experts>& map,
-                                    std::uint64_t least_version);
+                                    const map_change& change);
   /// \brief Finishes or undoes what an earlier rollout has left: armed ranks and held passes.
   [[nodiscard]] rollout_outcome Recover(const std::vector<const upstream_record*>& ranks);
 
@@ -94,12 +99,18 @@
                                            const std::vector<std::size_t>& members,
                                            const engine_order& order,
                                            const std::function<bool(const rank_report&)>& wanted);
-  [[nodiscard]] rollout_outcome WaitPrepared(group_state& group, std::uint64_t version);
+  /// \brief Waits until all ranks have loaded a map; reads only those that have not.
+  [[nodiscard]] rollout_outcome WaitPrepared(group_state& group,
+                                             std::uint64_t version,
+                                             milliseconds loading);
   [[nodiscard]] rollout_outcome Switch(group_state& group, std::uint64_t version);
-  [[nodiscard]] rollout_outcome WaitSwitched(const std::vector<const upstream_record*>& ranks,
-                                             std::uint64_t version);
+  /// \brief Waits until the first rank uses a map for which all ranks were armed.
+  [[nodiscard]] rollout_outcome WaitSwitched(const group_state& group, std::uint64_t version);
   [[nodiscard]] rollout_outcome Undo(group_state& group, std::uint64_t step);
   [[nodiscard]] rollout_outcome Release(group_state& group, std::uint64_t step);
+  [[nodiscard]] static std::vector<const upstream_record*> Records(const group_state& group);
+  /// \brief Last pass that any rank has begun.
+  [[nodiscard]] static std::uint64_t LastStep(const group_state& group) noexcept;
   void MeasurePasses(std::uint64_t step);
   /// \brief Waits until reports show all that was ordered before.
   void AwaitFreshReports();
--- a/libs/expert_control/include/quincebank/expert_control/rank_messages.h
+++ b/libs/expert_control/include/quincebank/expert_control/rank_messages.h
@@ -14,9 +14,6 @@
 [[nodiscard]] boost::json::object ToJson(const rank_report& report);
 [[nodiscard]] result<rank_report> RankReportFromJson(const boost::json::value& value);
 
-[[nodiscard]] boost::json::object ToJson(const pick_counts& counts);
-[[nodiscard]] result<pick_counts> PickCountsFromJson(const boost::json::value& value);
-
 [[nodiscard]] boost::json::object ToJson(const held_experts& held);
 [[nodiscard]] result<held_experts> HeldExpertsFromJson(const boost::json::value& value);
 /// @}
--- a/libs/expert_control/src/map_rollout.cc
+++ b/libs/expert_control/src/map_rollout.cc
@@ -88,6 +88,14 @@
   return rollout_outcome::kUnchanged;
 }
 
+std::vector<const upstream_record*> map_rollout::Records(const group_state& group) {
+  std::vector<const upstream_record*> ranks;
+  ranks.reserve(group.size());
+  for (const rank_state& rank : group)
+    ranks.push_back(rank.record);
+  return ranks;
+}
+
 void map_rollout::MeasurePasses(std::uint64_t step) {
   const time_point now = clock_.now();
   if (seen_step_ != 0 && step >= seen_step_) {
@@ -103,10 +111,15 @@
   clock_.sleep(report_age_ * 2 + kReportMargin);
 }
 
-std::uint64_t map_rollout::StepAfter(const group_state& group, milliseconds lead) const {
+std::uint64_t map_rollout::LastStep(const group_state& group) noexcept {
   std::uint64_t step = 0;
   for (const rank_state& rank : group)
     step = std::max(step, rank.report.step);
+  return step;
+}
+
+std::uint64_t map_rollout::StepAfter(const group_state& group, milliseconds lead) const {
+  const std::uint64_t step = LastStep(group);
   const nanoseconds ahead = lead + report_age_;
   const std::uint64_t passes =
       pass_time_.count() > 0 ? static_cast<std::uint64_t>(ahead / pass_time_) : kLeastLead;
@@ -202,32 +215,45 @@
   return fits;
 }
 
-rollout_outcome map_rollout::WaitPrepared(group_state& group, std::uint64_t version) {
-  std::vector<const upstream_record*> ranks;
-  ranks.reserve(group.size());
-  for (const rank_state& rank : group)
-    ranks.push_back(rank.record);
-  const std::uint64_t epoch = group.front().report.epoch;
+rollout_outcome map_rollout::WaitPrepared(group_state& group,
+                                          std::uint64_t version,
+                                          milliseconds loading) {
+  std::vector<std::size_t> pending = All(group.size());
   const time_point until = clock_.now() + settings_.load_limit;
+  milliseconds pause = std::max(loading, settings_.poll);
   while (clock_.now() < until) {
-    clock_.sleep(settings_.poll);
-    const rollout_outcome read = Read(ranks, group);
-    if (read == rollout_outcome::kUnknown)
-      continue;
-    if (read != rollout_outcome::kUnchanged || group.front().report.epoch != epoch)
-      return rollout_outcome::kGroupLost;
-    const bool ready = std::all_of(group.begin(), group.end(), [&](const rank_state& rank) {
-      return rank.report.prepared == version;
-    });
-    if (ready)
+    clock_.sleep(pause);
+    pause = settings_.poll;
+    std::vector<const upstream_record*> ranks;
+    ranks.reserve(pending.size());
+    for (const std::size_t member : pending)
+      ranks.push_back(group[member].record);
+    const auto reports = port_.Reports(ranks);
+    std::vector<std::size_t> loading_on;
+    for (std::size_t i = 0; i < pending.size(); ++i) {
+      rank_state& rank = group[pending[i]];
+      if (!reports[i]) {
+        loading_on.push_back(pending[i]);
+        continue;
+      }
+      const rank_report& report = reports[i].value();
+      if (!report.open || report.epoch != rank.report.epoch || report.group != rank.report.group)
+        return rollout_outcome::kGroupLost;
+      rank.report = report;
+      rank.orders = report.orders;
+      if (report.prepared != version)
+        loading_on.push_back(pending[i]);
+    }
+    MeasurePasses(LastStep(group));
+    pending = std::move(loading_on);
+    if (pending.empty())
       return rollout_outcome::kUnchanged;
   }
   return rollout_outcome::kUnknown;
 }
 
 rollout_outcome map_rollout::Run(const std::vector<const upstream_record*>& ranks,
-                                 const std::vector<rank_experts>& map,
-                                 std::uint64_t least_version) {
+                                 const map_change& change) {
   group_state group;
   const rollout_outcome read = Read(ranks, group);
   if (read != rollout_outcome::kUnchanged)
@@ -237,27 +263,24 @@
   });
   if (!idle)
     return Recover(ranks);
-  last_version_ = std::max(last_version_ + 1, least_version);
+  last_version_ = std::max(last_version_ + 1, change.least_version);
   const std::uint64_t version = last_version_;
   const auto prepared =
-      Settle(group, All(group.size()), {order_kind::kPrepare, version, 0, 0, 0, &map},
+      Settle(group, All(group.size()), {order_kind::kPrepare, version, 0, 0, 0, &change.map},
              // Loading takes a while, so only the number of orders shows that it has begun.
              [&](const rank_report& report) { return !report.armed; });
   if (!prepared)
     return rollout_outcome::kUnknown;
   if (!*prepared)
     return rollout_outcome::kUnchanged;
-  const rollout_outcome loaded = WaitPrepared(group, version);
+  const rollout_outcome loaded = WaitPrepared(group, version, change.loading);
   if (loaded != rollout_outcome::kUnchanged)
     return loaded;
   return Switch(group, version);
 }
 
 rollout_outcome map_rollout::Switch(group_state& group, std::uint64_t version) {
-  std::vector<const upstream_record*> ranks;
-  ranks.reserve(group.size());
-  for (const rank_state& rank : group)
-    ranks.push_back(rank.record);
+  const std::vector<const upstream_record*> ranks = Records(group);
   std::uint64_t step = 0;
   bool holds = false;
   for (int tries = 0; tries < kHoldTries && !holds; ++tries) {
@@ -286,22 +309,22 @@
   const rollout_outcome released = Release(group, step);
   if (released != rollout_outcome::kUnchanged)
     return Recover(ranks);
-  return WaitSwitched(ranks, version);
+  return WaitSwitched(group, version);
 }
 
 /// The pass may take a while to begin; an idle group begins none.
-rollout_outcome map_rollout::WaitSwitched(const std::vector<const upstream_record*>& ranks,
-                                          std::uint64_t version) {
+rollout_outcome map_rollout::WaitSwitched(const group_state& group, std::uint64_t version) {
+  // All ranks begin the pass together.
+  const std::array<const upstream_record*, 1> first{group.front().record};
   const time_point until = clock_.now() + settings_.switch_limit;
   while (clock_.now() < until) {
     clock_.sleep(settings_.poll);
-    group_state group;
-    const rollout_outcome read = Read(ranks, group);
-    if (read == rollout_outcome::kGroupLost)
-      return read;
-    if (read == rollout_outcome::kUnchanged &&
-        std::all_of(group.begin(), group.end(),
-                    [&](const rank_state& rank) { return rank.report.map == version; }))
+    const auto report = std::move(port_.Reports(first).front());
+    if (!report)
+      continue;
+    if (!report.value().open || report.value().epoch != group.front().report.epoch)
+      return rollout_outcome::kGroupLost;
+    if (report.value().map == version)
       break;
   }
   return rollout_outcome::kSwitched;
@@ -400,11 +423,7 @@
       return rollout_outcome::kUnknown;
   }
   AwaitFreshReports();
-  std::vector<const upstream_record*> ranks;
-  ranks.reserve(group.size());
-  for (const rank_state& rank : group)
-    ranks.push_back(rank.record);
-  const rollout_outcome read = Read(ranks, group);
+  const rollout_outcome read = Read(Records(group), group);
   if (read != rollout_outcome::kUnchanged)
     return read;
   const bool clear = std::none_of(group.begin(), group.end(),
--- a/libs/expert_control/src/rank_messages.cc
+++ b/libs/expert_control/src/rank_messages.cc
@@ -86,21 +86,6 @@
   return report;
 }
 
-json::object ToJson(const pick_counts& counts) {
-  return {{"epoch", counts.epoch}, {"counts", Numbers(counts.counts)}};
-}
-
-result<pick_counts> PickCountsFromJson(const json::value& value) {
-  std::vector<error> errors;
-  json_reader reader(value, "", errors);
-  pick_counts picked;
-  picked.epoch = Number(reader, "epoch");
-  if (!errors.empty())
-    return JoinErrors(errors);
-  BOOST_OUTCOME_TRY(picked.counts, ReadNumbers<std::uint64_t>(MemberOrNull(value, "counts")));
-  return picked;
-}
-
 json::object ToJson(const held_experts& held) {
   json::array sets;
   for (const std::vector<int>& set : held.experts)
--- a/libs/expert_control/tests/map_rollout_test.cc
+++ b/libs/expert_control/tests/map_rollout_test.cc
@@ -311,7 +311,7 @@
     const auto act = [&] {
       map_rollout rollout(group, group.Clock(), log);
       switched +=
-          rollout.Run(group.Members(), map, group.Revision()) == rollout_outcome::kSwitched ? 1 : 0;
+          rollout.Run(group.Members(), {map, milliseconds(0), group.Revision()}) == rollout_outcome::kSwitched ? 1 : 0;
     };
     group.SetInterloper(act);
     try {
@@ -364,7 +364,7 @@
     fake_group group(faults, seed, 1);
     group.Advance(milliseconds(500));
     map_rollout rollout(group, group.Clock(), log);
-    if (rollout.Run(group.Members(), map, group.Revision()) != rollout_outcome::kSwitched)
+    if (rollout.Run(group.Members(), {map, milliseconds(0), group.Revision()}) != rollout_outcome::kSwitched)
       continue;
     ++switched;
     paused += group.longest_hold() >= kStreamPause ? 1 : 0;
--- a/libs/expert_control/tests/rank_messages_test.cc
+++ b/libs/expert_control/tests/rank_messages_test.cc
@@ -34,11 +34,7 @@
   }
 }
 
-TEST(rank_messages, CountsAndExpertsSurviveARoundTrip) {
-  const pick_counts counts{2, {5120, 88, 940}};
-  const auto read = PickCountsFromJson(ToJson(counts));
-  ASSERT_TRUE(read);
-  EXPECT_EQ(read.value(), counts);
+TEST(rank_messages, ExpertsSurviveARoundTrip) {
   const held_experts held{2, 4, {{0, 8, 16}, {1}}};
   const auto experts = HeldExpertsFromJson(ToJson(held));
   ASSERT_TRUE(experts);
--- a/libs/experts/include/quincebank/experts/even_share_plan.h
+++ b/libs/experts/include/quincebank/experts/even_share_plan.h
@@ -4,6 +4,8 @@
 #include <span>
 #include <vector>
 
+#include "quincebank/base/time.h"
+
 namespace quincebank {
 
 /// \brief Experts that each rank of a group holds in one set of layers.
@@ -18,12 +20,19 @@
   int new_per_rank = 0;  ///< Experts of all sets that one rank may load for one plan.
 };
 
-/// \brief What a plan weighs.
+/// \brief What a plan weighs: a map that is better, but later, against one that is in use sooner.
 struct even_share_limits {
-  /// Least part of a set's peak that one step must take off it.
-  double least_gain = 0.015;
   /// Sets whose peak is within this part of the mean are left alone.
-  double good_enough = 0.12;
+  double good_enough = 0.03;
+  /// Time from a plan to the map in use, beside the loading of experts.
+  milliseconds switch_time{0};
+  milliseconds load_time{0};  ///< Of one expert by one rank; ranks load at the same time.
+  /// How long popularity is expected to stay as it is.
+  milliseconds horizon{0};
+  /// Multiple of the mean load from which passes are too long for streams, and the weight of what
+  /// is beyond.
+  double slow_peak = 1.5;
+  double slow_weight = 4;
 };
 
 /// \brief Result of a planning decision.
@@ -31,8 +40,9 @@
   std::vector<rank_experts> sets;
   double peak_before = 0;  ///< Sum over the sets of the most loaded rank's load.
   double peak_after = 0;
-  double mean = 0;  ///< The same sum if all ranks had equal loads.
-  int loaded = 0;   ///< Experts that ranks load.
+  double mean = 0;     ///< The same sum if all ranks had equal loads.
+  int loaded = 0;      ///< Experts that ranks load.
+  int most_loads = 0;  ///< Experts that the rank with most to load loads.
 };
 
 /// \brief Returns the load of each rank: each expert's load, divided evenly among its holders.
@@ -42,11 +52,15 @@
 /// \brief The map of a group that has just formed: expert `e` on rank `e mod ranks`.
 [[nodiscard]] rank_experts InitialExperts(const even_share_shape& shape);
 
-/// \brief Looks for the few copies and moves of experts that lower the peaks most.
+/// \brief Looks for the copies and moves of experts that lower the peaks most.
+///
+/// Answers popularity that shifts every few seconds: ranks wait for the most loaded one set by set,
+/// and what was even before a shift is not afterwards. The next step is always taken in the set
+/// with the highest peak. Free places get copies of the experts with the largest shares, so that
+/// an expert that becomes popular is more likely to have several holders.
 ///
-/// Ranks wait for the most loaded one set by set, so the next step is always taken in the set with
-/// the highest peak: an expert of its most loaded rank is copied to, or moved to, another rank, in
-/// place of a spare copy there if the rank is full.
+/// The search goes through stages in which ranks may load more and more experts, and the stage with
+/// the least expected harm is the plan: its harm until it is in use, and afterwards.
 ///
 /// \param loads  tokens of each expert, by set.
 [[nodiscard]] even_share_plan PlanEvenShares(const even_share_shape& shape,
--- a/libs/experts/src/even_share_plan.cc
+++ b/libs/experts/src/even_share_plan.cc
@@ -1,214 +1,90 @@
 #include "quincebank/experts/even_share_plan.h"
 
 #include <algorithm>
-#include <cmath>
+#include <array>
 #include <numeric>
 #include <optional>
 
+#include "even_share_search.h"
+
 namespace quincebank {
 namespace {
 
-constexpr int kNone = -1;
-
-// Sum of eighth powers: unlike the plain peak it also falls when one of two equally loaded ranks is
-// relieved.
-double Eighth(double load) noexcept {
-  const double square = load * load;
-  const double fourth = square * square;
-  return fourth * fourth;
+// Experts that one rank may load, stage by stage.
+constexpr std::array<int, 9> kStages{1, 2, 3, 4, 6, 8, 12, 16, 24};
+// Passes take this much longer while ranks load experts.
+constexpr double kLoadingSlowdown = 1.15;
+
+/// Harm of a peak to the streams of a group. Passes that are a little longer go unnoticed; from
+/// some length on all streams pause for too long between events.
+double Harm(double peak, double mean, const even_share_limits& limits) {
+  const double ratio = mean > 0 ? peak / mean : 1;
+  const double excess = std::max(0.0, ratio - limits.slow_peak);
+  return ratio + limits.slow_weight * excess * excess;
 }
 
-double SmoothPeak(double sum) noexcept {
-  return std::sqrt(std::sqrt(std::sqrt(sum)));
+/// Expected harm over the horizon if the plan is carried out.
+double Cost(const even_share_plan& plan, const even_share_limits& limits) {
+  if (limits.horizon.count() <= 0)
+    return Harm(plan.peak_after, plan.mean, limits);
+  const auto part = [&](milliseconds time) {
+    return std::min(1.0,
+                    static_cast<double>(time.count()) / static_cast<double>(limits.horizon.count()));
+  };
+  const double loading = part(plan.most_loads * limits.load_time);
+  const double before = std::min(1.0, loading + part(limits.switch_time));
+  const double harm_before = Harm(plan.peak_before, plan.mean, limits);
+  const double harm_loading = Harm(plan.peak_before * kLoadingSlowdown, plan.mean, limits);
+  return loading * harm_loading + (before - std::min(before, loading)) * harm_before +
+         (1 - before) * Harm(plan.peak_after, plan.mean, limits);
 }
 
-struct step {
-  int expert = kNone;
-  int target = kNone;
-  int evicted = kNone;   ///< Spare copy on the target that makes room.
-  bool move = false;     ///< The peak rank gives the expert up.
-  int returned = kNone;  ///< Expert of the target that moves to the peak rank in exchange.
-  double level = 0;      ///< Smooth peak of the rank loads afterwards.
-};
-
-/// One set of layers during the search.
-class set_search {
- public:
-  set_search(const even_share_shape& shape,
-             const rank_experts& current,
-             std::span<const double> loads)
-      : shape_(shape),
-        loads_(loads),
-        current_(current),
-        holders_(current),
-        copies_(static_cast<std::size_t>(shape.experts), 0),
-        rank_loads_(RankLoads(current, loads)) {
-    for (const auto& held : holders_) {
-      for (const int expert : held)
-        ++Copies(expert);
-    }
-  }
-
-  [[nodiscard]] double Peak() const {
-    return *std::max_element(rank_loads_.begin(), rank_loads_.end());
-  }
-  [[nodiscard]] double Mean() const {
-    return std::accumulate(loads_.begin(), loads_.end(), 0.0) / shape_.ranks;
-  }
-  [[nodiscard]] const rank_experts& holders() const noexcept { return holders_; }
-
-  /// Best step, or nothing if none lowers the peak by `least_gain` of it, smoothly taken.
-  /// \param left  experts that each rank may still load for the plan.
-  [[nodiscard]] std::optional<step> Best(std::span<const int> left, double least_gain) const {
-    const auto peak = std::max_element(rank_loads_.begin(), rank_loads_.end());
-    const int from = static_cast<int>(peak - rank_loads_.begin());
-    std::optional<step> best;
-    for (const int expert : Held(from)) {
-      for (int target = 0; target < shape_.ranks; ++target) {
-        if (target == from || Holds(target, expert) || !MayLoad(target, expert, left))
-          continue;
-        Consider({expert, target, kNone, false}, from, best);
-        Consider({expert, target, kNone, true}, from, best);
-        ConsiderExchanges(expert, target, from, left, best);
-        if (static_cast<int>(Held(target).size()) < shape_.places)
-          continue;
-        for (const int spare : Held(target)) {
-          if (Copies(spare) < 2)
-            continue;
-          Consider({expert, target, spare, false}, from, best);
-          Consider({expert, target, spare, true}, from, best);
-        }
-      }
-    }
-    double sum = 0;
-    for (const double load : rank_loads_)
-      sum += Eighth(load);
-    if (best && best->level > SmoothPeak(sum) * (1 - least_gain))
-      return std::nullopt;
-    return best;
-  }
-
-  /// Takes what ranks have to load off `left`.
-  void Apply(const step& taken, std::span<int> left) {
-    const auto peak = std::max_element(rank_loads_.begin(), rank_loads_.end());
-    const int from = static_cast<int>(peak - rank_loads_.begin());
-    if (taken.evicted != kNone)
-      Drop(taken.target, taken.evicted);
-    Held(taken.target).push_back(taken.expert);
-    ++Copies(taken.expert);
-    if (taken.move)
-      Drop(from, taken.expert);
-    bool loads = !HeldBefore(taken.target, taken.expert);
-    left[static_cast<std::size_t>(taken.target)] -= loads ? 1 : 0;
-    if (taken.returned != kNone) {
-      Drop(taken.target, taken.returned);
-      Held(from).push_back(taken.returned);
-      ++Copies(taken.returned);
-      loads = !HeldBefore(from, taken.returned);
-      left[static_cast<std::size_t>(from)] -= loads ? 1 : 0;
-    }
-    rank_loads_ = RankLoads(holders_, loads_);
-  }
-
-  [[nodiscard]] int CountLoaded() const {
-    int loaded = 0;
-    for (int rank = 0; rank < shape_.ranks; ++rank)
-      loaded += NewOn(rank);
-    return loaded;
-  }
-
- private:
-  [[nodiscard]] const std::vector<int>& Held(int rank) const {
-    return holders_[static_cast<std::size_t>(rank)];
-  }
-  [[nodiscard]] std::vector<int>& Held(int rank) {
-    return holders_[static_cast<std::size_t>(rank)];
-  }
-  [[nodiscard]] int Copies(int expert) const { return copies_[static_cast<std::size_t>(expert)]; }
-  [[nodiscard]] int& Copies(int expert) { return copies_[static_cast<std::size_t>(expert)]; }
-  [[nodiscard]] double Load(int expert) const { return loads_[static_cast<std::size_t>(expert)]; }
-  [[nodiscard]] double Share(int expert) const { return Load(expert) / Copies(expert); }
-  [[nodiscard]] bool Holds(int rank, int expert) const {
-    return std::find(Held(rank).begin(), Held(rank).end(), expert) != Held(rank).end();
-  }
-  [[nodiscard]] bool HeldBefore(int rank, int expert) const {
-    const auto& before = current_[static_cast<std::size_t>(rank)];
-    return std::find(before.begin(), before.end(), expert) != before.end();
-  }
-  [[nodiscard]] int NewOn(int rank) const {
-    return static_cast<int>(std::count_if(Held(rank).begin(), Held(rank).end(),
-                                          [&](int e) { return !HeldBefore(rank, e); }));
-  }
-  [[nodiscard]] bool MayLoad(int rank, int expert, std::span<const int> left) const {
-    if (HeldBefore(rank, expert))
-      return true;
-    return left[static_cast<std::size_t>(rank)] > 0 && NewOn(rank) < shape_.new_per_set;
-  }
-  void Drop(int rank, int expert) {
-    std::erase(Held(rank), expert);
-    --Copies(expert);
-  }
-
-  void ConsiderExchanges(int expert,
-                         int target,
-                         int from,
-                         std::span<const int> left,
-                         std::optional<step>& best) const {
-    for (const int returned : Held(target)) {
-      if (Holds(from, returned) || Share(returned) >= Share(expert) ||
-          !MayLoad(from, returned, left))
+/// Relieves the set with the highest peak until nothing helps any more.
+void Relieve(std::vector<even_share_search>& searches,
+             std::span<int> left,
+             const even_share_limits& limits) {
+  std::vector<bool> done(searches.size(), false);
+  for (;;) {
+    std::optional<std::size_t> worst;
+    for (std::size_t set = 0; set < searches.size(); ++set) {
+      if (done[set] || (worst && searches[set].Peak() <= searches[*worst].Peak()))
         continue;
-      Consider({expert, target, kNone, true, returned}, from, best);
+      worst = set;
     }
-  }
-
-  void Consider(step candidate, int from, std::optional<step>& best) const {
-    const bool full = static_cast<int>(Held(candidate.target).size()) >= shape_.places;
-    if (full && candidate.evicted == kNone && candidate.returned == kNone)
+    if (!worst)
       return;
-    if (candidate.evicted == candidate.expert)
-      return;
-    Estimate(candidate, from);
-    if (!best || candidate.level < best->level)
-      best = candidate;
+    even_share_search& search = searches[*worst];
+    const bool good = search.Peak() <= search.Mean() * (1 + limits.good_enough);
+    done[*worst] = good || !search.Step(left);
   }
+}
 
-  /// Loads after the step. Only ranks that hold the expert or the evicted one change.
-  void Estimate(step& candidate, int from) const {
-    const int copies = Copies(candidate.expert);
-    const int copies_after = candidate.move ? copies : copies + 1;
-    const double share = Load(candidate.expert) / copies;
-    const double share_after = Load(candidate.expert) / copies_after;
-    const double returned_share = candidate.returned == kNone ? 0 : Share(candidate.returned);
-    double evicted_share = 0;
-    double evicted_after = 0;
-    if (candidate.evicted != kNone) {
-      evicted_share = Load(candidate.evicted) / Copies(candidate.evicted);
-      evicted_after = Load(candidate.evicted) / (Copies(candidate.evicted) - 1);
-    }
-    double sum = 0;
-    for (int rank = 0; rank < shape_.ranks; ++rank) {
-      double load = rank_loads_[static_cast<std::size_t>(rank)];
-      if (rank == candidate.target)
-        load += share_after - evicted_share - returned_share;
-      else if (rank == from)
-        load += (candidate.move ? -share : share_after - share) + returned_share;
-      else if (Holds(rank, candidate.expert))
-        load += share_after - share;
-      if (candidate.evicted != kNone && rank != candidate.target && Holds(rank, candidate.evicted))
-        load += evicted_after - evicted_share;
-      sum += Eighth(load);
-    }
-    candidate.level = SmoothPeak(sum);
+/// Fills free places while ranks may load; the sets take turns.
+void FillPlaces(std::vector<even_share_search>& searches, std::vector<int> left) {
+  bool filled = true;
+  while (filled) {
+    filled = false;
+    for (even_share_search& search : searches)
+      filled = search.Fill(left) || filled;
   }
+}
 
-  const even_share_shape& shape_;
-  const std::span<const double> loads_;
-  const rank_experts& current_;
-  rank_experts holders_;
-  std::vector<int> copies_;
-  std::vector<double> rank_loads_;
-};
+void Describe(const std::vector<even_share_search>& searches,
+              int ranks,
+              even_share_plan& plan) {
+  plan.peak_after = 0;
+  plan.loaded = 0;
+  plan.most_loads = 0;
+  for (const even_share_search& search : searches)
+    plan.peak_after += search.Peak();
+  for (int rank = 0; rank < ranks; ++rank) {
+    const int loads = std::accumulate(
+        searches.begin(), searches.end(), 0,
+        [&](int sum, const even_share_search& search) { return sum + search.NewOn(rank); });
+    plan.loaded += loads;
+    plan.most_loads = std::max(plan.most_loads, loads);
+  }
+}
 
 }  // namespace
 
@@ -240,38 +116,38 @@
                                const std::vector<std::vector<double>>& loads,
                                const even_share_limits& limits) {
   even_share_plan plan;
-  std::vector<set_search> searches;
+  std::vector<even_share_search> searches;
   searches.reserve(current.size());
   for (std::size_t set = 0; set < current.size(); ++set) {
     searches.emplace_back(shape, current[set], loads[set]);
     plan.peak_before += searches.back().Peak();
     plan.mean += searches.back().Mean();
   }
-  std::vector<int> left(static_cast<std::size_t>(shape.ranks), shape.new_per_rank);
-  std::vector<bool> done(current.size(), false);
-  for (;;) {
-    std::size_t worst = searches.size();
-    for (std::size_t set = 0; set < searches.size(); ++set) {
-      if (done[set])
-        continue;
-      if (worst == searches.size() || searches[set].Peak() > searches[worst].Peak())
-        worst = set;
-    }
-    if (worst == searches.size())
+  plan.peak_after = plan.peak_before;
+  plan.sets = current;
+  double least = Cost(plan, limits);
+  std::vector<int> left(static_cast<std::size_t>(shape.ranks), 0);
+  int allowed = 0;
+  for (const int stage : kStages) {
+    const int next = std::min(stage, shape.new_per_rank);
+    if (next <= allowed)
       break;
-    set_search& search = searches[worst];
-    const bool good = search.Peak() <= search.Mean() * (1 + limits.good_enough);
-    const auto best = good ? std::nullopt : search.Best(left, limits.least_gain);
-    if (!best) {
-      done[worst] = true;
+    for (int& loads_left : left)
+      loads_left += next - allowed;
+    allowed = next;
+    Relieve(searches, left, limits);
+    // Later stages need the loads that filling takes.
+    std::vector<even_share_search> filled = searches;
+    FillPlaces(filled, left);
+    even_share_plan staged = plan;
+    Describe(filled, shape.ranks, staged);
+    const double cost = Cost(staged, limits);
+    if (cost >= least)
       continue;
-    }
-    search.Apply(*best, left);
-  }
-  for (const set_search& search : searches) {
-    plan.sets.push_back(search.holders());
-    plan.peak_after += search.Peak();
-    plan.loaded += search.CountLoaded();
+    least = cost;
+    for (std::size_t set = 0; set < filled.size(); ++set)
+      staged.sets[set] = filled[set].holders();
+    plan = std::move(staged);
   }
   return plan;
 }
--- a/libs/gateway/include/quincebank/gateway/agent_engine_port.h
+++ b/libs/gateway/include/quincebank/gateway/agent_engine_port.h
@@ -5,7 +5,9 @@
 #include <memory>
 #include <string>
 
+#include "quincebank/base/clock.h"
 #include "quincebank/base/event_log.h"
+#include "quincebank/expert_control/count_window.h"
 #include "quincebank/expert_control/engine_port.h"
 #include "quincebank/rpc/rpc.h"
 
@@ -30,17 +32,25 @@
                                                milliseconds patience) override;
 
  private:
+  struct known_counts {
+    count_sum sum;
+    time_point read = Now();
+  };
+
   /// \brief Whether the agent beside an engine is worth a call now.
   [[nodiscard]] bool Usable(const upstream_record& rank) const;
   [[nodiscard]] result<boost::json::value> Call(const upstream_record& rank,
                                                 const std::string& method,
                                                 boost::json::object params);
 
+  [[nodiscard]] result<pick_counts> ReadCounts(const upstream_record& rank);
+
   rpc_client& rpc_;
   const std::uint16_t port_;
   const std::unique_ptr<engine_port> direct_;
   event_log& log_;
   std::map<std::string, time_point, std::less<>> silent_until_;  ///< By address.
+  std::map<std::string, known_counts, std::less<>> sums_;        ///< By upstream.
 };
 
 }  // namespace quincebank
--- a/libs/gateway/src/agent_engine_port.cc
+++ b/libs/gateway/src/agent_engine_port.cc
@@ -13,6 +13,9 @@
 constexpr milliseconds kAgentTimeout{350};
 // An agent that did not answer is not asked again for this time.
 constexpr milliseconds kSilence{1'500};
+// Counts of an engine that has not been read for this time are forgotten: engines that restart
+// have new names.
+constexpr milliseconds kCountLife{10'000};
 
 }  // namespace
 
@@ -69,16 +72,26 @@
     std::span<const upstream_record* const> ranks) {
   std::vector<result<pick_counts>> counts(ranks.size(),
                                           MakeError(error_code::kUnavailable, "no agent"));
+  const time_point oldest = Now() - kCountLife;
+  std::erase_if(sums_, [&](const auto& named) { return named.second.read < oldest; });
   // A read from another host pauses the whole group, so it is left out where no agent answers.
   RunParallel(ranks.size(), [&](std::size_t i) {
     if (!Usable(*ranks[i]))
       return;
-    const auto answer = Call(*ranks[i], "rank.counts", {});
-    counts[i] = answer ? PickCountsFromJson(answer.value()) : answer.error();
+    counts[i] = ReadCounts(*ranks[i]);
   });
   return counts;
 }
 
+result<pick_counts> agent_engine_port::ReadCounts(const upstream_record& rank) {
+  const std::uint64_t since = sums_[rank.id].sum.mark();
+  BOOST_OUTCOME_TRY(const boost::json::value answer, Call(rank, "rank.counts", {{"since", since}}));
+  BOOST_OUTCOME_TRY(const count_window window, CountWindowFromJson(answer));
+  known_counts& known = sums_[rank.id];
+  known.read = Now();
+  return known.sum.Add(window);
+}
+
 result<held_experts> agent_engine_port::Held(const upstream_record& rank) {
   if (Usable(rank)) {
     const auto answer = Call(rank, "rank.held", {});
--- a/libs/gateway/src/expert_steering.cc
+++ b/libs/gateway/src/expert_steering.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
-#include <numeric>
 #include <thread>
 #include <utility>
 
@@ -22,13 +21,10 @@
 // Map versions begin with the revision of the store, which grows from coordinator to coordinator,
 // and leave this many bits for the changes of one of them.
 constexpr int kVersionsPerRevision = 16;
-// Experts that one rank may load for a change.
-constexpr int kMostLoadsPerRank = 4;
+// Experts that one rank may load for a change, of all sets together.
+constexpr int kMostLoadsPerRank = 24;
 // Time of a change beside the loading of experts.
-constexpr milliseconds kSwitchTime{150};
-// Multiple of the mean load from which passes are too long, and the weight of what is beyond.
-constexpr double kSlowPeak = 1.5;
-constexpr double kSlowWeight = 4;
+constexpr milliseconds kSwitchTime{250};
 // How long a map is expected to fit: popularity shifts every few seconds at the busiest sites.
 constexpr milliseconds kPlanHorizon{2'500};
 
@@ -45,37 +41,17 @@
   before = now;
 }
 
-/// Harm of a peak to the streams of a group. Passes that are a little longer go unnoticed; from
-/// some length on all streams pause for too long between events.
-double Harm(double peak, double mean) {
-  const double ratio = mean > 0 ? peak / mean : 1;
-  const double excess = std::max(0.0, ratio - kSlowPeak);
-  return ratio + kSlowWeight * excess * excess;
+even_share_shape ShapeOf(const engine_profile& profile, std::size_t ranks) {
+  return {static_cast<int>(ranks), profile.experts_per_set, profile.places_per_rank,
+          profile.new_experts_per_plan, kMostLoadsPerRank};
 }
 
-/// Chooses how many experts each rank loads: more loads even the ranks out better, but later.
-even_share_plan BestPlan(const engine_profile& profile,
-                         std::size_t ranks,
-                         const std::vector<rank_experts>& map,
-                         const std::vector<std::vector<double>>& loads) {
-  std::optional<even_share_plan> best;
-  double best_cost = 0;
-  for (int per_rank = 1; per_rank <= kMostLoadsPerRank; ++per_rank) {
-    even_share_plan plan =
-        PlanEvenShares({static_cast<int>(ranks), profile.experts_per_set, profile.places_per_rank,
-                        profile.new_experts_per_plan, per_rank},
-                       map, loads);
-    const milliseconds delay = kSwitchTime + per_rank * profile.expert_load_time;
-    const double before = std::min(
-        1.0, static_cast<double>(delay.count()) / static_cast<double>(kPlanHorizon.count()));
-    const double cost = before * Harm(plan.peak_before, plan.mean) +
-                        (1 - before) * Harm(plan.peak_after, plan.mean);
-    if (best && cost >= best_cost)
-      continue;
-    best = std::move(plan);
-    best_cost = cost;
-  }
-  return std::move(*best);
+even_share_limits LimitsOf(const engine_profile& profile) {
+  even_share_limits limits;
+  limits.switch_time = kSwitchTime;
+  limits.load_time = profile.expert_load_time;
+  limits.horizon = kPlanHorizon;
+  return limits;
 }
 
 }  // namespace
@@ -209,7 +185,8 @@
   if (!ReadCounts(view, memory))
     return;
   const even_share_plan plan =
-      BestPlan(view.profile, view.ranks.size(), memory.map, memory.popularity.loads());
+      PlanEvenShares(ShapeOf(view.profile, view.ranks.size()), memory.map,
+                     memory.popularity.loads(), LimitsOf(view.profile));
   const double gain = plan.peak_before > 0 ? 1 - plan.peak_after / plan.peak_before : 0;
   const bool change =
       gain >= kLeastGain && plan.loaded > 0 && plan.peak_before > plan.mean * kTolerablePeak;
@@ -220,11 +197,13 @@
                  .Add("peak_after", plan.peak_after / plan.mean)
                  .Add("moved", memory.popularity.moved())
                  .Add("loaded", plan.loaded)
+                 .Add("most_loads", plan.most_loads)
                  .Add("change", change));
   if (!change)
     return;
   const rollout_outcome outcome =
-      rollout.Run(view.ranks, plan.sets, view.snapshot->store_revision << kVersionsPerRevision);
+      rollout.Run(view.ranks, {plan.sets, plan.most_loads * view.profile.expert_load_time,
+                               view.snapshot->store_revision << kVersionsPerRevision});
   log_.Write(event_line("expert.rollout")
                  .Add("group", group)
                  .Add("version", rollout.last_version())
@@ -257,10 +236,7 @@
     // A group that has just formed uses the initial map.
     if (*version != 0)
       continue;
-    const even_share_shape shape{static_cast<int>(view.ranks.size()), view.profile.experts_per_set,
-                                 view.profile.places_per_rank, view.profile.new_experts_per_plan,
-                                 kMostLoadsPerRank};
-    map.assign(sets, InitialExperts(shape));
+    map.assign(sets, InitialExperts(ShapeOf(view.profile, view.ranks.size())));
     break;
   }
   memory.map = std::move(map);
--- a/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
+++ b/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "quincebank/base/error.h"
+#include "quincebank/expert_control/count_window.h"
 #include "quincebank/expert_control/engine_port.h"
 #include "quincebank/net/datagram_socket.h"
 #include "quincebank/net/fiber_thread.h"
@@ -49,7 +50,12 @@
   [[nodiscard]] http_client& http() noexcept { return *http_; }
 
  private:
-  using method = result<boost::json::value> (rank_agent::*)(const upstream_record& rank);
+  /// What a coordinator asks.
+  struct rank_question {
+    upstream_record rank;     ///< Engine that it believes to be here.
+    std::uint64_t since = 0;  ///< Read of the counts that it has; 0 if it has none.
+  };
+  using method = result<boost::json::value> (rank_agent::*)(const rank_question& question);
   struct named_method {
     std::string_view name;
     method run;
@@ -67,9 +73,9 @@
   void PushLoop();
   /// \brief Sends the load of one engine to the subscribers that are due.
   void Push(const std::string& upstream, const std::vector<endpoint>& receivers);
-  [[nodiscard]] result<boost::json::value> Report(const upstream_record& rank);
-  [[nodiscard]] result<boost::json::value> Counts(const upstream_record& rank);
-  [[nodiscard]] result<boost::json::value> Held(const upstream_record& rank);
+  [[nodiscard]] result<boost::json::value> Report(const rank_question& question);
+  [[nodiscard]] result<boost::json::value> Counts(const rank_question& question);
+  [[nodiscard]] result<boost::json::value> Held(const rank_question& question);
   void AddMethod(const named_method& named);
 
   const rank_agent_settings settings_;
@@ -79,6 +85,7 @@
   std::unique_ptr<engine_port> engines_;
   std::unique_ptr<http_server> server_;
   std::unique_ptr<datagram_socket> socket_;
+  count_recorder counts_;
   std::map<endpoint, subscriber> subscribers_;
   stop_signal stop_;
   std::atomic<int> running_{0};  ///< Loops that have not ended.
--- a/libs/rank_agent/src/rank_agent.cc
+++ b/libs/rank_agent/src/rank_agent.cc
@@ -7,6 +7,7 @@
 
 #include "quincebank/base/clock.h"
 #include "quincebank/base/json_reader.h"
+#include "quincebank/base/random.h"
 #include "quincebank/expert_control/load_messages.h"
 #include "quincebank/expert_control/rank_messages.h"
 
@@ -21,6 +22,12 @@
 constexpr milliseconds kSubscriptionLife{3'500};
 constexpr milliseconds kStopPoll{2};
 
+/// Leaves room for all reads of one process in the numbers of a JSON message.
+std::uint64_t FirstMark() {
+  constexpr unsigned kMarkBits = 30;
+  return (random_source::FromSystem().Next() >> (64U - kMarkBits)) << kMarkBits;
+}
+
 endpoint ReadEndpoint(json_reader& reader, std::string_view key) {
   const auto parsed = ParseEndpoint(reader.String(key));
   if (parsed)
@@ -51,7 +58,7 @@
 }
 
 rank_agent::rank_agent(const rank_agent_settings& settings)
-    : settings_(settings), thread_("agent") {
+    : settings_(settings), thread_("agent"), counts_(FirstMark()) {
   http_ = std::make_unique<http_client>(thread_);
 }
 
@@ -69,12 +76,13 @@
     std::vector<error> errors;
     const json::value document(params);
     json_reader reader(document, "", errors);
-    upstream_record rank;
-    rank.id = reader.String("upstream");
-    rank.address = settings_.engine;
+    rank_question question;
+    question.rank.id = reader.String("upstream");
+    question.rank.address = settings_.engine;
+    question.since = static_cast<std::uint64_t>(reader.Int("since", {}, 0));
     if (!errors.empty())
       return JoinErrors(errors);
-    return (this->*run)(rank);
+    return (this->*run)(question);
   });
 }
 
@@ -146,20 +154,20 @@
     (void)socket_->Send(receiver, payload);
 }
 
-result<json::value> rank_agent::Report(const upstream_record& rank) {
-  const std::array<const upstream_record*, 1> ranks{&rank};
+result<json::value> rank_agent::Report(const rank_question& question) {
+  const std::array<const upstream_record*, 1> ranks{&question.rank};
   BOOST_OUTCOME_TRY(const rank_report report, engines_->Reports(ranks).front());
   return json::value(ToJson(report));
 }
 
-result<json::value> rank_agent::Counts(const upstream_record& rank) {
-  const std::array<const upstream_record*, 1> ranks{&rank};
-  BOOST_OUTCOME_TRY(const pick_counts counts, engines_->Counts(ranks).front());
-  return json::value(ToJson(counts));
+result<json::value> rank_agent::Counts(const rank_question& question) {
+  const std::array<const upstream_record*, 1> ranks{&question.rank};
+  BOOST_OUTCOME_TRY(pick_counts counts, engines_->Counts(ranks).front());
+  return json::value(ToJson(counts_.Take(std::move(counts), question.since)));
 }
 
-result<json::value> rank_agent::Held(const upstream_record& rank) {
-  BOOST_OUTCOME_TRY(const held_experts held, engines_->Held(rank));
+result<json::value> rank_agent::Held(const rank_question& question) {
+  BOOST_OUTCOME_TRY(const held_experts held, engines_->Held(question.rank));
   return json::value(ToJson(held));
 }
 
