Test rollouts that another coordinator takes over at once, with orders that ranks do not count

Crashes were taken over 12 s later, when no order was on its way any more. Change: fault cases without counts, and with a takeover 0.5 to 2 s after the crash.

--- a/libs/expert_control/tests/map_rollout_test.cc
+++ b/libs/expert_control/tests/map_rollout_test.cc
@@ -23,6 +23,9 @@
   bool crash = false;         ///< The coordinator dies at a random call; another one takes over.
   bool freeze = false;        ///< Another one acts in the middle of a call, then the first goes on.
   bool restart_rank = false;  ///< A rank restarts, and the group forms anew.
+  bool counted = true;        ///< Ranks count the orders and refuse those of another count.
+  /// The next coordinator acts while orders of the earlier one are still on their way.
+  bool early_takeover = false;
 };
 
 struct crash {};
@@ -164,7 +167,8 @@
       ranks_[random_.Below(kRanks)] = {};
     }
     if (faults_.crash) {
-      Advance(milliseconds(random_.Below(4'000)));
+      Advance(milliseconds(faults_.early_takeover ? 500 + random_.Below(1'500)
+                                                  : random_.Below(4'000)));
       throw crash{};
     }
     if (faults_.freeze) {
@@ -187,10 +191,11 @@
 
   order_answer Accept(std::size_t index, const engine_order& order) {
     rank_state& rank = ranks_[index];
-    if (order.epoch != epoch_ || order.expected_orders != rank.orders || open_at_ > now_)
+    const bool counts_differ = faults_.counted && order.expected_orders != rank.orders;
+    if (order.epoch != epoch_ || counts_differ || open_at_ > now_)
       return order_answer::kConflict;
     const order_answer answer = Carry(rank, order);
-    if (answer == order_answer::kBegun)
+    if (answer == order_answer::kBegun && faults_.counted)
       ++rank.orders;
     return answer;
   }
@@ -318,6 +323,10 @@
       act();
       act();
     } catch (const crash&) {
+      if (GetParam().early_takeover) {
+        act();
+        act();
+      }
     }
     group.StopFaults();
     group.Advance(milliseconds(12'000));
@@ -347,7 +356,25 @@
                                          fault_case{"freeze", 0, 0, false, true},
                                          fault_case{"freeze_late", 0.15, 0.3, false, true},
                                          fault_case{"restart", 0, 0, false, false, true},
-                                         fault_case{"restart_late", 0.2, 0.3, false, false, true}),
+                                         fault_case{"restart_late", 0.2, 0.3, false, false, true},
+                                         fault_case{"uncounted_late", 0.35, 0.3, false, false,
+                                                    false, false},
+                                         fault_case{"uncounted_crash", 0, 0, true, false, false,
+                                                    false},
+                                         fault_case{"uncounted_crash_late", 0.35, 0.3, true, false,
+                                                    false, false},
+                                         fault_case{"uncounted_freeze", 0, 0, false, true, false,
+                                                    false},
+                                         fault_case{"uncounted_freeze_late", 0.35, 0.3, false, true,
+                                                    false, false},
+                                         fault_case{"uncounted_restart_late", 0.35, 0.3, false,
+                                                    false, true, false},
+                                         fault_case{"takeover", 0.35, 0.3, true, false, false, true,
+                                                    true},
+                                         fault_case{"uncounted_takeover", 0.35, 0.3, true, false,
+                                                    false, false, true},
+                                         fault_case{"uncounted_takeover_few_late", 0.1, 0.3, true,
+                                                    false, false, false, true}),
                          [](const auto& info) { return std::string(info.param.name); });
 
 // Guards against groups that stand still while the coordinator waits for an answer that is lost:
