Complete a change of an expert map instead of undoing it; withhold orders when the lease is not sure

Change: a change of which a rank is armed is completed, which is where all earlier orders lead; it is undone only if a rank refuses, and then the present map is loaded under a newer version first. Before each round of orders the role is checked against a lease measured with a clock that counts suspended time (role_lease). Small changes wait 1 s, an idle group is looked at for passes that nobody releases, orders are logged by round instead of by rank.

--- a/libs/base/include/quincebank/base/clock.h
+++ b/libs/base/include/quincebank/base/clock.h
@@ -10,6 +10,10 @@
   return std::chrono::steady_clock::now();
 }
 
+[[nodiscard]] inline boot_time BootNow() noexcept {
+  return boot_clock::now();
+}
+
 [[nodiscard]] inline wall_time WallNow() noexcept {
   return std::chrono::system_clock::now();
 }
--- a/libs/base/include/quincebank/base/time.h
+++ b/libs/base/include/quincebank/base/time.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
+#include <ctime>
 
 namespace quincebank {
 
@@ -13,4 +16,23 @@
 using std::chrono::nanoseconds;
 using std::chrono::seconds;
 
+/// \brief Monotonic clock that also counts the time in which the host was suspended. Permissions
+/// that others let run out meanwhile, such as leases and deadlines, are measured with it.
+struct boot_clock {
+  using duration = nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<boot_clock>;
+  static constexpr bool is_steady = true;
+
+  [[nodiscard]] static time_point now() noexcept {
+    std::timespec time{};
+    // Fails only for a clock that the kernel does not know.
+    (void)::clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(seconds(time.tv_sec) + nanoseconds(time.tv_nsec));
+  }
+};
+
+using boot_time = boot_clock::time_point;
+
 }  // namespace quincebank
--- a/libs/expert_control/include/quincebank/expert_control/engine_port.h
+++ b/libs/expert_control/include/quincebank/expert_control/engine_port.h
@@ -104,7 +104,8 @@
       std::span<const upstream_record* const> ranks) = 0;
   [[nodiscard]] virtual std::vector<result<pick_counts>> Counts(
       std::span<const upstream_record* const> ranks) = 0;
-  [[nodiscard]] virtual result<held_experts> Held(const upstream_record& rank) = 0;
+  [[nodiscard]] virtual std::vector<result<held_experts>> Held(
+      std::span<const upstream_record* const> ranks) = 0;
   /// \brief Sends all orders at once; the answers are in the same order.
   /// \param patience  longest wait for each answer.
   [[nodiscard]] virtual std::vector<order_answer> Send(std::span<const rank_order> orders,
--- a/libs/expert_control/include/quincebank/expert_control/map_rollout.h
+++ b/libs/expert_control/include/quincebank/expert_control/map_rollout.h
@@ -8,13 +8,17 @@
 #include "quincebank/base/event_log.h"
 #include "quincebank/base/time.h"
 #include "quincebank/expert_control/engine_port.h"
+#include "quincebank/expert_control/group_map.h"
 
 namespace quincebank {
 
-/// \brief Clock of a rollout; tests run on a virtual one.
+/// \brief Clock of a rollout, tests run on a virtual one, and its permission.
 struct rollout_clock {
   std::function<time_point()> now;
   std::function<void(milliseconds)> sleep;  ///< Suspends the fiber.
+  /// Whether this process is the coordinator; asked before each round of orders, since any wait may
+  /// have been long enough for another process to take over.
+  std::function<bool()> may_act = [] { return true; };
 };
 
 struct rollout_settings {
@@ -54,13 +58,13 @@
 /// \brief Changes the map of one expert group so that no pass ever sees two maps.
 ///
 /// A pass is held at one rank before any rank is armed for it, and released only after every rank
-/// has confirmed that it is armed. Every order names the epoch of the group and the number of
-/// orders that the rank has accepted, so that an order that arrives late, or that of a coordinator
-/// which lost its role, is refused. An order without an answer is repeated with the same number
-/// until the rank answers; from then on the first copy can't take effect any more.
+/// has confirmed that it is armed. An order without an answer is repeated until the rank answers.
 ///
 /// Ranks keep all the state, so that any process can take over: `Recover` ends what another one
-/// left unfinished.
+/// left unfinished. Orders may be carried out seconds after they were sent, also those of a
+/// coordinator that is gone. A change of which a rank is armed is therefore completed, which is
+/// what the earlier orders lead to as well; only if a rank can't take part it is undone, and then a
+/// newer version is loaded first, so that late orders to arm are refused.
 class map_rollout {
  public:
   map_rollout(engine_port& port,
@@ -68,11 +72,10 @@
               event_log& log,
               const rollout_settings& settings = {});
 
-  /// \param ranks  all ranks of the group, in their order.
-  [[nodiscard]] rollout_outcome Run(const std::vector<const upstream_record*>& ranks,
-                                    const map_change& change);
-  /// \brief Finishes or undoes what an earlier rollout has left: armed ranks and held passes.
-  [[nodiscard]] rollout_outcome Recover(const std::vector<const upstream_record*>& ranks);
+  [[nodiscard]] rollout_outcome Run(const rollout_group& target, const map_change& change);
+  /// \brief Finishes or undoes what an earlier rollout has left: armed ranks, held passes and
+  /// versions that are loaded and not in use.
+  [[nodiscard]] rollout_outcome Recover(const rollout_group& target);
 
   /// \brief Highest version that this process has used or seen.
   [[nodiscard]] std::uint64_t last_version() const noexcept { return last_version_; }
@@ -88,6 +91,16 @@
   };
   using group_state = std::vector<rank_state>;
 
+  /// What the reports show of a change that nobody has completed.
+  struct unfinished_change {
+    armed_map change;        ///< Its version and pass; only the pass if no rank is armed.
+    std::size_t armed = 0;   ///< Ranks that are armed ...
+    bool same = true;        ///< ... all for the same change.
+    std::size_t ready = 0;   ///< Ranks that are armed or could be armed for it.
+    std::size_t held = 0;    ///< Ranks that hold a pass.
+    std::size_t loaded = 0;  ///< Ranks with a version that is not in use.
+  };
+
   /// \brief Reads all ranks; nothing unless they form one open group.
   [[nodiscard]] rollout_outcome Read(const std::vector<const upstream_record*>& ranks,
                                      group_state& group);
@@ -103,11 +116,21 @@
   [[nodiscard]] rollout_outcome WaitPrepared(group_state& group,
                                              std::uint64_t version,
                                              milliseconds loading);
-  [[nodiscard]] rollout_outcome Switch(group_state& group, std::uint64_t version);
+  [[nodiscard]] rollout_outcome Switch(const rollout_group& target,
+                                       group_state& group,
+                                       std::uint64_t version);
   /// \brief Waits until the first rank uses a map for which all ranks were armed.
   [[nodiscard]] rollout_outcome WaitSwitched(const group_state& group, std::uint64_t version);
-  [[nodiscard]] rollout_outcome Undo(group_state& group, std::uint64_t step);
-  [[nodiscard]] rollout_outcome Release(group_state& group, std::uint64_t step);
+  [[nodiscard]] unfinished_change FindUnfinished(const group_state& group) const;
+  /// \brief Completes a change of which some rank is armed.
+  /// \returns Whether no rank refused to take part.
+  [[nodiscard]] bool Finish(group_state& group, const armed_map& change);
+  /// \param step  held or armed pass; 0 if there is none.
+  [[nodiscard]] rollout_outcome Undo(const rollout_group& target,
+                                     group_state& group,
+                                     std::uint64_t step);
+  /// \brief Releases all held passes.
+  [[nodiscard]] rollout_outcome Release(group_state& group);
   [[nodiscard]] static std::vector<const upstream_record*> Records(const group_state& group);
   /// \brief Last pass that any rank has begun.
   [[nodiscard]] static std::uint64_t LastStep(const group_state& group) noexcept;
@@ -121,6 +144,7 @@
   event_log& log_;
   const rollout_settings settings_;
   std::uint64_t last_version_ = 0;
+  std::uint64_t replacement_ = 0;  ///< Version of the present map that an undo has loaded last.
   /// Time of one pass; 0 if unknown.
   nanoseconds pass_time_{0};
   milliseconds report_age_{kAssumedAge};  ///< Of the oldest report in the last read.
--- a/libs/expert_control/src/map_rollout.cc
+++ b/libs/expert_control/src/map_rollout.cc
@@ -22,6 +22,8 @@
 // Time for an accepted order to show in a report that is made afterwards.
 constexpr milliseconds kReportMargin{15};
 constexpr int kReadTries = 3;
+// Kinds of answers to an order.
+constexpr std::size_t kOrderAnswers = 5;
 // Passes are counted over at least this time: reports of two ranks may be half a pass apart.
 constexpr milliseconds kPassSpan{150};
 
@@ -40,8 +42,8 @@
 }
 
 std::string_view ToString(order_answer answer) noexcept {
-  constexpr std::array<std::string_view, 5> kNames{"begun", "holds", "conflict", "replaced",
-                                                   "unanswered"};
+  constexpr std::array<std::string_view, kOrderAnswers> kNames{"begun", "holds", "conflict",
+                                                               "replaced", "unanswered"};
   return kNames.at(static_cast<std::size_t>(answer));
 }
 
@@ -146,6 +148,14 @@
   milliseconds patience =
       order.kind == order_kind::kPrepare ? settings_.prepare_patience : settings_.order_patience;
   while (!open.empty()) {
+    if (!clock_.may_act()) {
+      log_.Write(event_line("expert.order_withheld")
+                     .Add("group", group.front().report.group)
+                     .Add("order", ToString(order.kind))
+                     .Add("version", order.version)
+                     .Add("step", order.step));
+      return std::nullopt;
+    }
     std::vector<rank_order> orders;
     for (const std::size_t member : open) {
       orders.push_back({group[member].record, order});
@@ -154,17 +164,20 @@
     }
     const std::vector<order_answer> answers = port_.Send(orders, patience);
     std::vector<std::size_t> unanswered;
+    std::array<std::uint64_t, kOrderAnswers> counted{};
     for (std::size_t i = 0; i < open.size(); ++i) {
       rank_state& rank = group[open[i]];
-      log_.Write(event_line("expert.order")
-                     .Add("upstream", rank.record->id)
-                     .Add("group", rank.report.group)
-                     .Add("order", ToString(order.kind))
-                     .Add("version", order.version)
-                     .Add("step", order.step)
-                     .Add("epoch", rank.report.epoch)
-                     .Add("expected_orders", rank.orders)
-                     .Add("answer", ToString(answers[i])));
+      ++counted.at(static_cast<std::size_t>(answers[i]));
+      if (answers[i] == order_answer::kConflict || answers[i] == order_answer::kReplaced) {
+        log_.Write(event_line("expert.order_refused")
+                       .Add("upstream", rank.record->id)
+                       .Add("group", rank.report.group)
+                       .Add("order", ToString(order.kind))
+                       .Add("version", order.version)
+                       .Add("step", order.step)
+                       .Add("epoch", rank.report.epoch)
+                       .Add("answer", ToString(answers[i])));
+      }
       switch (answers[i]) {
         case order_answer::kBegun:
           ++rank.orders;
@@ -186,6 +199,18 @@
           break;
       }
     }
+    event_line line("expert.orders");
+    line.Add("group", group.front().report.group)
+        .Add("order", ToString(order.kind))
+        .Add("version", order.version)
+        .Add("step", order.step)
+        .Add("epoch", group.front().report.epoch)
+        .Add("first", group[open.front()].record->id);
+    for (std::size_t answer = 0; answer < counted.size(); ++answer) {
+      if (counted[answer] != 0)
+        line.Add(ToString(static_cast<order_answer>(answer)), counted[answer]);
+    }
+    log_.Write(std::move(line));
     open = std::move(unanswered);
     if (open.empty())
       break;
@@ -221,7 +246,7 @@
   std::vector<std::size_t> pending = All(group.size());
   const time_point until = clock_.now() + settings_.load_limit;
   milliseconds pause = std::max(loading, settings_.poll);
-  while (clock_.now() < until) {
+  while (clock_.now() < until && clock_.may_act()) {
     clock_.sleep(pause);
     pause = settings_.poll;
     std::vector<const upstream_record*> ranks;
@@ -252,17 +277,16 @@
   return rollout_outcome::kUnknown;
 }
 
-rollout_outcome map_rollout::Run(const std::vector<const upstream_record*>& ranks,
-                                 const map_change& change) {
+rollout_outcome map_rollout::Run(const rollout_group& target, const map_change& change) {
   group_state group;
-  const rollout_outcome read = Read(ranks, group);
+  const rollout_outcome read = Read(target.ranks, group);
   if (read != rollout_outcome::kUnchanged)
     return read;
   const bool idle = std::all_of(group.begin(), group.end(), [&](const rank_state& rank) {
     return !rank.report.armed && !rank.report.held && rank.report.map == group.front().report.map;
   });
   if (!idle)
-    return Recover(ranks);
+    return Recover(target);
   last_version_ = std::max(last_version_ + 1, change.least_version);
   const std::uint64_t version = last_version_;
   const auto prepared =
@@ -276,17 +300,18 @@
   const rollout_outcome loaded = WaitPrepared(group, version, change.loading);
   if (loaded != rollout_outcome::kUnchanged)
     return loaded;
-  return Switch(group, version);
+  return Switch(target, group, version);
 }
 
-rollout_outcome map_rollout::Switch(group_state& group, std::uint64_t version) {
-  const std::vector<const upstream_record*> ranks = Records(group);
+rollout_outcome map_rollout::Switch(const rollout_group& target,
+                                    group_state& group,
+                                    std::uint64_t version) {
   std::uint64_t step = 0;
   bool holds = false;
   for (int tries = 0; tries < kHoldTries && !holds; ++tries) {
     if (tries > 0) {
       AwaitFreshReports();
-      const rollout_outcome read = Read(ranks, group);
+      const rollout_outcome read = Read(target.ranks, group);
       if (read != rollout_outcome::kUnchanged)
         return read;
     }
@@ -295,7 +320,7 @@
     const auto held = Settle(group, {0}, {order_kind::kHold, 0, step, 0, 0, nullptr},
                              [&](const rank_report& report) { return report.held == step; });
     if (!held)
-      return Recover(ranks);
+      return Recover(target);
     holds = *held;
   }
   if (!holds)
@@ -305,10 +330,9 @@
       group, All(group.size()), {order_kind::kArm, version, step, 0, 0, nullptr},
       [&](const rank_report& report) { return report.armed && report.armed->version == version; });
   if (!armed || !*armed)
-    return Recover(ranks);
-  const rollout_outcome released = Release(group, step);
-  if (released != rollout_outcome::kUnchanged)
-    return Recover(ranks);
+    return Recover(target);
+  if (Release(group) != rollout_outcome::kUnchanged)
+    return Recover(target);
   return WaitSwitched(group, version);
 }
 
@@ -330,105 +354,167 @@
   return rollout_outcome::kSwitched;
 }
 
-rollout_outcome map_rollout::Release(group_state& group, std::uint64_t step) {
+rollout_outcome map_rollout::Release(group_state& group) {
+  std::vector<std::size_t> held;
+  std::uint64_t step = 0;
   for (std::size_t i = 0; i < group.size(); ++i) {
     if (!group[i].report.held)
       continue;
-    const engine_order order{order_kind::kRelease, 0, *group[i].report.held, 0, 0, nullptr};
-    const auto released =
-        Settle(group, {i}, order, [](const rank_report& report) { return !report.held; });
-    if (!released || !*released)
+    held.push_back(i);
+    step = *group[i].report.held;
+  }
+  const bool same = std::all_of(held.begin(), held.end(), [&](std::size_t member) {
+    return group[member].report.held == step;
+  });
+  const auto is_free = [](const rank_report& report) { return !report.held; };
+  for (const std::size_t member : held) {
+    const std::vector<std::size_t> members = same ? held : std::vector<std::size_t>{member};
+    const engine_order order{
+        order_kind::kRelease, 0, *group[member].report.held, 0, 0, nullptr};
+    if (!Settle(group, members, order, is_free).value_or(false))
       return rollout_outcome::kUnknown;
+    if (same)
+      break;
   }
   log_.Write(
       event_line("expert.released").Add("group", group.front().report.group).Add("step", step));
   return rollout_outcome::kUnchanged;
 }
 
-rollout_outcome map_rollout::Recover(const std::vector<const upstream_record*>& ranks) {
+rollout_outcome map_rollout::Recover(const rollout_group& target) {
   group_state group;
-  (void)Read(ranks, group);  // Tells how old reports are.
-  for (int round = 0; round < kRecoverRounds; ++round) {
+  (void)Read(target.ranks, group);  // Tells how old reports are.
+  bool may_finish = true;
+  for (int round = 0; round < kRecoverRounds && clock_.may_act(); ++round) {
     // Reports older than the last order would hide its effect.
     AwaitFreshReports();
-    const rollout_outcome read = Read(ranks, group);
+    const rollout_outcome read = Read(target.ranks, group);
     if (read == rollout_outcome::kUnknown)
       continue;
     if (read != rollout_outcome::kUnchanged)
       return read;
-    std::uint64_t step = 0;
-    std::size_t armed = 0;
-    std::size_t held = 0;
-    bool equal = true;
-    const auto first = group.front().report.armed;
-    for (const rank_state& rank : group) {
-      equal = equal && rank.report.armed == first;
-      armed += rank.report.armed ? 1 : 0;
-      held += rank.report.held ? 1 : 0;
-      step = std::max(
-          {step, rank.report.armed ? rank.report.armed->step : 0, rank.report.held.value_or(0)});
-    }
+    const unfinished_change left = FindUnfinished(group);
     log_.Write(event_line("expert.recover")
                    .Add("group", group.front().report.group)
                    .Add("epoch", group.front().report.epoch)
-                   .Add("armed", static_cast<std::uint64_t>(armed))
-                   .Add("held", static_cast<std::uint64_t>(held))
-                   .Add("step", step));
-    if (armed == 0 && held == 0)
+                   .Add("armed", static_cast<std::uint64_t>(left.armed))
+                   .Add("held", static_cast<std::uint64_t>(left.held))
+                   .Add("loaded", static_cast<std::uint64_t>(left.loaded))
+                   .Add("version", left.change.version)
+                   .Add("step", left.change.step));
+    if (left.armed == 0 && left.held == 0 && left.loaded == 0)
       return rollout_outcome::kUnchanged;
-    if (armed == group.size() && equal && held == 0)
+    if (left.armed == group.size() && left.same && left.held == 0)
       return rollout_outcome::kSwitched;  // The pass has not begun yet, since the group is idle.
-    const bool finish = armed == group.size() && equal;
-    if (!finish) {
-      const rollout_outcome undone = Undo(group, step);
-      if (undone != rollout_outcome::kUnchanged)
-        continue;
+    if (may_finish && left.armed > 0 && left.same && left.ready == group.size()) {
+      may_finish = Finish(group, left.change);
+      continue;
     }
-    (void)Release(group, step);
+    (void)Undo(target, group, left.change.step);
   }
   return rollout_outcome::kUnknown;
 }
 
-/// Holds the pass at every rank, so that no earlier coordinator can release it, then disarms all.
-rollout_outcome map_rollout::Undo(group_state& group, std::uint64_t step) {
-  std::vector<std::size_t> free;
-  std::vector<std::size_t> held;
-  std::vector<std::size_t> armed;
-  for (std::size_t i = 0; i < group.size(); ++i) {
-    (group[i].report.held ? held : free).push_back(i);
-    if (group[i].report.armed)
-      armed.push_back(i);
+map_rollout::unfinished_change map_rollout::FindUnfinished(const group_state& group) const {
+  unfinished_change left;
+  for (const rank_state& rank : group) {
+    const rank_report& report = rank.report;
+    if (report.armed && left.armed == 0)
+      left.change = *report.armed;
+    left.same = left.same && (!report.armed || *report.armed == left.change);
+    left.armed += report.armed ? 1 : 0;
+    left.held += report.held ? 1 : 0;
+    const std::uint64_t loaded = report.prepared.value_or(report.map);
+    left.loaded += loaded != report.map && loaded != replacement_ ? 1 : 0;
   }
-  const auto is_held = [](const rank_report& report) { return report.held.has_value(); };
-  const engine_order hold{order_kind::kHold, 0, step, 0, 0, nullptr};
-  if (!Settle(group, free, hold, is_held).value_or(false))
-    return rollout_outcome::kUnknown;
-  // An order moves the count on, so that a release or arm under way is refused. The other ranks
-  // hold the pass meanwhile.
-  for (const std::size_t member : held) {
-    const engine_order release{order_kind::kRelease, 0, *group[member].report.held, 0, 0, nullptr};
-    const bool moved =
-        Settle(group, {member}, release, [](const rank_report& r) { return !r.held; })
-            .value_or(false) &&
-        Settle(group, {member}, hold, is_held).value_or(false);
-    if (!moved)
+  for (const rank_state& rank : group) {
+    left.ready += rank.report.armed || rank.report.prepared == left.change.version ? 1 : 0;
+    if (left.armed == 0)
+      left.change.step = std::max(left.change.step, rank.report.held.value_or(0));
+  }
+  return left;
+}
+
+/// Orders that an earlier coordinator has sent may still be carried out, and they all lead to the
+/// same switch: a change is therefore completed where that is possible.
+bool map_rollout::Finish(group_state& group, const armed_map& change) {
+  const bool held = std::any_of(group.begin(), group.end(),
+                                [](const rank_state& rank) { return rank.report.held; });
+  const engine_order hold{order_kind::kHold, 0, change.step, 0, 0, nullptr};
+  const auto is_held = [&](const rank_report& report) { return report.held == change.step; };
+  if (!held && !Settle(group, {0}, hold, is_held).value_or(false))
+    return false;
+  if (!held)
+    group.front().report.held = change.step;
+  const engine_order arm{order_kind::kArm, change.version, change.step, 0, 0, nullptr};
+  const auto armed = Settle(group, All(group.size()), arm, [&](const rank_report& report) {
+    return report.armed && report.armed->version == change.version;
+  });
+  return armed.value_or(false) && Release(group) == rollout_outcome::kUnchanged;
+}
+
+/// Holds the pass at every rank, so that no earlier coordinator can release it, disarms all, and
+/// replaces what is loaded by the present map under a newer version: an arm order of the earlier
+/// coordinator that is still on its way is then refused.
+rollout_outcome map_rollout::Undo(const rollout_group& target,
+                                  group_state& group,
+                                  std::uint64_t step) {
+  if (step != 0) {
+    std::vector<std::size_t> free;
+    for (std::size_t i = 0; i < group.size(); ++i) {
+      if (!group[i].report.held)
+        free.push_back(i);
+    }
+    const engine_order hold{order_kind::kHold, 0, step, 0, 0, nullptr};
+    const auto is_held = [](const rank_report& report) { return report.held.has_value(); };
+    if (!Settle(group, free, hold, is_held).value_or(false))
       return rollout_outcome::kUnknown;
+    for (const std::size_t member : free)
+      group[member].report.held = step;
   }
-  for (const std::size_t member : armed) {
+  for (std::size_t member = 0; member < group.size(); ++member) {
+    if (!group[member].report.armed)
+      continue;
     const engine_order disarm{
         order_kind::kDisarm, group[member].report.armed->version, 0, 0, 0, nullptr};
-    if (!Settle(group, {member}, disarm, [](const rank_report& report) {
-           return !report.armed;
-         }).value_or(false))
+    const auto is_free = [](const rank_report& report) { return !report.armed; };
+    if (!Settle(group, {member}, disarm, is_free).value_or(false))
       return rollout_outcome::kUnknown;
   }
+  const auto present = ReadGroupMap(port_, target, group.front().report.epoch);
+  if (!present) {
+    log_.Write(event_line("expert.map_unread")
+                   .Add("group", group.front().report.group)
+                   .Add("reason", present.error().message));
+    return rollout_outcome::kUnknown;
+  }
+  const std::uint64_t version = ++last_version_;
+  replacement_ = version;
+  const bool replaced = Settle(group, All(group.size()),
+                               {order_kind::kPrepare, version, 0, 0, 0, &present.value()},
+                               [&](const rank_report& report) {
+                                 return !report.armed && report.prepared.value_or(0) >= version;
+                               })
+                            .value_or(false);
+  if (!replaced)
+    return rollout_outcome::kUnknown;
+  std::vector<std::optional<std::uint64_t>> held;
+  for (const rank_state& rank : group)
+    held.push_back(rank.report.held);
   AwaitFreshReports();
   const rollout_outcome read = Read(Records(group), group);
   if (read != rollout_outcome::kUnchanged)
     return read;
   const bool clear = std::none_of(group.begin(), group.end(),
                                   [](const rank_state& rank) { return rank.report.armed; });
-  return clear ? rollout_outcome::kUnchanged : rollout_outcome::kUnknown;
+  if (!clear)
+    return rollout_outcome::kUnknown;
+  // Holds that an outdated report hides are released as well.
+  for (std::size_t i = 0; i < group.size(); ++i) {
+    if (!group[i].report.held)
+      group[i].report.held = held[i];
+  }
+  return Release(group);
 }
 
 }  // namespace quincebank
--- a/libs/expert_control/tests/map_rollout_test.cc
+++ b/libs/expert_control/tests/map_rollout_test.cc
@@ -85,7 +85,14 @@
   std::vector<result<pick_counts>> Counts(std::span<const upstream_record* const>) override {
     return {};
   }
-  result<held_experts> Held(const upstream_record&) override { return held_experts{}; }
+  std::vector<result<held_experts>> Held(std::span<const upstream_record* const> ranks) override {
+    std::vector<result<held_experts>> held;
+    for (const upstream_record* const rank : ranks) {
+      const std::size_t i = Index(*rank);
+      held.emplace_back(held_experts{epoch_, ranks_[i].map, {{static_cast<int>(i)}}});
+    }
+    return held;
+  }
 
   std::vector<order_answer> Send(std::span<const rank_order> orders,
                                  milliseconds patience) override {
@@ -302,6 +309,10 @@
   bool mixed_ = false;
 };
 
+rollout_group Target(const fake_group& group) {
+  return {group.Members(), {kRanks, kRanks, 1, 1, 1}, 1};
+}
+
 class map_rollout_test : public testing::TestWithParam<fault_case> {};
 
 // Guards against a pass that sees two maps, and against a group that stays held, whatever happens
@@ -316,7 +327,7 @@
     const auto act = [&] {
       map_rollout rollout(group, group.Clock(), log);
       switched +=
-          rollout.Run(group.Members(), {map, milliseconds(0), group.Revision()}) == rollout_outcome::kSwitched ? 1 : 0;
+          rollout.Run(Target(group), {map, milliseconds(0), group.Revision()}) == rollout_outcome::kSwitched ? 1 : 0;
     };
     group.SetInterloper(act);
     try {
@@ -391,7 +402,7 @@
     fake_group group(faults, seed, 1);
     group.Advance(milliseconds(500));
     map_rollout rollout(group, group.Clock(), log);
-    if (rollout.Run(group.Members(), {map, milliseconds(0), group.Revision()}) != rollout_outcome::kSwitched)
+    if (rollout.Run(Target(group), {map, milliseconds(0), group.Revision()}) != rollout_outcome::kSwitched)
       continue;
     ++switched;
     paused += group.longest_hold() >= kStreamPause ? 1 : 0;
--- a/libs/gateway/include/quincebank/gateway/agent_engine_port.h
+++ b/libs/gateway/include/quincebank/gateway/agent_engine_port.h
@@ -27,7 +27,8 @@
       std::span<const upstream_record* const> ranks) override;
   [[nodiscard]] std::vector<result<pick_counts>> Counts(
       std::span<const upstream_record* const> ranks) override;
-  [[nodiscard]] result<held_experts> Held(const upstream_record& rank) override;
+  [[nodiscard]] std::vector<result<held_experts>> Held(
+      std::span<const upstream_record* const> ranks) override;
   [[nodiscard]] std::vector<order_answer> Send(std::span<const rank_order> orders,
                                                milliseconds patience) override;
 
--- a/libs/gateway/include/quincebank/gateway/expert_steering.h
+++ b/libs/gateway/include/quincebank/gateway/expert_steering.h
@@ -40,6 +40,8 @@
     std::vector<rank_experts> map;  ///< By set and rank; empty if unknown.
     std::map<std::string, std::vector<std::uint64_t>> last_counts;  ///< By upstream.
     popularity_window popularity;
+    time_point changed{};  ///< When its map was changed last.
+    int idle_reads = 0;    ///< Reads in a row without any choice.
   };
   /// Members of one group in one snapshot.
   struct group_view {
@@ -59,7 +61,7 @@
                const group_view& view,
                group_memory& memory,
                map_rollout& rollout);
-  [[nodiscard]] bool ReadMap(const group_view& view, group_memory& memory);
+  [[nodiscard]] bool ReadMap(const rollout_group& target, group_memory& memory);
   /// \brief Adds what the requests of all ranks have chosen since the last read.
   [[nodiscard]] bool ReadCounts(const group_view& view, group_memory& memory);
 
--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -13,6 +13,7 @@
 #include "quincebank/gateway/fleet_snapshot.h"
 #include "quincebank/gateway/gateway_settings.h"
 #include "quincebank/gateway/record_codec.h"
+#include "quincebank/gateway/role_lease.h"
 #include "quincebank/gateway/shared_store.h"
 #include "quincebank/net/fiber_thread.h"
 #include "quincebank/rpc/rpc.h"
@@ -95,9 +96,9 @@
   std::map<std::string, known_upstream, std::less<>> upstreams_;  ///< By key.
   std::map<std::string, ref_ptr<group_pulse>> pulses_;            ///< By service and group.
   std::string lease_;
-  time_point lease_renewed_{};     ///< Sending of the last renewal that succeeded.
+  boot_time lease_renewed_{};      ///< Sending of the last renewal that succeeded.
   std::string coordinator_lease_;  ///< Empty unless this entry has claimed the role.
-  time_point coordinator_renewed_{};
+  role_lease role_;
   std::optional<time_point> vacant_since_;  ///< Nobody holds the role since then.
   time_point next_claim_{};
   time_point fleet_as_noted_{};  ///< When there last were as many entries as the store notes.
--- a/libs/gateway/src/agent_engine_port.cc
+++ b/libs/gateway/src/agent_engine_port.cc
@@ -92,13 +92,22 @@
   return known.sum.Add(window);
 }
 
-result<held_experts> agent_engine_port::Held(const upstream_record& rank) {
-  if (Usable(rank)) {
-    const auto answer = Call(rank, "rank.held", {});
-    if (answer)
-      return HeldExpertsFromJson(answer.value());
-  }
-  return direct_->Held(rank);
+std::vector<result<held_experts>> agent_engine_port::Held(
+    std::span<const upstream_record* const> ranks) {
+  std::vector<result<held_experts>> held(ranks.size(),
+                                         MakeError(error_code::kUnavailable, "not asked"));
+  RunParallel(ranks.size(), [&](std::size_t i) {
+    if (Usable(*ranks[i])) {
+      const auto answer = Call(*ranks[i], "rank.held", {});
+      if (answer) {
+        held[i] = HeldExpertsFromJson(answer.value());
+        return;
+      }
+    }
+    const std::array<const upstream_record*, 1> one{ranks[i]};
+    held[i] = std::move(direct_->Held(one).front());
+  });
+  return held;
 }
 
 std::vector<order_answer> agent_engine_port::Send(std::span<const rank_order> orders,
--- a/libs/gateway/src/expert_steering.cc
+++ b/libs/gateway/src/expert_steering.cc
@@ -15,9 +15,16 @@
 // Between reads of one group's counts.
 constexpr milliseconds kCountPeriod{100};
 // Least part of the expert time that a change of the map must save.
-constexpr double kLeastGain = 0.12;
+constexpr double kLeastGain = 0.06;
 // Peaks up to this multiple of the mean load are left alone.
-constexpr double kTolerablePeak = 1.35;
+constexpr double kTolerablePeak = 1.1;
+// A change that saves less than this part is made at most once in each such time: orders to all
+// ranks are not free, and counts of one window are noisy.
+constexpr double kUrgentGain = 0.15;
+constexpr milliseconds kSmallChangePause{1'000};
+// Reads of the counts in a row without any choice after which a group that stands still is looked
+// at: a pass may be held that nobody releases.
+constexpr int kIdleReads = 5;
 // Map versions begin with the revision of the store, which grows from coordinator to coordinator,
 // and leave this many bits for the changes of one of them.
 constexpr int kVersionsPerRevision = 16;
@@ -150,7 +157,9 @@
   memory = MakeMemory(0);
   log_.Write(event_line("expert.steering").Add("group", group));
   map_rollout rollout(
-      port_, {[] { return Now(); }, [](milliseconds time) { boost::this_fiber::sleep_for(time); }},
+      port_,
+      {[] { return Now(); }, [](milliseconds time) { boost::this_fiber::sleep_for(time); },
+       [this] { return sync_.IsCoordinator(); }},
       log_);
   while (!stop_.WaitFor(kCountPeriod) && sync_.IsCoordinator()) {
     const auto groups = Groups();
@@ -172,24 +181,33 @@
                               const group_view& view,
                               group_memory& memory,
                               map_rollout& rollout) {
+  const rollout_group target{view.ranks, ShapeOf(view.profile, view.ranks.size()),
+                             static_cast<std::size_t>(view.profile.expert_sets)};
   if (memory.epoch != view.epoch) {
     memory = MakeMemory(view.epoch);
-    const rollout_outcome recovered = rollout.Recover(view.ranks);
+    const rollout_outcome recovered = rollout.Recover(target);
     memory.recovered = recovered == rollout_outcome::kUnchanged;
     if (!memory.recovered)
       memory.epoch = 0;
     return;
   }
-  if (memory.map.empty() && !ReadMap(view, memory))
+  if (memory.map.empty() && !ReadMap(target, memory))
     return;
-  if (!ReadCounts(view, memory))
+  const bool known = ReadCounts(view, memory);
+  if (memory.idle_reads == kIdleReads) {
+    memory.idle_reads = 0;
+    if (rollout.Recover(target) != rollout_outcome::kUnchanged)
+      memory = MakeMemory(0);
+    return;
+  }
+  if (!known)
     return;
   const even_share_plan plan =
-      PlanEvenShares(ShapeOf(view.profile, view.ranks.size()), memory.map,
-                     memory.popularity.loads(), LimitsOf(view.profile));
+      PlanEvenShares(target.shape, memory.map, memory.popularity.loads(), LimitsOf(view.profile));
   const double gain = plan.peak_before > 0 ? 1 - plan.peak_after / plan.peak_before : 0;
+  const bool due = gain >= kUrgentGain || Now() - memory.changed >= kSmallChangePause;
   const bool change =
-      gain >= kLeastGain && plan.loaded > 0 && plan.peak_before > plan.mean * kTolerablePeak;
+      gain >= kLeastGain && due && plan.loaded > 0 && plan.peak_before > plan.mean * kTolerablePeak;
   log_.Write(event_line("expert.plan")
                  .Add("group", group)
                  .Add("epoch", memory.epoch)
@@ -202,44 +220,28 @@
   if (!change)
     return;
   const rollout_outcome outcome =
-      rollout.Run(view.ranks, {plan.sets, plan.most_loads * view.profile.expert_load_time,
+      rollout.Run(target, {plan.sets, plan.most_loads * view.profile.expert_load_time,
                                view.snapshot->store_revision << kVersionsPerRevision});
   log_.Write(event_line("expert.rollout")
                  .Add("group", group)
                  .Add("version", rollout.last_version())
                  .Add("outcome", ToString(outcome)));
+  memory.changed = Now();
   if (outcome == rollout_outcome::kSwitched)
     memory.map = plan.sets;
   else if (outcome != rollout_outcome::kUnchanged)
     memory = MakeMemory(0);
 }
 
-bool expert_steering::ReadMap(const group_view& view, group_memory& memory) {
-  const auto sets = static_cast<std::size_t>(view.profile.expert_sets);
-  std::vector<rank_experts> map(sets, rank_experts(view.ranks.size()));
-  std::optional<std::uint64_t> version;
-  for (std::size_t rank = 0; rank < view.ranks.size(); ++rank) {
-    auto held = port_.Held(*view.ranks[rank]);
-    if (!held) {
-      log_.Write(event_line("expert.map_unread")
-                     .Add("upstream", view.ranks[rank]->id)
-                     .Add("reason", held.error().message));
-      return false;
-    }
-    const bool fits = held.value().epoch == memory.epoch && held.value().experts.size() == sets &&
-                      version.value_or(held.value().version) == held.value().version;
-    if (!fits)
-      return false;
-    version = held.value().version;
-    for (std::size_t set = 0; set < sets; ++set)
-      map[set][rank] = std::move(held.value().experts[set]);
-    // A group that has just formed uses the initial map.
-    if (*version != 0)
-      continue;
-    map.assign(sets, InitialExperts(ShapeOf(view.profile, view.ranks.size())));
-    break;
+bool expert_steering::ReadMap(const rollout_group& target, group_memory& memory) {
+  auto map = ReadGroupMap(port_, target, memory.epoch);
+  if (!map) {
+    log_.Write(event_line("expert.map_unread")
+                   .Add("group", target.ranks.front()->group->group)
+                   .Add("reason", map.error().message));
+    return false;
   }
-  memory.map = std::move(map);
+  memory.map = std::move(map).value();
   return true;
 }
 
@@ -254,6 +256,12 @@
       continue;
     AddCounts(read[i].value().counts, memory.last_counts[view.ranks[i]->id], window);
   }
+  const bool idle = std::all_of(window.begin(), window.end(), [](const std::vector<double>& set) {
+    return std::all_of(set.begin(), set.end(), [](double count) { return count == 0; });
+  });
+  memory.idle_reads = idle ? memory.idle_reads + 1 : 0;
+  if (idle)
+    return memory.popularity.known();
   if (memory.popularity.Add(window)) {
     log_.Write(event_line("expert.shift")
                    .Add("epoch", memory.epoch)
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -67,6 +67,7 @@
       log_(log),
       box_(box),
       incarnation_(incarnation),
+      role_(settings.coordinator_lease, kCoordinatorPatience),
       started_(Now()) {}
 
 void fleet_sync::AddMethods(rpc_server& rpc) {
@@ -248,7 +249,7 @@
 
 result<void> fleet_sync::Register() {
   if (!lease_.empty()) {
-    const time_point sent = Now();
+    const boot_time sent = BootNow();
     auto kept = store_.KeepLease(lease_);
     if (kept)
       lease_renewed_ = sent;
@@ -257,7 +258,7 @@
     log_.Write(event_line("registration.lapsed").Add("lease", lease_));
     lease_.clear();
   }
-  const time_point sent = Now();
+  const boot_time sent = BootNow();
   BOOST_OUTCOME_TRY(std::string lease, store_.OpenLease(settings_.lease));
   BOOST_OUTCOME_TRY(store_.Put(std::string(kEntryPrefix) + settings_.name, Registration(), lease));
   lease_ = std::move(lease);
@@ -290,7 +291,7 @@
 }
 
 bool fleet_sync::RegistrationHolds() const {
-  return !lease_.empty() && !leaving_ && Now() - lease_renewed_ < settings_.lease;
+  return !lease_.empty() && !leaving_ && BootNow() - lease_renewed_ < settings_.lease;
 }
 
 std::string fleet_sync::CoordinatorName() const {
@@ -299,8 +300,7 @@
 
 bool fleet_sync::IsCoordinator() const {
   const store_item* const holder = mirror_.Find(kCoordinatorKey);
-  // While the store is down nobody else can claim the role, and two coordinators do no harm.
-  return !leaving_ && Now() - coordinator_renewed_ < kCoordinatorPatience && holder != nullptr &&
+  return !leaving_ && role_.MayAct(BootNow()) && holder != nullptr &&
          holder->value == CoordinatorName();
 }
 
@@ -331,6 +331,7 @@
     return;
   vacant_since_.reset();
   next_claim_ = sent + kClaimPause;
+  const boot_time asked = BootNow();
   auto lease = store_.OpenLease(settings_.coordinator_lease);
   const auto claimed = !lease ? result<bool>(lease.error())
                        : own  ? store_.Replace(*holder, CoordinatorName(), lease.value())
@@ -338,7 +339,7 @@
   // A write without an answer may still have made this entry the coordinator.
   if (lease && (!claimed || claimed.value())) {
     coordinator_lease_ = lease.value();
-    coordinator_renewed_ = sent;
+    role_.OnHeld(asked);
   }
   event_line line("coordinator.claim");
   line.Add("revision", mirror_.revision());
@@ -381,10 +382,11 @@
       continue;
     if (IsCoordinator())
       NoteFleetSize();
-    const time_point sent = Now();
+    const boot_time sent = BootNow();
+    role_.OnWatch(sent);
     const auto kept = store_.KeepLease(coordinator_lease_);
     if (kept) {
-      coordinator_renewed_ = sent;
+      role_.OnHeld(sent);
       continue;
     }
     if (kept.error().code != error_code::kNotFound)
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -54,7 +54,7 @@
 }
 
 milliseconds forward_flow::Left() const {
-  return std::chrono::duration_cast<milliseconds>(deadline_ - Now());
+  return std::chrono::duration_cast<milliseconds>(deadline_ - BootNow());
 }
 
 milliseconds forward_flow::Elapsed() const {
@@ -97,7 +97,7 @@
   service_ = catalog_->FindService(PickService(*route_, shared_.random.Unit()));
   if (service_ == nullptr)
     return own_answer{503, "unknown-service", kRetryUnknownService};
-  deadline_ = started_ + std::min(request_.time_left.value_or(route_->timeout), route_->timeout);
+  deadline_ = received_ + std::min(request_.time_left.value_or(route_->timeout), route_->timeout);
   last_event_ = request_.resume_after;
   return std::nullopt;
 }
@@ -147,7 +147,7 @@
 
 std::optional<known_upstream> forward_flow::WaitForUpstream() {
   const time_point until =
-      std::min(Now() + route_->latency_objective / kWaitShare, deadline_ - kLeastTime);
+      Now() + std::min(route_->latency_objective / kWaitShare, Left() - kLeastTime);
   for (;;) {
     // A newer snapshot may have taken an upstream out; the catalog in force at the start stays.
     snapshot_ = shared_.snapshots.Get();
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "quincebank/base/clock.h"
 #include "quincebank/base/verdict.h"
 #include "quincebank/gateway/gateway_service.h"
 #include "quincebank/net/call_cancellation.h"
@@ -72,13 +73,14 @@
   gateway_shared& shared_;
   http_exchange& exchange_;
   const time_point started_;
+  const boot_time received_ = BootNow();
   client_request request_;
   ref_ptr<const fleet_snapshot> snapshot_;
   ref_ptr<const service_catalog> catalog_;  ///< Owner of `route_` and `service_`.
   const route_rule* route_ = nullptr;
   const service_rule* service_ = nullptr;
   std::string workspace_;
-  time_point deadline_;
+  boot_time deadline_;
   ref_ptr<call_cancellation> cancellation_;
   bool client_gone_ = false;
   placement_obstacle obstacle_ = placement_obstacle::kNone;
--- a/libs/rank_agent/src/rank_agent.cc
+++ b/libs/rank_agent/src/rank_agent.cc
@@ -167,7 +167,8 @@
 }
 
 result<json::value> rank_agent::Held(const rank_question& question) {
-  BOOST_OUTCOME_TRY(const held_experts held, engines_->Held(question.rank));
+  const std::array<const upstream_record*, 1> ranks{&question.rank};
+  BOOST_OUTCOME_TRY(const held_experts held, std::move(engines_->Held(ranks).front()));
   return json::value(ToJson(held));
 }
 
--- a/libs/rank_agent/tests/rank_agent_test.cc
+++ b/libs/rank_agent/tests/rank_agent_test.cc
@@ -22,7 +22,9 @@
   std::vector<result<pick_counts>> Counts(std::span<const upstream_record* const>) override {
     return {MakeError(error_code::kUnavailable, "the engine does not answer")};
   }
-  result<held_experts> Held(const upstream_record&) override { return held_experts{}; }
+  std::vector<result<held_experts>> Held(std::span<const upstream_record* const>) override {
+    return {held_experts{}};
+  }
   std::vector<order_answer> Send(std::span<const rank_order>, milliseconds) override { return {}; }
 
  private:
