--- a/libs/gateway/include/quincebank/gateway/expert_steering.h
+++ b/libs/gateway/include/quincebank/gateway/expert_steering.h
@@ -41,6 +41,7 @@
     std::map<std::string, std::vector<std::uint64_t>> last_counts;  ///< By upstream.
     popularity_window popularity;
     time_point changed{};  ///< When its map was changed last.
+    double choices = 0;    ///< Of one set, in the last read.
     int idle_reads = 0;    ///< Reads in a row without any choice.
   };
   /// Members of one group in one snapshot.
--- a/libs/gateway/src/expert_steering.cc
+++ b/libs/gateway/src/expert_steering.cc
@@ -1,6 +1,7 @@
 #include "quincebank/gateway/expert_steering.h"
 
 #include <algorithm>
+#include <numeric>
 #include <boost/fiber/operations.hpp>
 #include <thread>
 #include <utility>
@@ -214,6 +215,7 @@
                  .Add("peak_before", plan.peak_before / plan.mean)
                  .Add("peak_after", plan.peak_after / plan.mean)
                  .Add("moved", memory.popularity.moved())
+                 .Add("choices", memory.choices)
                  .Add("loaded", plan.loaded)
                  .Add("most_loads", plan.most_loads)
                  .Add("change", change));
@@ -260,6 +262,7 @@
     return std::all_of(set.begin(), set.end(), [](double count) { return count == 0; });
   });
   memory.idle_reads = idle ? memory.idle_reads + 1 : 0;
+  memory.choices = std::accumulate(window.front().begin(), window.front().end(), 0.0);
   if (idle)
     return memory.popularity.known();
   if (memory.popularity.Add(window)) {
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -41,6 +41,9 @@
 constexpr milliseconds kClaimPause{500};
 // Time that each entry leaves to those before it to claim the coordinator's role: a few calls.
 constexpr milliseconds kClaimTurn{100};
+// Entries that start together know each other after this time: their leases and records take some
+// calls, and the watch a pause. Before, each would take itself for the first in turn.
+constexpr milliseconds kClaimSettle{900};
 // Between checks for removals whose grace period is over.
 constexpr milliseconds kExpireCheck{200};
 
@@ -263,6 +266,7 @@
   BOOST_OUTCOME_TRY(store_.Put(std::string(kEntryPrefix) + settings_.name, Registration(), lease));
   lease_ = std::move(lease);
   lease_renewed_ = sent;
+  registered_ = Now();
   log_.Write(event_line("registration.written").Add("lease", lease_));
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -310,10 +314,12 @@
     vacant_since_ = now;
     log_.Write(event_line("coordinator.vacant").Add("revision", mirror_.revision()));
   }
+  if (now - registered_ < kClaimSettle)
+    return false;
   const std::vector<entry_record> entries = Entries();
   const auto before = static_cast<std::int64_t>(
       ClaimsBefore(kCoordinatorKey, {settings_.name, settings_.cores}, entries));
-  return now - *vacant_since_ >= before * kClaimTurn;
+  return now - std::max(*vacant_since_, registered_ + kClaimSettle) >= before * kClaimTurn;
 }
 
 void fleet_sync::ClaimCoordination() {
