Let two entries of each failure domain read the store for the others

Ruled out: a whole read from a peer at the start (entries know no peer before they have read the store). Change: readers are chosen by rendezvous from the registrations. They tell the entries of their domain by datagram how far they know the store and when it last answered them; the others fetch what has changed. An entry watches the store itself while no reader of its domain is in touch with it. Answers to peers hold what changed, removals included, instead of all keys.

--- a/libs/fleet/include/quincebank/fleet/store_mirror.h
+++ b/libs/fleet/include/quincebank/fleet/store_mirror.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -18,6 +20,8 @@
   milliseconds lapse_grace{2'500};
   /// Time of failed reads from which on the store counts as having been away.
   milliseconds outage{2'500};
+  /// Removals that are remembered for other entries.
+  std::size_t removals = 1'000;
 };
 
 /// \brief Copy of the store's keys that never goes back to an older state of a key.
@@ -53,10 +57,9 @@
       visit(it->second.item);
     }
   }
-  /// \brief Returns the items changed after a revision, and all keys if `since` is 0.
+  /// \brief Returns what has changed after a revision, or the whole content if removals so far back
+  /// are no longer known.
   [[nodiscard]] store_update Since(std::uint64_t since) const;
-  /// \brief Returns the keys that exist.
-  [[nodiscard]] std::vector<std::string> Keys() const;
 
   /// \brief Revision of the store up to which all changes are known; 0 before the first read.
   [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
@@ -68,11 +71,19 @@
     std::optional<time_point> remove_at;
   };
 
+  /// Removal that was seen, carried out or not.
+  struct removal {
+    std::string key;
+    std::uint64_t revision = 0;
+  };
+
   bool Put(const store_item& item);
   bool Remove(std::string_view key, std::uint64_t revision, time_point now);
 
   const mirror_settings settings_;
   std::map<std::string, entry, std::less<>> items_;
+  std::deque<removal> removals_;
+  std::uint64_t removals_known_ = 0;  ///< Removals after this revision are remembered.
   std::uint64_t revision_ = 0;
   std::optional<time_point> contact_;
   std::optional<time_point> failing_since_;  ///< First failure since the last contact.
--- a/libs/fleet/src/store_mirror.cc
+++ b/libs/fleet/src/store_mirror.cc
@@ -29,9 +29,16 @@
   const auto found = items_.find(key);
   if (found == items_.end() || found->second.item.revision > revision)
     return false;
-  if (grace_until_ && now < *grace_until_) {
+  removals_.push_back({std::string(key), revision});
+  while (removals_.size() > settings_.removals) {
+    removals_known_ = std::max(removals_known_, removals_.front().revision);
+    removals_.pop_front();
+  }
+  // Another entry may tell of the removal before this one has reached the store again.
+  const bool away = failing_since_ && now - *failing_since_ >= settings_.outage;
+  if (away || (grace_until_ && now < *grace_until_)) {
     if (!found->second.remove_at)
-      found->second.remove_at = grace_until_;
+      found->second.remove_at = away ? now + settings_.lapse_grace : *grace_until_;
     return false;
   }
   items_.erase(found);
@@ -56,6 +63,9 @@
       changed.push_back(event.item.key);
   }
   if (update.whole) {
+    // What was removed before this read is not known key by key.
+    if (revision_ == 0)
+      removals_known_ = update.revision;
     std::vector<std::string> gone;
     for (const auto& [key, known] : items_) {
       if (!present.contains(key))
@@ -91,21 +101,18 @@
 store_update store_mirror::Since(std::uint64_t since) const {
   store_update update;
   update.revision = revision_;
+  update.whole = since < removals_known_;
   for (const auto& [key, known] : items_) {
-    if (known.item.revision > since)
+    if (update.whole || known.item.revision > since)
       update.events.push_back({known.item, false});
   }
-  return update;
-}
-
-std::vector<std::string> store_mirror::Keys() const {
-  std::vector<std::string> keys;
-  keys.reserve(items_.size());
-  for (const auto& [key, known] : items_) {
-    if (!known.remove_at)
-      keys.push_back(key);
+  if (update.whole)
+    return update;
+  for (const removal& gone : removals_) {
+    if (gone.revision > since)
+      update.events.push_back({{gone.key, {}, gone.revision}, true});
   }
-  return keys;
+  return update;
 }
 
 }  // namespace quincebank
--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -15,6 +16,9 @@
 #include "quincebank/gateway/record_codec.h"
 #include "quincebank/gateway/role_lease.h"
 #include "quincebank/gateway/shared_store.h"
+#include "quincebank/gateway/store_relay.h"
+#include "quincebank/net/datagram_socket.h"
+#include "quincebank/net/fiber_event.h"
 #include "quincebank/net/fiber_thread.h"
 #include "quincebank/rpc/rpc.h"
 
@@ -38,7 +42,7 @@
   /// \brief Adds `store.since`, by which other entries read this view.
   void AddMethods(rpc_server& rpc);
   /// \brief Starts the loops in fibers of the control thread.
-  void Start(fiber_thread& thread);
+  [[nodiscard]] result<void> Start(fiber_thread& thread);
   /// \brief Removes this entry's registration, so that look-ups no longer list it.
   void Leave();
   /// \brief Tries to become the one entry that rebalances experts, when it is this entry's turn.
@@ -52,6 +56,13 @@
 
  private:
   void WatchLoop();
+  /// \brief As a reader of the store, tells the entries of the failure domain what it knows.
+  void TellNewsLoop();
+  void HearNewsLoop();
+  /// \brief Whether this entry leaves it to the readers of its failure domain to watch the store.
+  [[nodiscard]] bool Follows() const;
+  /// \brief Takes what a reader has told of, or waits for its next news.
+  void Follow();
   void RegisterLoop();
   void PeerLoop();
   /// \brief Renews the coordinator's lease, which is shorter than that of registrations.
@@ -62,6 +73,7 @@
   void TakeRecord(const std::string& key);
   void TakeCatalog(const store_item& item);
   void TakeUpstream(const std::string& key, const store_item* item);
+  void TakeEntry(const std::string& key, const store_item* item);
   void Publish();
   /// \brief Sets the shares of this entry in what the upstreams can take when cold.
   void ShareLimits(fleet_snapshot& snapshot) const;
@@ -106,7 +118,15 @@
   const time_point started_;
   bool starting_ = true;  ///< Entries that started at the same time may be unknown.
   bool leaving_ = false;
-  bool whole_ = false;  ///< The next read must fetch the whole content.
+  std::map<std::string, entry_record, std::less<>> entries_;  ///< By key.
+  std::unique_ptr<datagram_socket> news_socket_;              ///< Null without news.
+  reader_view readers_;
+  fiber_event news_;           ///< A reader has told something.
+  fiber_event changed_;        ///< The revision of the mirror has grown.
+  time_point direct_until_{};  ///< Until then the store is watched whatever readers tell.
+  bool reader_ = false;        ///< This entry is a reader of its failure domain.
+  bool watching_ = false;      ///< A watch of the store is waiting.
+  bool whole_ = false;         ///< The next read must fetch the whole content.
   bool store_reachable_ = false;
 };
 
--- a/libs/gateway/include/quincebank/gateway/gateway_settings.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_settings.h
@@ -54,6 +54,7 @@
   endpoint readiness;  ///< Health checks of the platform.
   endpoint directory;  ///< Look-ups of entry addresses.
   endpoint peers;      ///< Other entries.
+  endpoint news;       ///< News of the store from other entries; port 0: this entry gets none.
   endpoint metrics;
   endpoint store;
 
--- a/libs/gateway/include/quincebank/gateway/shared_store.h
+++ b/libs/gateway/include/quincebank/gateway/shared_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -9,6 +10,12 @@
 
 namespace quincebank {
 
+/// \brief How new a read of the store has to be.
+enum class read_freshness : std::uint8_t {
+  kNewest,
+  kAnyAge,  ///< May be seconds old, for less load; a watch from its revision brings the rest.
+};
+
 /// \brief Client of the store that all processes share. Used by the fibers of one thread.
 ///
 /// A failed write carries a verdict: after `kMayHaveRun` it may have taken effect or may still do
@@ -17,8 +24,8 @@
  public:
   virtual ~shared_store() = default;
 
-  /// \brief Reads all keys that the product needs, in their newest state.
-  [[nodiscard]] virtual result<store_update> ReadAll() = 0;
+  /// \brief Reads all keys that the product needs.
+  [[nodiscard]] virtual result<store_update> ReadAll(read_freshness freshness) = 0;
   /// \brief Waits for changes after a revision, at most `wait`.
   /// \returns The changes, possibly none, or `kStale` if the store no longer has that history.
   [[nodiscard]] virtual result<store_update> Watch(std::uint64_t since, milliseconds wait) = 0;
--- a/libs/gateway/src/fleet_records_intake.cc
+++ b/libs/gateway/src/fleet_records_intake.cc
@@ -48,9 +48,7 @@
                      .Add("revision", mirror_.revision()));
       break;
     case record_kind::kEntry:
-      log_.Write(event_line(item != nullptr ? "entry.listed" : "entry.gone")
-                     .Add("key", key)
-                     .Add("revision", mirror_.revision()));
+      TakeEntry(key, item);
       break;
     case record_kind::kOther:
       break;
@@ -131,18 +129,28 @@
   return pulse;
 }
 
+void fleet_sync::TakeEntry(const std::string& key, const store_item* item) {
+  log_.Write(event_line(item != nullptr ? "entry.listed" : "entry.gone")
+                 .Add("key", key)
+                 .Add("revision", mirror_.revision()));
+  auto record = item != nullptr ? ParseEntryRecord(item->value)
+                                : result<entry_record>(MakeError(error_code::kNotFound, "removed"));
+  if (record) {
+    entries_.insert_or_assign(key, std::move(record).value());
+    return;
+  }
+  entries_.erase(key);
+  if (item == nullptr)
+    return;
+  log_.Write(
+      event_line("entry.unreadable").Add("key", key).Add("reason", Describe(record.error())));
+}
+
 std::vector<entry_record> fleet_sync::Entries() const {
   std::vector<entry_record> entries;
-  mirror_.Each(kEntryPrefix, [&](const store_item& item) {
-    auto record = ParseEntryRecord(item.value);
-    if (!record) {
-      log_.Write(event_line("entry.unreadable")
-                     .Add("key", item.key)
-                     .Add("reason", Describe(record.error())));
-      return;
-    }
-    entries.push_back(std::move(record).value());
-  });
+  entries.reserve(entries_.size());
+  for (const auto& [key, record] : entries_)
+    entries.push_back(record);
   return entries;
 }
 
@@ -157,6 +165,8 @@
       snapshot->evacuated.emplace(codec_.DecodeEvacuation(item.key));
   });
   snapshot->entries = Entries();
+  const auto readers = ReadersOf(settings_.failure_domain, snapshot->entries);
+  reader_ = std::find(readers.begin(), readers.end(), settings_.name) != readers.end();
   snapshot->expected_entries = std::max(snapshot->entries.size(), RememberedEntries());
   ShareLimits(*snapshot);
   MarkSuperseded(*snapshot);
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -13,6 +13,7 @@
 #include "quincebank/base/ids.h"
 #include "quincebank/base/json_reader.h"
 #include "quincebank/gateway/claim_order.h"
+#include "quincebank/gateway/store_relay.h"
 
 namespace quincebank {
 namespace {
@@ -29,6 +30,11 @@
 constexpr milliseconds kWatchPause{200};
 constexpr milliseconds kLongestWatchPause{600};
 constexpr std::size_t kEntriesPerPause = 12;
+// Between two news of a reader if nothing changes; three of them may be lost.
+constexpr milliseconds kNewsPeriod{400};
+// After readers have failed to hand over what they told of, an entry watches the store for this
+// time.
+constexpr milliseconds kDirectTime{3'000};
 // Between looks for loops that have not ended.
 constexpr milliseconds kStopPoll{2};
 // How long a coordinator goes on without a renewal of its lease, unless it hears of another one.
@@ -82,39 +88,43 @@
     if (!errors.empty())
       return JoinErrors(errors);
     const store_update update = mirror_.Since(since);
-    json::object answer{{"revision", update.revision}};
-    if (update.revision <= since)
-      return json::value(std::move(answer));
+    json::object answer{{"revision", update.revision}, {"whole", update.whole}};
     json::array items;
     for (const store_event& event : update.events) {
-      items.push_back(json::object{{"key", event.item.key},
-                                   {"value", Base64Encode(event.item.value)},
-                                   {"revision", event.item.revision}});
+      json::object item{{"key", event.item.key}, {"revision", event.item.revision}};
+      if (event.removed)
+        item["removed"] = true;
+      else
+        item["value"] = Base64Encode(event.item.value);
+      items.push_back(std::move(item));
     }
-    json::array keys;
-    for (const std::string& key : mirror_.Keys())
-      keys.emplace_back(key);
     answer["items"] = std::move(items);
-    answer["keys"] = std::move(keys);
     return json::value(std::move(answer));
   });
 }
 
-void fleet_sync::Start(fiber_thread& thread) {
-  constexpr std::array<void (fleet_sync::*)(), 4> kLoops{
-      &fleet_sync::WatchLoop, &fleet_sync::RegisterLoop, &fleet_sync::PeerLoop,
-      &fleet_sync::CoordinatorLoop};
-  for (const auto loop : kLoops) {
+result<void> fleet_sync::Start(fiber_thread& thread) {
+  std::vector<void (fleet_sync::*)()> loops{&fleet_sync::WatchLoop, &fleet_sync::RegisterLoop,
+                                            &fleet_sync::PeerLoop, &fleet_sync::CoordinatorLoop};
+  if (settings_.news.port != 0) {
+    BOOST_OUTCOME_TRY(news_socket_, datagram_socket::Bind(thread, settings_.news));
+    loops.push_back(&fleet_sync::TellNewsLoop);
+    loops.push_back(&fleet_sync::HearNewsLoop);
+  }
+  for (const auto loop : loops) {
     ++running_;
     thread.Spawn([this, loop] {
       (this->*loop)();
       --running_;
     });
   }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 void fleet_sync::Stop() {
   stop_.Set();
+  if (news_socket_)
+    news_socket_->Close();
   while (running_ > 0)
     std::this_thread::sleep_for(kStopPoll);
 }
@@ -132,17 +142,98 @@
 
 result<store_update> fleet_sync::ReadStore() {
   if (whole_ || !mirror_.last_contact()) {
-    auto all = store_.ReadAll();
-    whole_ = !all.has_value();
+    // After a lost history an older state would be followed by a watch that is lost as well.
+    auto all = store_.ReadAll(whole_ ? read_freshness::kNewest : read_freshness::kAnyAge);
+    whole_ = !all.has_value() && whole_;
     return all;
   }
-  return store_.Watch(mirror_.revision(), settings_.watch_wait);
+  watching_ = true;
+  auto update = store_.Watch(mirror_.revision(), settings_.watch_wait);
+  watching_ = false;
+  return update;
+}
+
+bool fleet_sync::Follows() const {
+  const time_point now = Now();
+  return news_socket_ && !reader_ && !leaving_ && mirror_.last_contact() && now >= direct_until_ &&
+         readers_.InTouch(now);
+}
+
+void fleet_sync::Follow() {
+  const auto reader = readers_.Newer(mirror_.revision(), Now());
+  if (!reader) {
+    news_.WaitFor(kNewsPeriod);
+    return;
+  }
+  const auto known = entries_.find(std::string(kEntryPrefix) + *reader);
+  if (known != entries_.end() && ReadPeer(known->second.peers))
+    return;
+  readers_.OnFailure(*reader);
+  if (readers_.InTouch(Now()))
+    return;
+  direct_until_ = Now() + kDirectTime;
+}
+
+void fleet_sync::TellNewsLoop() {
+  std::uint64_t told = 0;
+  time_point told_at{};
+  while (!stop_.IsSet()) {
+    const time_point now = Now();
+    const auto contact = mirror_.last_contact();
+    const bool due = mirror_.revision() != told || now - told_at >= kNewsPeriod;
+    if (reader_ && contact && due && !leaving_) {
+      told = mirror_.revision();
+      told_at = now;
+      const std::string payload = Encode(store_news{
+          settings_.name, told, std::chrono::duration_cast<milliseconds>(now - *contact)});
+      for (const auto& [key, entry] : entries_) {
+        if (entry.failure_domain == settings_.failure_domain && entry.name != settings_.name)
+          (void)news_socket_->Send({entry.peers.address, settings_.news.port}, payload);
+      }
+    }
+    changed_.WaitFor(kNewsPeriod);
+  }
+}
+
+void fleet_sync::HearNewsLoop() {
+  while (!stop_.IsSet()) {
+    const auto received = news_socket_->Receive();
+    if (!received) {
+      // An error that the network reports for an earlier datagram.
+      if (stop_.WaitFor(kStopPoll))
+        return;
+      continue;
+    }
+    const auto news = DecodeNews(received.value().payload);
+    if (!news)
+      continue;  // Anyone may send here.
+    readers_.OnNews(news.value(), Now());
+    if (!Follows())
+      continue;
+    if (watching_)
+      store_.CancelWatch();
+    news_.Set();
+  }
 }
 
 void fleet_sync::WatchLoop() {
   milliseconds pause = kFirstRetry;
+  bool followed = false;
   while (!stop_.IsSet()) {
+    const bool follows = Follows();
+    if (follows != followed) {
+      log_.Write(event_line(follows ? "store.followed" : "store.watched")
+                     .Add("revision", mirror_.revision())
+                     .Add("reader", reader_));
+    }
+    followed = follows;
+    if (follows) {
+      Follow();
+      continue;
+    }
     const auto update = ReadStore();
+    if (!update && Follows())
+      continue;  // The watch was ended because a reader of the domain is in touch.
     if (update) {
       NoteStore(true, "answered");
       Take(update.value(), true);
@@ -174,7 +265,7 @@
     starting_ = starting_ && !settled;
     if (!removed.empty() || settled)
       Publish();
-    if (store_reachable_ || !mirror_.last_contact())
+    if (store_reachable_ || !mirror_.last_contact() || Follows())
       continue;
     const std::vector<entry_record> entries = Entries();
     // One that can't reach the store either has nothing newer, so the others are asked in turn.
@@ -203,27 +294,24 @@
   json_reader reader(answer.value(), "", errors);
   store_update update;
   update.revision = static_cast<std::uint64_t>(reader.Int("revision", {}));
+  update.whole = reader.Bool("whole", false);
   if (update.revision <= since)
     return false;
   reader.Each("items", [&](json_reader& item) {
-    auto value = Base64Decode(item.String("value"));
-    store_event event{{item.String("key"), std::move(value).value_or(std::string()),
-                       static_cast<std::uint64_t>(item.Int("revision", {}))},
-                      false};
+    store_event event;
+    event.item.key = item.String("key");
+    event.item.revision = static_cast<std::uint64_t>(item.Int("revision", {}));
+    event.removed = item.Bool("removed", false);
+    if (!event.removed)
+      event.item.value = Base64Decode(item.String("value")).value_or(std::string());
     update.events.push_back(std::move(event));
   });
-  std::vector<std::string> keys = reader.Strings("keys");
   if (!errors.empty()) {
     log_.Write(event_line("peer.unreadable")
                    .Add("peer", ToString(peer))
                    .Add("reason", JoinErrors(errors).message));
     return false;
   }
-  std::sort(keys.begin(), keys.end());
-  mirror_.Each("", [&](const store_item& item) {
-    if (!std::binary_search(keys.begin(), keys.end(), item.key))
-      update.events.push_back({{item.key, {}, update.revision}, true});
-  });
   log_.Write(event_line("peer.read")
                  .Add("peer", ToString(peer))
                  .Add("from_revision", since)
@@ -233,7 +321,10 @@
 }
 
 void fleet_sync::Take(const store_update& update, bool from_store) {
+  const std::uint64_t before = mirror_.revision();
   const std::vector<std::string> changed = mirror_.Apply(update, from_store, Now());
+  if (mirror_.revision() != before)
+    changed_.Set();
   if (changed.empty())
     return;
   for (const std::string& key : changed)
@@ -284,8 +375,10 @@
       NoteStore(false, written.error().message);
       store_.CancelWatch();
     }
-    if (written && catalog_)
+    if (written && catalog_) {
       mirror_.OnContact(Now());
+      NoteStore(true, "renewed");
+    }
     if (!written && !failing)
       log_.Write(event_line("registration.failed").Add("reason", written.error().message));
     failing = !written;
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -111,7 +111,7 @@
   servers_.push_back(std::move(peers));
   loads_ = std::make_unique<load_watch>(shared_.snapshots, settings_.agent_port, log_);
   BOOST_OUTCOME_TRY(loads_->Start(traffic_, settings_.peers));
-  sync_->Start(control_);
+  BOOST_OUTCOME_TRY(sync_->Start(control_));
   steering_->Start(control_);
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -25,6 +25,8 @@
   settings.readiness = ReadEndpoint(reader, "readiness");
   settings.directory = ReadEndpoint(reader, "directory");
   settings.peers = ReadEndpoint(reader, "peers");
+  if (reader.Has("news"))
+    settings.news = ReadEndpoint(reader, "news");
   settings.metrics = ReadEndpoint(reader, "metrics");
   settings.store = ReadEndpoint(reader, "store");
   reader.Finish();
--- /dev/null
+++ b/libs/gateway/src/store_relay.cc
@@ -0,0 +1,92 @@
+#include "quincebank/gateway/store_relay.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <utility>
+
+#include "quincebank/base/json_reader.h"
+#include "quincebank/membership/rendezvous.h"
+
+namespace quincebank {
+namespace {
+
+namespace json = boost::json;
+
+// Two, so that one may be lost without any other entry having to read the store itself.
+constexpr std::size_t kReadersPerDomain = 2;
+// Distinguishes the choice of readers from other choices among the same entries.
+constexpr std::string_view kReaderRole = "store-reader/";
+// News come several times in this time. A reader renews its lease every second.
+constexpr milliseconds kNewsLife{1'300};
+constexpr milliseconds kContactLife{2'000};
+
+}  // namespace
+
+std::string Encode(const store_news& news) {
+  return json::serialize(json::array{news.reader, news.revision, news.age.count()});
+}
+
+result<store_news> DecodeNews(std::string_view payload) {
+  BOOST_OUTCOME_TRY(const json::value document, ParseJson(payload));
+  const json::array* const array = document.if_array();
+  if (array == nullptr || array->size() != 3 || !(*array)[0].is_string() ||
+      !(*array)[1].is_int64() || !(*array)[2].is_int64() || (*array)[1].get_int64() < 0 ||
+      (*array)[2].get_int64() < 0)
+    return MakeError(error_code::kInvalidArgument, "expected a name, a revision and an age");
+  return store_news{std::string((*array)[0].get_string()),
+                    static_cast<std::uint64_t>((*array)[1].get_int64()),
+                    milliseconds((*array)[2].get_int64())};
+}
+
+std::vector<std::string> ReadersOf(std::string_view failure_domain,
+                                   std::span<const entry_record> entries) {
+  std::vector<std::string> names;
+  for (const entry_record& entry : entries) {
+    if (entry.failure_domain == failure_domain)
+      names.push_back(entry.name);
+  }
+  std::vector<std::string> readers;
+  for (const std::uint32_t chosen : RendezvousOrder(
+           std::string(kReaderRole) + std::string(failure_domain), names, kReadersPerDomain))
+    readers.push_back(names[chosen]);
+  return readers;
+}
+
+void reader_view::OnNews(const store_news& news, time_point now) {
+  heard& reader = readers_[news.reader];
+  reader.revision = std::max(reader.revision, news.revision);
+  reader.contact = now - news.age;
+  reader.at = now;
+  std::erase_if(readers_, [&](const auto& named) { return !IsFresh(named.second, now); });
+}
+
+void reader_view::OnFailure(std::string_view reader) {
+  const auto found = readers_.find(reader);
+  if (found != readers_.end())
+    readers_.erase(found);
+}
+
+bool reader_view::IsFresh(const heard& reader, time_point now) {
+  return now - reader.at < kNewsLife && now - reader.contact < kContactLife;
+}
+
+bool reader_view::InTouch(time_point now) const {
+  for (const auto& [name, reader] : readers_) {
+    if (IsFresh(reader, now))
+      return true;
+  }
+  return false;
+}
+
+std::optional<std::string> reader_view::Newer(std::uint64_t revision, time_point now) const {
+  std::optional<std::string> newest;
+  for (const auto& [name, reader] : readers_) {
+    if (!IsFresh(reader, now) || reader.revision <= revision)
+      continue;
+    revision = reader.revision;
+    newest = name;
+  }
+  return newest;
+}
+
+}  // namespace quincebank
