Tell a shift of popularity from what usually moves; note popularity and the last coordinator in the store

A coordinator that takes over knew nothing, and after a loss of all power the role stayed vacant until all entries knew each other. The store keeps the popularity of each group and the name of the last coordinator, which claims first. A confirmed claim counts before the own view shows it. Connections have keep-alive probes, so that a silent watch ends within 3 s.

--- a/libs/experts/tests/shift_detector_test.cc
+++ b/libs/experts/tests/shift_detector_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace quincebank {
 namespace {
 
@@ -36,6 +38,26 @@
                                          shift_case{"too_few", Window(9, 0.3, 100), false}),
                          [](const auto& info) { return std::string(info.param.name); });
 
+// Guards against a shift in a large group that goes unnoticed: there windows are alike, and a small
+// difference already tells that popularity has shifted in the middle of one.
+TEST(popularity_window, SeesASmallShiftWhereWindowsAreAlike) {
+  popularity_window popularity;
+  for (int i = 0; i < 20; ++i)
+    EXPECT_FALSE(popularity.Add(Window(3, 0.3, 10'000)));
+  EXPECT_TRUE(popularity.Add(Window(3, 0.2, 10'000)));
+}
+
+TEST(popularity_window, BeginsWithWhatIsAssumed) {
+  popularity_window popularity;
+  popularity.Assume(Window(3, 0.5, 1));
+  EXPECT_TRUE(popularity.known());
+  const auto& loads = popularity.loads().front();
+  EXPECT_EQ(std::max_element(loads.begin(), loads.end()) - loads.begin(), 3);
+  // One real window outweighs it.
+  popularity.Add(Window(9, 0.5, 100'000));
+  EXPECT_EQ(std::max_element(loads.begin(), loads.end()) - loads.begin(), 9);
+}
+
 TEST(popularity_window, NeedsChoicesBeforeItIsKnown) {
   popularity_window popularity;
   EXPECT_FALSE(popularity.known());
--- a/libs/gateway/include/quincebank/gateway/expert_steering.h
+++ b/libs/gateway/include/quincebank/gateway/expert_steering.h
@@ -40,9 +40,11 @@
     std::vector<rank_experts> map;  ///< By set and rank; empty if unknown.
     std::map<std::string, std::vector<std::uint64_t>> last_counts;  ///< By upstream.
     popularity_window popularity;
-    time_point changed{};  ///< When its map was changed last.
-    double choices = 0;    ///< Of one set, in the last read.
-    int idle_reads = 0;    ///< Reads in a row without any choice.
+    time_point changed{};         ///< When its map was changed last.
+    bool shifted = false;         ///< The last window told of a shift ...
+    bool shifted_before = false;  ///< ... and so did the one before it.
+    double choices = 0;           ///< Of one set, in the last read.
+    int idle_reads = 0;           ///< Reads in a row without any choice.
   };
   /// Members of one group in one snapshot.
   struct group_view {
@@ -63,6 +65,10 @@
                group_memory& memory,
                map_rollout& rollout);
   [[nodiscard]] bool ReadMap(const rollout_group& target, group_memory& memory);
+  /// \brief Begins with the popularity that the last coordinator has noted.
+  void AssumePopularity(const std::string& group,
+                        const rollout_group& target,
+                        group_memory& memory);
   /// \brief Adds what the requests of all ranks have chosen since the last read.
   [[nodiscard]] bool ReadCounts(const group_view& view, group_memory& memory);
 
--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -51,6 +51,10 @@
   [[nodiscard]] bool IsCoordinator() const;
   /// \brief Whether this entry's registration, and so its role, surely stands.
   [[nodiscard]] bool RegistrationHolds() const;
+  /// \brief Notes the popularity of a group's experts in the store, now and then.
+  void NotePopularity(const std::string& group, const std::string& popularity);
+  /// \brief What the store notes of the popularity of a group; empty if nothing.
+  [[nodiscard]] std::string RememberedPopularity(const std::string& group) const;
   /// \brief Ends the loops and waits for them; a watch may last its whole time.
   void Stop();
 
@@ -82,6 +86,8 @@
   /// \brief Returns the pulse of an upstream's group; null if it is in none.
   [[nodiscard]] ref_ptr<group_pulse> PulseOf(const upstream_record& record);
   [[nodiscard]] std::string CoordinatorName() const;
+  /// \brief Notes this entry as the last coordinator.
+  void NoteCoordinator();
   /// \brief Notes the number of entries in the store; a smaller one only after a while.
   void NoteFleetSize();
   /// \brief Number of entries that the store notes; 0 if it notes none.
@@ -111,6 +117,8 @@
   boot_time lease_renewed_{};      ///< Sending of the last renewal that succeeded.
   std::string coordinator_lease_;  ///< Empty unless this entry has claimed the role.
   role_lease role_;
+  boot_time claim_confirmed_{};  ///< Sending of the claim that the store has confirmed.
+  std::map<std::string, time_point> popularity_noted_;  ///< By group.
   time_point registered_{};                 ///< When this entry's record was written last.
   std::optional<time_point> vacant_since_;  ///< Nobody holds the role since then.
   time_point next_claim_{};
--- a/libs/gateway/src/expert_steering.cc
+++ b/libs/gateway/src/expert_steering.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "quincebank/base/clock.h"
+#include "quincebank/experts/popularity_record.h"
 
 namespace quincebank {
 namespace {
@@ -194,6 +195,8 @@
   }
   if (memory.map.empty() && !ReadMap(target, memory))
     return;
+  if (!memory.popularity.known())
+    AssumePopularity(group, target, memory);
   const bool known = ReadCounts(view, memory);
   if (memory.idle_reads == kIdleReads) {
     memory.idle_reads = 0;
@@ -201,7 +204,9 @@
       memory = MakeMemory(0);
     return;
   }
-  if (!known)
+  // The window in which popularity shifts holds choices of before and after; the next one is used.
+  const bool first_of_shift = memory.shifted && !memory.shifted_before;
+  if (!known || first_of_shift)
     return;
   const even_share_plan plan =
       PlanEvenShares(target.shape, memory.map, memory.popularity.loads(), LimitsOf(view.profile));
@@ -229,6 +234,7 @@
                  .Add("version", rollout.last_version())
                  .Add("outcome", ToString(outcome)));
   memory.changed = Now();
+  sync_.NotePopularity(group, EncodePopularity(memory.popularity.loads()));
   if (outcome == rollout_outcome::kSwitched)
     memory.map = plan.sets;
   else if (outcome != rollout_outcome::kUnchanged)
@@ -247,6 +253,22 @@
   return true;
 }
 
+void expert_steering::AssumePopularity(const std::string& group,
+                                       const rollout_group& target,
+                                       group_memory& memory) {
+  const std::string noted = sync_.RememberedPopularity(group);
+  if (noted.empty())
+    return;
+  auto loads = DecodePopularity(noted);
+  const bool fits = loads && loads.value().size() == target.sets &&
+                    std::all_of(loads.value().begin(), loads.value().end(), [&](const auto& set) {
+                      return set.size() == static_cast<std::size_t>(target.shape.experts);
+                    });
+  log_.Write(event_line("expert.popularity_assumed").Add("group", group).Add("fits", fits));
+  if (fits)
+    memory.popularity.Assume(std::move(loads).value());
+}
+
 bool expert_steering::ReadCounts(const group_view& view, group_memory& memory) {
   const auto sets = static_cast<std::size_t>(view.profile.expert_sets);
   const auto experts = static_cast<std::size_t>(view.profile.experts_per_set);
@@ -265,7 +287,9 @@
   memory.choices = std::accumulate(window.front().begin(), window.front().end(), 0.0);
   if (idle)
     return memory.popularity.known();
-  if (memory.popularity.Add(window)) {
+  memory.shifted_before = memory.shifted;
+  memory.shifted = memory.popularity.Add(window);
+  if (memory.shifted) {
     log_.Write(event_line("expert.shift")
                    .Add("epoch", memory.epoch)
                    .Add("moved", memory.popularity.moved()));
--- a/libs/gateway/src/fleet_keys.h
+++ b/libs/gateway/src/fleet_keys.h
@@ -11,4 +11,9 @@
 /// Notes how many entries there are, for those that start after a loss of all of them.
 inline constexpr std::string_view kFleetSizeKey = "quincebank/fleet-size";
 
+/// Names the last coordinator, which claims the role first after a loss of all entries.
+inline constexpr std::string_view kLastCoordinatorKey = "quincebank/last-coordinator";
+/// Popularity of the experts of each group, for a coordinator that takes over.
+inline constexpr std::string_view kPopularityPrefix = "quincebank/popularity/";
+
 }  // namespace quincebank
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -23,13 +23,11 @@
 // Pause after a failed read of the store; doubles up to the last one.
 constexpr milliseconds kFirstRetry{100};
 constexpr milliseconds kLastRetry{800};
-// Between a watch that has returned changes and the next one: some more entries make it longer, so
-// that a change of the fleet, which all entries read, does not cost calls in proportion to its
-// square. The longest is a third of the time in which the strictest operators want a change in
-// force.
-constexpr milliseconds kWatchPause{200};
-constexpr milliseconds kLongestWatchPause{600};
-constexpr std::size_t kEntriesPerPause = 12;
+// Between a watch that has returned changes and the next one. Changes come in bursts, and each
+// watch that returns is a call. Longer where this entry watches although others of its domain do as
+// well.
+constexpr milliseconds kWatchPause{150};
+constexpr milliseconds kFallbackPause{400};
 // Between two news of a reader if nothing changes; three of them may be lost.
 constexpr milliseconds kNewsPeriod{400};
 // After readers have failed to hand over what they told of, an entry watches the store for this
@@ -45,6 +43,10 @@
 constexpr milliseconds kSmallerFleet{60'000};
 // Between claims of one entry: its own claim shows in the mirror after the pause of the watch.
 constexpr milliseconds kClaimPause{500};
+// A claim that the store has confirmed shows in the mirror within this time.
+constexpr milliseconds kClaimShows{1'000};
+// Between two notes of the popularity of one group.
+constexpr milliseconds kPopularityPause{3'000};
 // Time that each entry leaves to those before it to claim the coordinator's role: a few calls.
 constexpr milliseconds kClaimTurn{100};
 // Entries that start together know each other after this time: their leases and records take some
@@ -53,11 +55,6 @@
 // Between checks for removals whose grace period is over.
 constexpr milliseconds kExpireCheck{200};
 
-milliseconds WatchPause(std::size_t entries) noexcept {
-  const auto steps = static_cast<std::int64_t>(entries / kEntriesPerPause);
-  return std::clamp(kWatchPause * steps, kWatchPause, kLongestWatchPause);
-}
-
 }  // namespace
 
 fleet_sync::fleet_sync(const gateway_settings& settings,
@@ -238,8 +235,7 @@
       NoteStore(true, "answered");
       Take(update.value(), true);
       pause = kFirstRetry;
-      // Changes come in bursts, and each watch that returns is a call.
-      if (!update.value().events.empty() && stop_.WaitFor(WatchPause(Entries().size())))
+      if (!update.value().events.empty() && stop_.WaitFor(reader_ ? kWatchPause : kFallbackPause))
         return;
       continue;
     }
@@ -329,7 +325,11 @@
     return;
   for (const std::string& key : changed)
     TakeRecord(key);
-  Publish();
+  const bool shows = std::any_of(changed.begin(), changed.end(), [&](const std::string& key) {
+    return codec_.KindOf(key) != record_kind::kOther || key == kFleetSizeKey;
+  });
+  if (shows)
+    Publish();
 }
 
 std::string fleet_sync::Registration() const {
@@ -396,9 +396,13 @@
 }
 
 bool fleet_sync::IsCoordinator() const {
+  if (leaving_ || coordinator_lease_.empty() || !role_.MayAct(BootNow()))
+    return false;
   const store_item* const holder = mirror_.Find(kCoordinatorKey);
-  return !leaving_ && role_.MayAct(BootNow()) && holder != nullptr &&
-         holder->value == CoordinatorName();
+  if (holder != nullptr)
+    return holder->value == CoordinatorName();
+  // The store has confirmed the claim; this entry's own view shows it a moment later.
+  return BootNow() - claim_confirmed_ < kClaimShows;
 }
 
 bool fleet_sync::ClaimIsDue() {
@@ -407,6 +411,9 @@
     vacant_since_ = now;
     log_.Write(event_line("coordinator.vacant").Add("revision", mirror_.revision()));
   }
+  const store_item* const last = mirror_.Find(kLastCoordinatorKey);
+  if (last != nullptr && last->value == settings_.name)
+    return true;
   if (now - registered_ < kClaimSettle)
     return false;
   const std::vector<entry_record> entries = Entries();
@@ -440,6 +447,10 @@
     coordinator_lease_ = lease.value();
     role_.OnHeld(asked);
   }
+  if (lease && claimed && claimed.value()) {
+    claim_confirmed_ = asked;
+    NoteCoordinator();
+  }
   event_line line("coordinator.claim");
   line.Add("revision", mirror_.revision());
   if (claimed)
@@ -457,6 +468,34 @@
   return noted;
 }
 
+void fleet_sync::NoteCoordinator() {
+  const store_item* const last = mirror_.Find(kLastCoordinatorKey);
+  if (last != nullptr && last->value == settings_.name)
+    return;
+  const auto written = store_.Put(kLastCoordinatorKey, settings_.name, {});
+  if (!written)
+    log_.Write(event_line("coordinator.not_noted").Add("reason", written.error().message));
+}
+
+void fleet_sync::NotePopularity(const std::string& group, const std::string& popularity) {
+  time_point& noted = popularity_noted_[group];
+  const time_point now = Now();
+  if (now - noted < kPopularityPause || !store_reachable_)
+    return;
+  noted = now;
+  const auto written = store_.Put(std::string(kPopularityPrefix) + group, popularity, {});
+  if (!written) {
+    log_.Write(event_line("expert.popularity_not_noted")
+                   .Add("group", group)
+                   .Add("reason", written.error().message));
+  }
+}
+
+std::string fleet_sync::RememberedPopularity(const std::string& group) const {
+  const store_item* const noted = mirror_.Find(std::string(kPopularityPrefix) + group);
+  return noted != nullptr ? noted->value : std::string();
+}
+
 void fleet_sync::NoteFleetSize() {
   const std::size_t present = Entries().size();
   const std::size_t noted = RememberedEntries();
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -16,6 +16,7 @@
 #include "quincebank/base/time.h"
 #include "quincebank/net/fiber_thread.h"
 #include "quincebank/net/impl/await.h"
+#include "quincebank/net/impl/keepalive.h"
 
 namespace quincebank {
 namespace {
@@ -124,6 +125,7 @@
     if (connected.ec)
       return ToError(connected.ec, "connect to " + ToString(call.peer), verdict::kNotRun);
     fresh->stream.socket().set_option(tcp::no_delay(true), ec);
+    quincebank::impl::KeepAlive(fresh->stream.socket().native_handle());
     return fresh;
   }
 
