Bound the batch by the pace of passes; end answers that come without end; keep errors in their fiber

Cause: (1) passes that get longer make all streams of a group late, and more requests run at once. (2) The body of a foreign answer, an event without a blank line and a byte now and then held a request for ever or took memory without a bound; a message nested deeply, or any exception in a fiber, ended the process. Change: EngineRoom keeps predicted passes within 80% of the gap objective, not below half of the slots. Reads of an answer have a deadline and a bound, silence counts from the last whole event, answers held are counted for the process. Fibers log an unexpected error and end or begin anew. Counts are told in units of 32, and only when there is something to tell.

--- a/libs/expert_control/include/quincebank/expert_control/count_window.h
+++ b/libs/expert_control/include/quincebank/expert_control/count_window.h
@@ -21,20 +21,31 @@
   [[nodiscard]] bool operator==(const count_window&) const = default;
 };
 
+/// \brief What a reader asks an agent for.
+struct count_question {
+  std::uint64_t since = 0;  ///< Read that it has; 0 if it has none.
+  /// Choices of one set that are worth telling. A rank that has read no prompt since the last read
+  /// has little to tell, and most ranks have not.
+  std::uint64_t least = 0;
+};
+
 /// \brief The agent's side: remembers the last read.
 class count_recorder {
  public:
   /// \param first_mark  differs from agent to agent and from start to start.
   explicit count_recorder(std::uint64_t first_mark) : mark_(first_mark) {}
 
-  /// \param since  read that the caller has.
-  [[nodiscard]] count_window Take(pick_counts now, std::uint64_t since);
+  /// \returns Rounded counts in units of `kCountUnit`; what is cut off comes with a later window.
+  [[nodiscard]] count_window Take(pick_counts now, const count_question& question);
 
  private:
   std::uint64_t mark_;
-  pick_counts last_;
+  pick_counts last_;  ///< In units.
 };
 
+/// Choices in one unit of a window: plans need shares of experts to about a percent.
+inline constexpr std::uint64_t kCountUnit = 32;
+
 /// \brief The reader's side: adds windows up to the engine's counts.
 class count_sum {
  public:
--- a/libs/expert_control/src/count_window.cc
+++ b/libs/expert_control/src/count_window.cc
@@ -63,12 +63,20 @@
 
 }  // namespace
 
-count_window count_recorder::Take(pick_counts now, std::uint64_t since) {
+count_window count_recorder::Take(pick_counts now, const count_question& question) {
+  for (std::uint64_t& count : now.counts)
+    count /= kCountUnit;
+  const bool continues = question.since == mark_ && Continues(last_.counts, now.counts);
   count_window window{now.epoch, mark_ + 1, 0, now.counts};
-  if (since == mark_ && Continues(last_.counts, now.counts)) {
-    window.since = since;
-    for (std::size_t i = 0; i < window.counts.size(); ++i)
+  if (continues) {
+    window.since = question.since;
+    std::uint64_t choices = 0;
+    for (std::size_t i = 0; i < window.counts.size(); ++i) {
       window.counts[i] -= last_.counts[i];
+      choices += window.counts[i];
+    }
+    if (choices * kCountUnit < question.least)
+      return {now.epoch, mark_, mark_, {}};
   }
   ++mark_;
   last_ = std::move(now);
@@ -76,6 +84,8 @@
 }
 
 result<pick_counts> count_sum::Add(const count_window& window) {
+  if (window.since == mark_ && window.mark == mark_ && mark_ != 0)
+    return pick_counts{window.epoch, counts_};
   const bool whole = window.since == 0;
   if (!whole && (window.since != mark_ || window.counts.size() != counts_.size())) {
     mark_ = 0;
@@ -90,10 +100,11 @@
 }
 
 boost::json::object ToJson(const count_window& window) {
-  return {{"epoch", window.epoch},
-          {"mark", window.mark},
-          {"since", window.since},
-          {"counts", Base64Encode(Pack(window.counts))}};
+  boost::json::object message{
+      {"epoch", window.epoch}, {"mark", window.mark}, {"since", window.since}};
+  if (!window.counts.empty())
+    message["counts"] = Base64Encode(Pack(window.counts));
+  return message;
 }
 
 result<count_window> CountWindowFromJson(const boost::json::value& value) {
@@ -103,7 +114,7 @@
   window.epoch = static_cast<std::uint64_t>(reader.Int("epoch", {}));
   window.mark = static_cast<std::uint64_t>(reader.Int("mark", {}));
   window.since = static_cast<std::uint64_t>(reader.Int("since", {}));
-  const auto bytes = Base64Decode(reader.String("counts"));
+  const auto bytes = Base64Decode(reader.Has("counts") ? reader.String("counts") : std::string());
   auto counts = bytes ? Unpack(*bytes) : std::nullopt;
   if (!counts)
     reader.Fail("counts", "expected counters in base64");
--- a/libs/gateway/include/quincebank/gateway/gateway_service.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_service.h
@@ -49,6 +49,7 @@
   const time_point process_started = Now();
   http_client* http = nullptr;
   std::map<std::string, repeat_share, std::less<>> repeats;
+  std::size_t held_bytes = 0;  ///< Of answers that are not known to be complete yet.
 };
 
 /// \brief Handlers for the calls of one deployment's platform.
--- a/libs/gateway/include/quincebank/gateway/gateway_settings.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_settings.h
@@ -69,6 +69,12 @@
   milliseconds lease{3'000};    ///< Of this entry's registration.
   /// Of the coordinator's role: a pass that a frozen coordinator holds waits until it has ended.
   milliseconds coordinator_lease{1'000};
+  /// Longest answer of a plain service; it is held until it is known to be complete.
+  std::size_t most_answer_bytes = std::size_t{4} * 1024 * 1024;
+  /// Answers held at the same time, all together: a part of the smallest host's memory.
+  std::size_t most_held_bytes = std::size_t{48} * 1024 * 1024;
+  /// Longest event of a stream: thousands of times a usual one.
+  std::size_t most_event_bytes = std::size_t{256} * 1024;
   std::size_t log_lines = 2'000;  ///< Most log lines that wait for their reader.
 };
 
--- a/libs/gateway/src/agent_engine_port.cc
+++ b/libs/gateway/src/agent_engine_port.cc
@@ -13,6 +13,9 @@
 constexpr milliseconds kAgentTimeout{350};
 // An agent that did not answer is not asked again for this time.
 constexpr milliseconds kSilence{1'500};
+// Choices of all sets that are worth a message: those of a short prompt. A window holds thousands
+// of times as many.
+constexpr std::uint64_t kLeastChoices = 150'000;
 // Counts of an engine that has not been read for this time are forgotten: engines that restart
 // have new names.
 constexpr milliseconds kCountLife{10'000};
@@ -85,7 +88,8 @@
 
 result<pick_counts> agent_engine_port::ReadCounts(const upstream_record& rank) {
   const std::uint64_t since = sums_[rank.id].sum.mark();
-  BOOST_OUTCOME_TRY(const boost::json::value answer, Call(rank, "rank.counts", {{"since", since}}));
+  BOOST_OUTCOME_TRY(const boost::json::value answer,
+                    Call(rank, "rank.counts", {{"since", since}, {"least", kLeastChoices}}));
   BOOST_OUTCOME_TRY(const count_window window, CountWindowFromJson(answer));
   known_counts& known = sums_[rank.id];
   known.read = Now();
--- a/libs/gateway/src/expert_steering.cc
+++ b/libs/gateway/src/expert_steering.cc
@@ -17,13 +17,13 @@
 // Between reads of one group's counts.
 constexpr milliseconds kCountPeriod{100};
 // Least part of the expert time that a change of the map must save.
-constexpr double kLeastGain = 0.06;
+constexpr double kLeastGain = 0.1;
 // Peaks up to this multiple of the mean load are left alone.
-constexpr double kTolerablePeak = 1.1;
+constexpr double kTolerablePeak = 1.2;
 // A change that saves less than this part is made at most once in each such time: orders to all
 // ranks are not free, and counts of one window are noisy.
-constexpr double kUrgentGain = 0.15;
-constexpr milliseconds kSmallChangePause{1'000};
+constexpr double kUrgentGain = 0.2;
+constexpr milliseconds kSmallChangePause{2'000};
 // Reads of the counts in a row without any choice after which a group that stands still is looked
 // at: a pass may be held that nobody releases.
 constexpr int kIdleReads = 5;
@@ -73,10 +73,8 @@
 
 void expert_steering::Start(fiber_thread& thread) {
   ++running_;
-  thread.Spawn([this, &thread] {
-    Loop(thread);
-    --running_;
-  });
+  thread.SpawnLoop(
+      "experts", [this, &thread] { Loop(thread); }, stop_, [this] { --running_; });
 }
 
 void expert_steering::Join() const {
@@ -147,7 +145,7 @@
       memory.running = true;
       ++running_;
       thread.Spawn([this, group = name, &memory] {
-        GroupLoop(group, memory);
+        RunGuarded(group, [&] { GroupLoop(group, memory); });
         memory.running = false;
         --running_;
       });
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -110,10 +110,8 @@
   }
   for (const auto loop : loops) {
     ++running_;
-    thread.Spawn([this, loop] {
-      (this->*loop)();
-      --running_;
-    });
+    thread.SpawnLoop(
+        "fleet", [this, loop] { (this->*loop)(); }, stop_, [this] { --running_; });
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -24,10 +24,11 @@
 constexpr double kQueueShare = 0.75;
 // Part of the latency objective that a request may spend in the queue of an engine.
 constexpr int kQueueWaitShare = 2;
+// Part of the gap objective that a pass may take, in percent: a held pass and the way to the client
+// need the rest.
+constexpr int kPassPercent = 80;
 // Part of the latency objective that a request waits for room before it is refused.
 constexpr int kWaitShare = 2;
-// Larger answers are refused: all of an answer is held until it is known to be complete.
-constexpr std::size_t kMostAnswerBytes = std::size_t{16} * 1024 * 1024;
 // When a client should come back whose route names a service that the configuration lacks.
 constexpr milliseconds kRetryUnknownService{1'000};
 
@@ -38,6 +39,24 @@
   return kNames.at(static_cast<std::size_t>(obstacle));
 }
 
+/// Part of an answer that is held, counted for the whole process.
+class held_answer {
+ public:
+  explicit held_answer(std::size_t& all) : all_(all) {}
+  ~held_answer() { all_ -= own_; }
+  held_answer(const held_answer&) = delete;
+  held_answer& operator=(const held_answer&) = delete;
+
+  void Add(std::size_t bytes) {
+    own_ += bytes;
+    all_ += bytes;
+  }
+
+ private:
+  std::size_t& all_;
+  std::size_t own_ = 0;
+};
+
 bool IsEventStream(const http_headers& headers) {
   return headers.Get("Content-Type").starts_with("text/event-stream");
 }
@@ -141,8 +160,12 @@
   view.reported = others;
   if (!service_->engine)
     return;
-  const nanoseconds pass = upstream.pulse ? upstream.pulse->PassTime(Now()) : nanoseconds(0);
-  view.limit = EngineRoom(*service_->engine, pass, route_->latency_objective / kQueueWaitShare);
+  group_pace pace;
+  if (upstream.pulse)
+    pace = {upstream.pulse->PassTime(Now()), upstream.pulse->running()};
+  view.limit = EngineRoom(*service_->engine, pace,
+                          {route_->latency_objective / kQueueWaitShare,
+                           route_->event_gap_objective * kPassPercent / 100});
 }
 
 std::optional<known_upstream> forward_flow::WaitForUpstream() {
@@ -297,9 +320,13 @@
 
 attempt_report forward_flow::TakeStream(http_stream& stream) {
   attempt_report report;
-  sse_splitter events;
+  sse_splitter events(shared_.settings.most_event_bytes);
   bool client_open = true;
+  // Bytes alone are no sign of life: an upstream in trouble sends one now and then, or without end.
+  time_point heard = Now();
+  milliseconds patience = FirstBytePatience(*route_, Left(), MayFollow());
   for (;;) {
+    stream.SetDeadline(std::min(heard + patience, Now() + Left()));
     const auto piece = stream.ReadSome();
     if (!piece)
       return LostAnswer(piece.error());
@@ -317,15 +344,21 @@
         last_event_ = id;
       whole += event;
     });
+    if (events.overflowed()) {
+      report.reason = "an event without end";
+      return report;
+    }
     if (whole.empty())
       continue;
+    heard = Now();
+    patience = GapPatience(*route_, Left(), MayFollow());
     if (!head_sent_) {
       head_sent_ = true;
       status_ = stream.status();
       first_byte_ = Now();
       client_open = exchange_.StartStream(status_, shared_.codec.EncodeForClient(stream.headers()));
-      stream.SetIdleTimeout(GapPatience(*route_, Left(), MayFollow()));
     }
+    stream.SetIdleTimeout(patience);
     client_open = client_open && exchange_.Write(whole);
     if (!client_open) {
       client_gone_ = true;
@@ -352,7 +385,9 @@
 attempt_report forward_flow::TakeWhole(http_stream& stream) {
   attempt_report report;
   http_response response{stream.status(), shared_.codec.EncodeForClient(stream.headers()), {}};
+  held_answer held(shared_.held_bytes);
   stream.SetIdleTimeout(Left());
+  stream.SetDeadline(Now() + Left());
   for (;;) {
     const auto piece = stream.ReadSome();
     if (!piece)
@@ -360,8 +395,10 @@
     if (!piece.value())
       break;
     response.body += *piece.value();
-    if (response.body.size() > kMostAnswerBytes) {
-      report.reason = "answer is too large";
+    held.Add(piece.value()->size());
+    const bool too_large = response.body.size() > shared_.settings.most_answer_bytes;
+    if (too_large || shared_.held_bytes > shared_.settings.most_held_bytes) {
+      report.reason = too_large ? "answer is too large" : "too many answers are held";
       return report;
     }
   }
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -57,6 +57,13 @@
   settings.lease = reader.Millis("lease_ms", kMillisRange, settings.lease);
   settings.coordinator_lease =
       reader.Millis("coordinator_lease_ms", kMillisRange, settings.coordinator_lease);
+  constexpr int_range kBytes{1'024, std::int64_t{1} << 32U};
+  const auto read_bytes = [&](std::string_view key, std::size_t& bytes) {
+    bytes = static_cast<std::size_t>(reader.Int(key, kBytes, static_cast<std::int64_t>(bytes)));
+  };
+  read_bytes("most_answer_bytes", settings.most_answer_bytes);
+  read_bytes("most_held_bytes", settings.most_held_bytes);
+  read_bytes("most_event_bytes", settings.most_event_bytes);
   constexpr int_range kLines{10, 1'000'000};
   settings.log_lines = static_cast<std::size_t>(
       reader.Int("log_lines", kLines, static_cast<std::int64_t>(settings.log_lines)));
--- a/libs/gateway/src/load_watch.cc
+++ b/libs/gateway/src/load_watch.cc
@@ -43,10 +43,8 @@
                                                          &load_watch::ReceiveLoop};
   for (const auto loop : kLoops) {
     ++running_;
-    thread.Spawn([this, loop] {
-      (this->*loop)();
-      --running_;
-    });
+    thread.SpawnLoop(
+        "loads", [this, loop] { (this->*loop)(); }, stop_, [this] { --running_; });
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -58,7 +56,8 @@
     std::vector<const upstream_record*> engines;
     for (const auto& [service, upstreams] : snapshot->upstreams) {
       for (const known_upstream& upstream : upstreams) {
-        if (upstream.record.group && !upstream.superseded)
+        // Of a large fleet an entry sends only to some, and these tell the more often.
+        if (upstream.record.group && !upstream.superseded && upstream.sender)
           engines.push_back(&upstream.record);
       }
     }
@@ -100,8 +99,10 @@
     if (found == upstreams.end())
       continue;
     found->evidence->OnLoad(load.running + load.waiting, now);
-    if (found->pulse)
+    if (found->pulse) {
       found->pulse->OnStep(load.step, now);
+      found->pulse->OnRunning(load.running);
+    }
     return;
   }
 }
--- a/libs/net/include/quincebank/net/fiber_thread.h
+++ b/libs/net/include/quincebank/net/fiber_thread.h
@@ -5,6 +5,7 @@
 #include <boost/fiber/mutex.hpp>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <thread>
 
 #include "quincebank/base/time.h"
@@ -26,6 +27,10 @@
   bool set_ = false;
 };
 
+/// \brief Runs a task and keeps an exception from ending the process; writes it to the log.
+/// \returns Whether the task has returned normally.
+bool RunGuarded(std::string_view what, const std::function<void()>& task);
+
 /// \brief Thread that runs fibers over one Asio event loop.
 ///
 /// All fibers must have returned before the object is destroyed; `stop_signal` ends the periodic
@@ -41,8 +46,17 @@
   fiber_thread(const fiber_thread&) = delete;
   fiber_thread& operator=(const fiber_thread&) = delete;
 
-  /// \brief Runs the task in a new fiber of this thread. May be called from any thread.
+  /// \brief Runs the task in a new fiber of this thread. May be called from any thread. An
+  /// exception ends the fiber, not the process.
   void Spawn(std::function<void()> task);
+  /// \brief Runs a task that is meant to go on until the signal is set; begins it anew, after a
+  /// pause, if an exception ends it.
+  /// \param stop  must outlive the fiber.
+  /// \param ended  called when the task has ended for good.
+  void SpawnLoop(std::string what,
+                 std::function<void()> task,
+                 stop_signal& stop,
+                 std::function<void()> ended);
   /// \brief Runs the task in a fiber of this thread and blocks the calling thread until it is done.
   void RunAndWait(const std::function<void()>& task);
 
--- a/libs/net/include/quincebank/net/http_client.h
+++ b/libs/net/include/quincebank/net/http_client.h
@@ -30,6 +30,8 @@
   std::function<bool(const http_headers&)> belongs;
   /// Idle connections kept for the peer after the call.
   std::size_t most_idle = 64;
+  /// Longest body of an answer that is read as a whole.
+  std::size_t most_body = std::size_t{16} * 1024 * 1024;
   bool fresh_connection = false;  ///< Never uses an idle connection, which may close meanwhile.
 };
 
@@ -42,6 +44,8 @@
 
   /// \brief Changes the limit of the next reads.
   virtual void SetIdleTimeout(milliseconds timeout) = 0;
+  /// \brief Ends reads at a moment, however many bytes come before.
+  virtual void SetDeadline(time_point deadline) = 0;
 
   [[nodiscard]] virtual int status() const noexcept = 0;
   [[nodiscard]] virtual const http_headers& headers() const noexcept = 0;
@@ -67,7 +71,7 @@
   ///          request can have reached the peer.
   [[nodiscard]] result<std::unique_ptr<http_stream>> Open(const http_call& call);
 
-  /// \brief Sends the request and reads the whole answer.
+  /// \brief Sends the request and reads the whole answer. The body may take four idle timeouts.
   [[nodiscard]] result<http_response> Call(const http_call& call);
 
   /// \brief Bytes sent and received so far, headers included. May be called from any thread.
--- a/libs/net/include/quincebank/net/sse.h
+++ b/libs/net/include/quincebank/net/sse.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -13,12 +14,20 @@
 /// Events that are cut by the boundaries of reads come out whole.
 class sse_splitter {
  public:
+  /// \param most_bytes  of one event.
+  explicit sse_splitter(std::size_t most_bytes = kMostEventBytes) : most_bytes_(most_bytes) {}
+
   /// \brief Adds bytes and calls `visit` with each completed event, its blank line included.
   void Feed(std::string_view bytes, const std::function<void(std::string_view)>& visit);
+  /// \brief Whether an event is longer than any may be: what comes is no stream of events.
+  [[nodiscard]] bool overflowed() const noexcept { return rest_.size() > most_bytes_; }
   /// \brief Bytes of an event that has not ended yet.
   [[nodiscard]] const std::string& rest() const noexcept { return rest_; }
 
  private:
+  static constexpr std::size_t kMostEventBytes = std::size_t{1024} * 1024;
+
+  std::size_t most_bytes_;
   std::string rest_;
 };
 
--- a/libs/net/src/fiber_thread.cc
+++ b/libs/net/src/fiber_thread.cc
@@ -4,10 +4,12 @@
 #include <boost/asio/post.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
+#include <exception>
 #include <future>
 #include <memory>
 #include <utility>
 
+#include "quincebank/base/log.h"
 #include "quincebank/net/impl/asio_scheduler.h"
 
 namespace quincebank {
@@ -15,9 +17,23 @@
 
 // Beast's parsers and the JSON codecs need more than the default of a few pages.
 constexpr std::size_t kFiberStackBytes = std::size_t{128} * 1024;
+// Pause before a loop that an exception has ended begins anew.
+constexpr milliseconds kLoopRestart{200};
+constexpr logger kLog{"fiber"};
 
 }  // namespace
 
+bool RunGuarded(std::string_view what, const std::function<void()>& task) {
+  // Only standard exceptions: Boost.Context unwinds fibers by one of its own.
+  try {
+    task();
+    return true;
+  } catch (const std::exception& failure) {
+    kLog.Error(what, ": unexpected error: ", failure.what());
+    return false;
+  }
+}
+
 void stop_signal::Set() {
   {
     const std::lock_guard lock(mutex_);
@@ -44,18 +60,30 @@
 }
 
 void fiber_thread::Spawn(std::function<void()> task) {
-  boost::asio::post(io_, [task = std::move(task)] {
+  boost::asio::post(io_, [this, task = std::move(task)] {
     boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
-                         boost::fibers::fixedsize_stack(kFiberStackBytes), task)
+                         boost::fibers::fixedsize_stack(kFiberStackBytes),
+                         [this, task] { RunGuarded(name_, task); })
         .detach();
   });
 }
 
+void fiber_thread::SpawnLoop(std::string what,
+                             std::function<void()> task,
+                             stop_signal& stop,
+                             std::function<void()> ended) {
+  Spawn([what = std::move(what), task = std::move(task), &stop, ended = std::move(ended)] {
+    while (!RunGuarded(what, task) && !stop.WaitFor(kLoopRestart)) {
+    }
+    ended();
+  });
+}
+
 void fiber_thread::RunAndWait(const std::function<void()>& task) {
   // The shared owner keeps the promise alive until `set_value` has returned.
   const auto done = std::make_shared<std::promise<void>>();
   Spawn([done, &task] {
-    task();
+    RunGuarded("task", task);
     done->set_value();
   });
   done->get_future().wait();
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -31,6 +32,10 @@
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 // Foreign answers that are skipped before a connection is given up.
 constexpr int kForeignAnswers = 3;
+// Bytes of one such answer that are skipped.
+constexpr std::size_t kMostSkippedBytes = std::size_t{1024} * 1024;
+// Time for the body of an answer that is read as a whole, in idle timeouts.
+constexpr int kBodyTimeouts = 4;
 // A server that states when it closes idle connections may do so this much earlier by its clock.
 constexpr milliseconds kKeepAliveMargin{500};
 
@@ -191,7 +196,7 @@
         KeepIfDone();
         return outcome_success();
       }
-      BOOST_OUTCOME_TRY(SkipBody());
+      BOOST_OUTCOME_TRY(SkipBody(until));
     }
     Drop();
     return MakeError(error_code::kTruncated,
@@ -218,21 +223,30 @@
     return outcome_success();
   }
 
-  /// Discards the rest of an answer and gets ready for the next one on the connection.
-  result<void> SkipBody() {
+  /// Discards the rest of an answer and gets ready for the next one on the connection. A body
+  /// without end must neither hold the call nor keep it reading.
+  result<void> SkipBody(time_point until) {
     std::string scratch(kReadBytes, '\0');
+    std::size_t skipped = 0;
     while (!parser_->is_done()) {
       parser_->get().body().data = scratch.data();
       parser_->get().body().size = scratch.size();
       const io_outcome read = Await([&](auto handler) {
-        connection_->stream.expires_after(idle_timeout_);
+        connection_->stream.expires_at(
+            std::min(until, std::chrono::steady_clock::now() + idle_timeout_));
         http::async_read_some(connection_->stream, connection_->buffer, *parser_,
                               std::move(handler));
       });
-      if (read.ec && read.ec != http::error::need_buffer) {
-        Drop();
+      skipped += read.bytes;
+      const bool failed = read.ec && read.ec != http::error::need_buffer;
+      if (!failed && skipped <= kMostSkippedBytes)
+        continue;
+      Drop();
+      if (failed)
         return ToError(read.ec, "no answer from " + ToString(peer_), verdict::kMayHaveRun);
-      }
+      return MakeError(error_code::kTruncated,
+                       ToString(peer_) + " sends another request's answer without end",
+                       verdict::kMayHaveRun);
     }
     StartParser();
     headers_ = {};
@@ -240,6 +254,7 @@
   }
 
   void SetIdleTimeout(milliseconds timeout) override { idle_timeout_ = timeout; }
+  void SetDeadline(time_point deadline) override { deadline_ = deadline; }
   [[nodiscard]] int status() const noexcept override { return parser_->get().result_int(); }
   [[nodiscard]] const http_headers& headers() const noexcept override { return headers_; }
 
@@ -257,7 +272,7 @@
       parser_->get().body().data = bytes.data();
       parser_->get().body().size = bytes.size();
       const io_outcome read = Await([&](auto handler) {
-        connection_->stream.expires_after(idle_timeout_);
+        connection_->stream.expires_at(std::min(deadline_, asked + idle_timeout_));
         http::async_read_some(connection_->stream, connection_->buffer, *parser_,
                               std::move(handler));
       });
@@ -308,6 +323,7 @@
   std::unique_ptr<connection> connection_;
   cancellation_scope cancellation_;  // After `connection_`, which it refers to.
   milliseconds idle_timeout_;
+  time_point deadline_ = time_point::max();
   std::size_t most_idle_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
   http_headers headers_;
@@ -357,12 +373,16 @@
 
 result<http_response> http_client::Call(const http_call& call) {
   BOOST_OUTCOME_TRY(const std::unique_ptr<http_stream> stream, Open(call));
+  stream->SetDeadline(std::chrono::steady_clock::now() + kBodyTimeouts * call.idle_timeout);
   http_response response{stream->status(), stream->headers(), {}};
   for (;;) {
     BOOST_OUTCOME_TRY(const std::optional<std::string> piece, stream->ReadSome());
     if (!piece)
       return response;
     response.body += *piece;
+    if (response.body.size() > call.most_body)
+      return MakeError(error_code::kTruncated, "answer of " + ToString(call.peer) + " is too large",
+                       verdict::kMayHaveRun);
   }
 }
 
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -48,6 +48,7 @@
   [[nodiscard]] const http_request& request() const noexcept override { return request_; }
 
   bool Respond(http_response response) override {
+    started_ = true;
     http::response<http::string_body> message{static_cast<http::status>(response.status), 11};
     CopyHeaders(response.headers, message);
     message.body() = std::move(response.body);
@@ -61,6 +62,7 @@
   }
 
   bool StartStream(int status, const http_headers& headers) override {
+    started_ = true;
     http::response<http::empty_body> message{static_cast<http::status>(status), 11};
     CopyHeaders(headers, message);
     message.chunked(true);
@@ -110,6 +112,7 @@
   }
 
   [[nodiscard]] bool finished() const noexcept { return finished_; }
+  [[nodiscard]] bool started() const noexcept { return started_; }
 
  private:
   template <typename Message>
@@ -130,6 +133,7 @@
   const http_request& request_;
   const http_limits& limits_;
   const bool keep_alive_;
+  bool started_ = false;
   bool finished_ = false;
   bool broken_ = false;
   std::shared_ptr<std::function<void()>> watch_;
@@ -254,8 +258,11 @@
   void Serve(tcp::socket socket) {
     connection peer(std::move(socket));
     connections_.push_back(peer);
-    while (!closing_ && ServeOne(peer)) {
-    }
+    // Whatever ends the loop, the list must not keep the connection.
+    RunGuarded("connection", [&] {
+      while (!closing_ && ServeOne(peer)) {
+      }
+    });
     connections_.erase(connections_.iterator_to(peer));
     boost::system::error_code ignored;
     peer.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -277,7 +284,8 @@
     }
     peer.idle = false;
     ++server_.running_;
-    const bool again = Answer(peer, parser);
+    bool again = false;
+    RunGuarded("request", [&] { again = Answer(peer, parser); });
     --server_.running_;
     return again;
   }
@@ -298,7 +306,8 @@
       }
       return false;
     }
-    server_.handler_(exchange);
+    if (!RunGuarded("handler", [&] { server_.handler_(exchange); }) && !exchange.started())
+      exchange.Respond({500, {}, {}});
     return exchange.finished() && keep_alive;
   }
 
--- a/libs/placement/include/quincebank/placement/engine_room.h
+++ b/libs/placement/include/quincebank/placement/engine_room.h
@@ -5,16 +5,28 @@
 
 namespace quincebank {
 
+/// \brief How fast a group of ranks advances.
+struct group_pace {
+  nanoseconds pass_time{0};  ///< Of one pass; 0 if unknown.
+  double running = 0;        ///< Requests in the batch of a rank, on average.
+};
+
+/// \brief What the requests of a route can bear.
+struct room_goal {
+  milliseconds queue_time{0};  ///< That a request may spend in the queue of an engine.
+  milliseconds pass_time{0};   ///< Longest pass that keeps streams on time; 0: any.
+};
+
 /// \brief Requests that an engine should have at once, those in its queue included.
 ///
-/// Beyond its batch slots a request waits until another one ends. The queue is kept so short that
-/// the first token is expected within `budget`; under an overload this serves most requests in time
-/// and turns the rest away at once, where a long queue would make all of them late.
-///
-/// \param pass_time  time of one pass of its group; 0 if unknown.
-/// \param budget  time that a request may spend in the queue.
+/// Answers an overload: the most loaded rank, a slow one, or an expert map that does not fit any
+/// more, makes the passes of a whole group longer. All of its streams are then late, requests stay
+/// longer, and more of them run at once, which makes passes longer still. The batch is therefore
+/// kept so small that passes stay within the goal, though not below half of its slots, and the
+/// queue so short that the first token is expected in time. What finds no room is turned away at
+/// once; most of the others are served in time, where a full batch would make all of them late.
 [[nodiscard]] int EngineRoom(const engine_profile& profile,
-                             nanoseconds pass_time,
-                             milliseconds budget) noexcept;
+                             const group_pace& pace,
+                             const room_goal& goal) noexcept;
 
 }  // namespace quincebank
--- a/libs/placement/include/quincebank/placement/group_pulse.h
+++ b/libs/placement/include/quincebank/placement/group_pulse.h
@@ -21,6 +21,10 @@
   void OnEnd() noexcept { --in_flight_; }
   /// \brief A rank tells the last pass that was begun.
   void OnStep(std::uint64_t step, time_point now) noexcept;
+  /// \brief A rank tells how many requests are in its batch.
+  void OnRunning(int requests) noexcept;
+  /// \brief Requests in the batch of a rank, on average over the last that told.
+  [[nodiscard]] double running() const noexcept { return running_; }
   /// \brief Time of one pass; 0 if it is not known or the group is idle.
   [[nodiscard]] nanoseconds PassTime(time_point now) const noexcept;
 
@@ -40,6 +44,7 @@
   std::uint64_t step_ = 0;  ///< Last pass that was told, `step_at_` when.
   time_point step_at_{};
   nanoseconds pass_time_{0};
+  double running_ = 0;
 };
 
 }  // namespace quincebank
--- a/libs/placement/src/group_pulse.cc
+++ b/libs/placement/src/group_pulse.cc
@@ -9,6 +9,8 @@
 constexpr milliseconds kLeastSpan{150};
 // Weight of the newest span.
 constexpr double kNewestWeight = 0.5;
+// Weight of the newest rank in the average of all: about the last twenty that told.
+constexpr double kRankWeight = 0.05;
 // Without a new pass for this time the group is idle or silent, and the last figure says nothing.
 constexpr milliseconds kFigureLife{1'500};
 
@@ -34,6 +36,10 @@
   heard_ = std::max(heard_, now);
 }
 
+void group_pulse::OnRunning(int requests) noexcept {
+  running_ += kRankWeight * (static_cast<double>(requests) - running_);
+}
+
 nanoseconds group_pulse::PassTime(time_point now) const noexcept {
   return now - step_at_ > kFigureLife ? nanoseconds(0) : pass_time_;
 }
--- /dev/null
+++ b/libs/placement/tests/engine_room_test.cc
@@ -0,0 +1,137 @@
+#include "quincebank/placement/engine_room.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "quincebank/base/random.h"
+
+namespace quincebank {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Engines of the largest deployment served so far.
+engine_profile Profile() {
+  engine_profile profile;
+  profile.batch_slots = 6;
+  profile.step_ms = 4.55;
+  profile.step_ms_per_request = 1.99;
+  profile.tokens_per_event = 6;
+  profile.usual_answer_tokens = 91;
+  return profile;
+}
+
+constexpr room_goal kGoal{300ms, 160ms};
+
+struct room_case {
+  const char* name;
+  group_pace pace;
+  room_goal goal;
+  int room;
+};
+
+class engine_room_test : public testing::TestWithParam<room_case> {};
+
+TEST_P(engine_room_test, FollowsThePaceOfTheGroup) {
+  EXPECT_EQ(EngineRoom(Profile(), GetParam().pace, GetParam().goal), GetParam().room);
+}
+
+INSTANTIATE_TEST_SUITE_P(paces,
+                         engine_room_test,
+                         testing::Values(room_case{"unknown", {0ns, 0}, kGoal, 7},
+                                         room_case{"fast", {50ms, 2}, kGoal, 8},
+                                         room_case{"full_and_in_time", {110ms, 6}, kGoal, 7},
+                                         room_case{"slowed_down", {200ms, 6}, kGoal, 4},
+                                         room_case{"half_of_the_slots", {400ms, 6}, kGoal, 3},
+                                         room_case{"no_goal", {400ms, 6}, {300ms, 0ms}, 7}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+/// Requests that were served in time, of all that came.
+struct served {
+  int in_time = 0;
+  int late = 0;
+  int rejected = 0;
+};
+
+/// Plays one group whose passes are slowed down for a while, as after a loss of all power, when the
+/// group begins with an expert map that fits nothing.
+served PlayOverload(const room_goal& goal) {
+  constexpr int kRanks = 96;
+  constexpr double kArrivalsPerMs = 0.233;
+  constexpr milliseconds kSlowFor{4'000};
+  constexpr milliseconds kLength{12'000};
+  constexpr milliseconds kPatience{300};
+  constexpr milliseconds kFirstEvent{600};
+  constexpr milliseconds kGap{200};
+  struct request {
+    double came = 0;
+    double heard = 0;
+    int passes_left = 0;
+    bool in_time = true;
+  };
+  const engine_profile profile = Profile();
+  random_source random(5);
+  std::vector<std::vector<request>> ranks(kRanks);
+  std::vector<request> waiting;
+  served result;
+  group_pace pace;
+  for (double now = 0; now < static_cast<double>(kLength.count());) {
+    double running = 0;
+    for (const auto& rank : ranks)
+      running += static_cast<double>(std::min<std::size_t>(rank.size(), 6)) / kRanks;
+    const double slowdown = now < static_cast<double>(kSlowFor.count()) ? 2.9 : 1.15;
+    const double pass = profile.tokens_per_event *
+                        (profile.step_ms + profile.step_ms_per_request * running) * slowdown;
+    pace = {nanoseconds(static_cast<std::int64_t>(pass * 1e6)), running};
+    now += pass;
+    for (auto& rank : ranks) {
+      for (std::size_t i = 0; i < std::min<std::size_t>(rank.size(), 6); ++i) {
+        request& one = rank[i];
+        const bool first = one.heard == 0;
+        const double since = now - (first ? one.came : one.heard);
+        one.in_time =
+            one.in_time && since <= static_cast<double>((first ? kFirstEvent : kGap).count());
+        one.heard = now;
+        --one.passes_left;
+      }
+      std::erase_if(rank, [&](const request& one) {
+        if (one.passes_left > 0)
+          return false;
+        ++(one.in_time ? result.in_time : result.late);
+        return true;
+      });
+    }
+    for (double came = now - pass; came < now; came += 1) {
+      if (random.Unit() < kArrivalsPerMs)
+        waiting.push_back({came, 0, 8 + static_cast<int>(random.Below(15)), true});
+    }
+    const int room = EngineRoom(profile, pace, goal);
+    std::erase_if(waiting, [&](const request& one) {
+      auto& a = ranks[random.Below(kRanks)];
+      auto& b = ranks[random.Below(kRanks)];
+      auto& chosen = a.size() <= b.size() ? a : b;
+      if (static_cast<int>(chosen.size()) < room) {
+        chosen.push_back(one);
+        return true;
+      }
+      const bool gives_up = now - one.came > static_cast<double>(kPatience.count());
+      result.rejected += gives_up ? 1 : 0;
+      return gives_up;
+    });
+  }
+  return result;
+}
+
+// Guards against an overload in which every request is served, and every one too late: those that
+// are late earn their clients a fraction of what those in time do.
+TEST(engine_room, AnOverloadIsServedInTimeInPart) {
+  const served unbounded = PlayOverload({300ms, 0ms});
+  const served bounded = PlayOverload(kGoal);
+  EXPECT_GT(bounded.in_time, unbounded.in_time * 5 / 4);
+  EXPECT_LT(bounded.late, unbounded.late / 2);
+}
+
+}  // namespace
+}  // namespace quincebank
--- a/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
+++ b/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
@@ -52,8 +52,8 @@
  private:
   /// What a coordinator asks.
   struct rank_question {
-    upstream_record rank;     ///< Engine that it believes to be here.
-    std::uint64_t since = 0;  ///< Read of the counts that it has; 0 if it has none.
+    upstream_record rank;  ///< Engine that it believes to be here.
+    count_question counts;
   };
   using method = result<boost::json::value> (rank_agent::*)(const rank_question& question);
   struct named_method {
--- a/libs/rank_agent/src/rank_agent.cc
+++ b/libs/rank_agent/src/rank_agent.cc
@@ -79,7 +79,8 @@
     rank_question question;
     question.rank.id = reader.String("upstream");
     question.rank.address = settings_.engine;
-    question.since = static_cast<std::uint64_t>(reader.Int("since", {}, 0));
+    question.counts.since = static_cast<std::uint64_t>(reader.Int("since", {}, 0));
+    question.counts.least = static_cast<std::uint64_t>(reader.Int("least", {}, 0));
     if (!errors.empty())
       return JoinErrors(errors);
     return (this->*run)(question);
@@ -100,10 +101,7 @@
                                                          &rank_agent::PushLoop};
   for (const auto loop : kLoops) {
     ++running_;
-    thread_.Spawn([this, loop] {
-      (this->*loop)();
-      --running_;
-    });
+    thread_.SpawnLoop("agent", [this, loop] { (this->*loop)(); }, stop_, [this] { --running_; });
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -163,7 +161,7 @@
 result<json::value> rank_agent::Counts(const rank_question& question) {
   const std::array<const upstream_record*, 1> ranks{&question.rank};
   BOOST_OUTCOME_TRY(pick_counts counts, engines_->Counts(ranks).front());
-  return json::value(ToJson(counts_.Take(std::move(counts), question.since)));
+  return json::value(ToJson(counts_.Take(std::move(counts), question.counts)));
 }
 
 result<json::value> rank_agent::Held(const rank_question& question) {
--- a/libs/rpc/src/json_rpc_call.cc
+++ b/libs/rpc/src/json_rpc_call.cc
@@ -3,6 +3,9 @@
 #include <json/json.h>
 #include <jsonrpccpp/client.h>
 
+#include <exception>
+#include <sstream>
+
 namespace quincebank {
 namespace impl {
 namespace {
@@ -43,6 +46,10 @@
   } catch (const jsonrpc::JsonRpcException& failure) {
     answer.message = failure.GetMessage();
     answer.data = Write(failure.GetData());
+  } catch (const std::exception& failure) {
+    // The JSON library throws for an answer that is nested too deeply.
+    answer.message = std::string("unreadable answer: ") + failure.what();
+    answer.data = "null";
   }
   return answer;
 }
--- a/libs/rpc/src/rpc_server.cc
+++ b/libs/rpc/src/rpc_server.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "quincebank/base/json_reader.h"
+#include "quincebank/base/log.h"
 #include "quincebank/net/http_server.h"
 #include "quincebank/rpc/impl/rpc_error.h"
 
@@ -19,6 +20,9 @@
 // In the range that JSON-RPC 2.0 leaves to implementations, outside the codes that libjsonrpccpp
 // takes for itself.
 constexpr int kServerError = -32050;
+constexpr const char* kUnreadable =
+    R"({"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"unreadable request"}})";
+constexpr logger kLog{"rpc"};
 
 std::string WriteJson(const Json::Value& value) {
   Json::StreamWriterBuilder builder;
@@ -49,7 +53,13 @@
 
   std::string Handle(const std::string& request) {
     std::string response;
-    protocol_->HandleRequest(request, response);
+    try {
+      protocol_->HandleRequest(request, response);
+    } catch (const std::exception& failure) {
+      // The JSON library throws for a message that is nested too deeply.
+      kLog.Warning("unreadable request: ", failure.what());
+      response = kUnreadable;
+    }
     return response;
   }
 
--- a/libs/rpc/tests/rpc_test.cc
+++ b/libs/rpc/tests/rpc_test.cc
@@ -66,6 +66,17 @@
   EXPECT_NE(rpc.Handle(GetParam()).find("\"error\""), std::string::npos);
 }
 
+// Guards against a process that ends since a message is nested more deeply than its reader follows.
+TEST(rpc_server, SurvivesAMessageOfGreatDepth) {
+  rpc_server rpc;
+  for (const char* const bracket : {"[", "{\"a\":"}) {
+    std::string message;
+    for (int i = 0; i < 100'000; ++i)
+      message += bracket;
+    EXPECT_NE(rpc.Handle(message).find("\"error\""), std::string::npos);
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Bodies,
                          malformed_message_test,
                          testing::Values("", "{", "[]", "1", "{\"method\":\"echo\"}"));
