Wait longer for a first event where the passes of a group are long

Change: patience grows with the pass time of the upstream's group. Test: patience.GrowsWithThePassesOfTheGroup.

--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -185,6 +185,10 @@
   }
 }
 
+nanoseconds forward_flow::PassTime() const {
+  return pulse_ ? pulse_->PassTime(Now()) : nanoseconds(0);
+}
+
 bool forward_flow::MayFollow() {
   return runs_ + 1 < route_->max_attempts && sends_ < kMostSends &&
          shared_.RepeatsOf(service_->name).tokens() >= 1;
@@ -265,7 +269,7 @@
   call.request = shared_.codec.EncodeForUpstream(
       exchange_.request(), {upstream.record.id, left, workspace_, last_event_});
   call.connect_timeout = std::min(kConnectTimeout, left);
-  call.response_timeout = FirstBytePatience(*route_, left, MayFollow());
+  call.response_timeout = FirstBytePatience(*route_, left, MayFollow(), PassTime());
   call.idle_timeout = call.response_timeout;
   call.cancellation = cancellation_;
   call.fresh_connection = !route_->MayRepeat();
@@ -324,7 +328,7 @@
   bool client_open = true;
   // Bytes alone are no sign of life: an upstream in trouble sends one now and then, or without end.
   time_point heard = Now();
-  milliseconds patience = FirstBytePatience(*route_, Left(), MayFollow());
+  milliseconds patience = FirstBytePatience(*route_, Left(), MayFollow(), PassTime());
   for (;;) {
     stream.SetDeadline(std::min(heard + patience, Now() + Left()));
     const auto piece = stream.ReadSome();
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -67,6 +67,8 @@
   void LogAttempt(const known_upstream& upstream, const attempt_report& report, milliseconds took);
   [[nodiscard]] milliseconds Left() const;
   [[nodiscard]] milliseconds Elapsed() const;
+  /// \brief Time of one pass of the present upstream's group; 0 if unknown.
+  [[nodiscard]] nanoseconds PassTime() const;
   /// \brief Whether another attempt may follow the present one.
   [[nodiscard]] bool MayFollow();
 
--- a/libs/placement/include/quincebank/placement/patience.h
+++ b/libs/placement/include/quincebank/placement/patience.h
@@ -12,11 +12,16 @@
 /// A silent upstream may be dead, and a client gives up after some time. Without another attempt
 /// to follow, giving up early would only lose the answer.
 ///
+/// Where a group's passes have become long, all requests wait for them: giving up would only send
+/// the same request into the same overload once more.
+///
 /// \param left  time until the request's deadline.
 /// \param may_follow  whether another attempt is allowed after this one.
+/// \param pass_time  of the upstream's group; 0 if unknown or in no group.
 [[nodiscard]] milliseconds FirstBytePatience(const route_rule& route,
                                              milliseconds left,
-                                             bool may_follow) noexcept;
+                                             bool may_follow,
+                                             nanoseconds pass_time = nanoseconds(0)) noexcept;
 
 /// \brief How long a stream may pause before it goes on at another upstream.
 [[nodiscard]] milliseconds GapPatience(const route_rule& route,
--- a/libs/placement/src/patience.cc
+++ b/libs/placement/src/patience.cc
@@ -8,6 +8,8 @@
 // Patience with a silent upstream, in latency objectives, and at most this part of the time left.
 constexpr int kObjectives = 2;
 constexpr int kPartOfTimeLeft = 2;
+// Passes of its group until the first event of a request that has to wait for a slot.
+constexpr int kPasses = 10;
 // Clients give a stream up after a gap of eight gap objectives or two seconds.
 constexpr int kGapObjectives = 8;
 constexpr milliseconds kLeastGap{800};
@@ -27,10 +29,12 @@
 
 milliseconds FirstBytePatience(const route_rule& route,
                                milliseconds left,
-                               bool may_follow) noexcept {
+                               bool may_follow,
+                               nanoseconds pass_time) noexcept {
   if (!may_follow || !route.MayRepeat())
     return left;
-  return std::min(route.latency_objective * kObjectives, left / kPartOfTimeLeft);
+  const auto passes = std::chrono::duration_cast<milliseconds>(pass_time * kPasses);
+  return std::min(std::max(route.latency_objective * kObjectives, passes), left / kPartOfTimeLeft);
 }
 
 milliseconds GapPatience(const route_rule& route, milliseconds left, bool may_follow) noexcept {
--- a/libs/placement/tests/patience_test.cc
+++ b/libs/placement/tests/patience_test.cc
@@ -29,6 +29,20 @@
   EXPECT_EQ(GapPatience(route, GetParam().left, GetParam().may_follow), GetParam().gap);
 }
 
+// Guards against repeats into an overload: a group whose passes take a quarter of a second answers
+// nobody within two objectives, and a repeat only waits at the end of another queue.
+TEST(patience, GrowsWithThePassesOfTheGroup) {
+  route_rule route;
+  route.repeats = repeat_rule::kSafe;
+  route.latency_objective = milliseconds(500);
+  const auto patience = [&](milliseconds pass) {
+    return FirstBytePatience(route, milliseconds(8'000), true, pass);
+  };
+  EXPECT_EQ(patience(milliseconds(60)), milliseconds(1'000));
+  EXPECT_EQ(patience(milliseconds(250)), milliseconds(2'500));
+  EXPECT_EQ(patience(milliseconds(900)), milliseconds(4'000));
+}
+
 constexpr milliseconds kLong{8'000};
 constexpr milliseconds kShort{600};
 
