--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -209,6 +209,11 @@
       last.reason = ToString(obstacle_);
       break;
     }
+    // The host may have been suspended while the request waited.
+    if (Left() < kLeastTime) {
+      last.reason = "no-time-left";
+      break;
+    }
     const time_point sent = Now();
     upstream->evidence->OnSend(upstream->limit, sent);
     pulse_ = upstream->pulse;
