Give waiting requests turns by priority and shares; hold the next pass where passes are long

Cause: requests without room polled every 10 ms, all of them, and whoever looked first got the place. A rollout held the pass after the next one, also when passes took 170 ms. Both readers of a domain watched at full pace. Change: waiting_line (fair_queue by priority, workspaces share by work, bounded, woken by ends and loads); lead of one pass from 100 ms on; the second reader pauses 1 s; news of unknown entries are left alone.

--- a/libs/admission/include/quincebank/admission/fair_queue.h
+++ b/libs/admission/include/quincebank/admission/fair_queue.h
@@ -81,6 +81,10 @@
   [[nodiscard]] bool empty() const noexcept { return size_ == 0; }
 
   void Push(admission_entry& entry, const admission_request& request);
+  /// \brief Returns the next entry to serve; null if empty.
+  [[nodiscard]] const admission_entry* First() const noexcept {
+    return backlogged_.empty() ? nullptr : &*backlogged_.begin()->queued.begin();
+  }
   /// \brief Removes the next entry to serve and charges its workspace; null if empty.
   [[nodiscard]] admission_entry* Pop();
   void Remove(admission_entry& entry);
--- a/libs/expert_control/src/map_rollout.cc
+++ b/libs/expert_control/src/map_rollout.cc
@@ -11,6 +11,10 @@
 // on its way, and the orders then have a whole pass before the group has to wait. If the pass
 // begins before the hold arrives, the hold is refused and tried again.
 constexpr std::uint64_t kLeastLead = 2;
+// Passes from this length on are longer than the orders take, so that the next one is held: a group
+// is that slow because its map does not fit, and a pass more with it is worse than a refused hold.
+constexpr milliseconds kLongPass{100};
+constexpr std::uint64_t kLongPassLead = 1;
 constexpr std::uint64_t kMostLead = 60;
 // Attempts to place a hold before its pass has begun.
 constexpr int kHoldTries = 3;
@@ -125,7 +129,8 @@
   const nanoseconds ahead = lead + report_age_;
   const std::uint64_t passes =
       pass_time_.count() > 0 ? static_cast<std::uint64_t>(ahead / pass_time_) : kLeastLead;
-  const std::uint64_t chosen = step + std::clamp(passes, kLeastLead, kMostLead);
+  const std::uint64_t least = pass_time_ >= kLongPass ? kLongPassLead : kLeastLead;
+  const std::uint64_t chosen = step + std::clamp(passes, least, kMostLead);
   log_.Write(event_line("expert.hold_chosen")
                  .Add("group", group.front().report.group)
                  .Add("begun", step)
--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -63,6 +63,8 @@
   /// \brief As a reader of the store, tells the entries of the failure domain what it knows.
   void TellNewsLoop();
   void HearNewsLoop();
+  /// \brief Time between a watch that has returned changes and the next one.
+  [[nodiscard]] milliseconds PauseOfWatch() const;
   /// \brief Whether this entry leaves it to the readers of its failure domain to watch the store.
   [[nodiscard]] bool Follows() const;
   /// \brief Takes what a reader has told of, or waits for its next news.
@@ -132,7 +134,8 @@
   fiber_event news_;           ///< A reader has told something.
   fiber_event changed_;        ///< The revision of the mirror has grown.
   time_point direct_until_{};  ///< Until then the store is watched whatever readers tell.
-  bool reader_ = false;        ///< This entry is a reader of its failure domain.
+  /// Place of this entry among the readers of its failure domain; nothing if it is none.
+  std::optional<std::size_t> reader_;
   bool watching_ = false;      ///< A watch of the store is waiting.
   bool whole_ = false;         ///< The next read must fetch the whole content.
   bool store_reachable_ = false;
--- a/libs/gateway/include/quincebank/gateway/gateway_service.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_service.h
@@ -18,8 +18,10 @@
 #include "quincebank/gateway/gateway_metrics.h"
 #include "quincebank/gateway/gateway_settings.h"
 #include "quincebank/gateway/load_watch.h"
+#include "quincebank/net/fiber_event.h"
 #include "quincebank/net/http_client.h"
 #include "quincebank/net/http_server.h"
+#include "quincebank/placement/waiting_line.h"
 
 namespace quincebank {
 
@@ -29,6 +31,14 @@
   std::unique_ptr<retry_budget> budget;
 };
 
+/// \brief Requests of one service that wait for an upstream with room.
+struct service_line {
+  explicit service_line(std::size_t capacity) : line(capacity) {}
+
+  waiting_line line;
+  fiber_broadcast changed;  ///< An upstream may have room, or a turn has passed on.
+};
+
 /// \brief What the handling of requests shares. Used by the traffic thread, but for the snapshots.
 struct gateway_shared {
   gateway_shared(const gateway_settings& process,
@@ -38,6 +48,9 @@
 
   /// \brief Budget of repeats of one service; divided anew when there are more entries.
   [[nodiscard]] retry_budget& RepeatsOf(const std::string& service);
+  [[nodiscard]] service_line& LineOf(const std::string& service);
+  /// \brief Wakes the requests that wait; an upstream of the service may have room.
+  void OnRoom(std::string_view service);
 
   const gateway_settings& settings;
   rules_box rules;
@@ -49,6 +62,7 @@
   const time_point process_started = Now();
   http_client* http = nullptr;
   std::map<std::string, repeat_share, std::less<>> repeats;
+  std::map<std::string, service_line, std::less<>> lines;
   std::size_t held_bytes = 0;  ///< Of answers that are not known to be complete yet.
 };
 
--- a/libs/gateway/include/quincebank/gateway/gateway_settings.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_settings.h
@@ -69,6 +69,9 @@
   milliseconds lease{3'000};    ///< Of this entry's registration.
   /// Of the coordinator's role: a pass that a frozen coordinator holds waits until it has ended.
   milliseconds coordinator_lease{1'000};
+  /// Requests of one service that may wait for room at the same time: more than can be served
+  /// within half a latency objective.
+  std::size_t most_waiting = 256;
   /// Longest answer of a plain service; it is held until it is known to be complete.
   std::size_t most_answer_bytes = std::size_t{4} * 1024 * 1024;
   /// Answers held at the same time, all together: a part of the smallest host's memory.
--- a/libs/gateway/include/quincebank/gateway/load_watch.h
+++ b/libs/gateway/include/quincebank/gateway/load_watch.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <memory>
+#include <string>
 
 #include "quincebank/base/event_log.h"
 #include "quincebank/expert_control/load_messages.h"
@@ -19,7 +21,11 @@
 class load_watch {
  public:
   /// \param agent_port  of the agents; 0 if there are none.
-  load_watch(const fleet_snapshot_box& box, std::uint16_t agent_port, event_log& log);
+  /// \param on_load  called with the service of an engine that has told its load.
+  load_watch(const fleet_snapshot_box& box,
+             std::uint16_t agent_port,
+             event_log& log,
+             std::function<void(const std::string&)> on_load);
   ~load_watch();
   load_watch(const load_watch&) = delete;
   load_watch& operator=(const load_watch&) = delete;
@@ -35,6 +41,7 @@
   const fleet_snapshot_box& box_;
   const std::uint16_t agent_port_;
   event_log& log_;
+  const std::function<void(const std::string&)> on_load_;
   std::unique_ptr<datagram_socket> socket_;
   stop_signal stop_;
   std::atomic<int> running_{0};  ///< Loops that have not ended.
--- a/libs/gateway/src/expert_steering.cc
+++ b/libs/gateway/src/expert_steering.cc
@@ -16,6 +16,7 @@
 constexpr milliseconds kLook{100};
 // Between reads of one group's counts.
 constexpr milliseconds kCountPeriod{100};
+constexpr milliseconds kLeastPause{10};
 // Least part of the expert time that a change of the map must save.
 constexpr double kLeastGain = 0.1;
 // Peaks up to this multiple of the mean load are left alone.
@@ -161,7 +162,14 @@
       {[] { return Now(); }, [](milliseconds time) { boost::this_fiber::sleep_for(time); },
        [this] { return sync_.IsCoordinator(); }},
       log_);
-  while (!stop_.WaitFor(kCountPeriod) && sync_.IsCoordinator()) {
+  // A rollout takes longer than the period; the counts since then are read at once.
+  time_point next = Now();
+  const auto wait = [&] {
+    const auto left = std::chrono::duration_cast<milliseconds>(next - Now());
+    return stop_.WaitFor(std::max(left, kLeastPause));
+  };
+  while (!wait() && sync_.IsCoordinator()) {
+    next = Now() + kCountPeriod;
     const auto groups = Groups();
     const auto found = groups.find(group);
     if (found == groups.end())
--- a/libs/gateway/src/fleet_records_intake.cc
+++ b/libs/gateway/src/fleet_records_intake.cc
@@ -166,7 +166,10 @@
   });
   snapshot->entries = Entries();
   const auto readers = ReadersOf(settings_.failure_domain, snapshot->entries);
-  reader_ = std::find(readers.begin(), readers.end(), settings_.name) != readers.end();
+  const auto self = std::find(readers.begin(), readers.end(), settings_.name);
+  reader_.reset();
+  if (self != readers.end())
+    reader_ = static_cast<std::size_t>(self - readers.begin());
   snapshot->expected_entries = std::max(snapshot->entries.size(), RememberedEntries());
   ShareLimits(*snapshot);
   MarkSuperseded(*snapshot);
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -24,9 +24,10 @@
 constexpr milliseconds kFirstRetry{100};
 constexpr milliseconds kLastRetry{800};
 // Between a watch that has returned changes and the next one. Changes come in bursts, and each
-// watch that returns is a call. Longer where this entry watches although others of its domain do as
-// well.
-constexpr milliseconds kWatchPause{150};
+// watch that returns is a call. The second reader of a domain only stands in for the first, and
+// entries that watch although there are readers do so for a moment.
+constexpr milliseconds kWatchPause{200};
+constexpr milliseconds kSecondPause{1'000};
 constexpr milliseconds kFallbackPause{400};
 // Between two news of a reader if nothing changes; three of them may be lost.
 constexpr milliseconds kNewsPeriod{400};
@@ -148,6 +149,12 @@
   return update;
 }
 
+milliseconds fleet_sync::PauseOfWatch() const {
+  if (!reader_)
+    return kFallbackPause;
+  return *reader_ == 0 || !readers_.InTouch(Now()) ? kWatchPause : kSecondPause;
+}
+
 bool fleet_sync::Follows() const {
   const time_point now = Now();
   return news_socket_ && !reader_ && !leaving_ && mirror_.last_contact() && now >= direct_until_ &&
@@ -200,8 +207,9 @@
       continue;
     }
     const auto news = DecodeNews(received.value().payload);
-    if (!news)
-      continue;  // Anyone may send here.
+    // Anyone may send here, and an entry that has just started knows nobody whom it could ask.
+    if (!news || !entries_.contains(std::string(kEntryPrefix) + news.value().reader))
+      continue;
     readers_.OnNews(news.value(), Now());
     if (!Follows())
       continue;
@@ -219,7 +227,7 @@
     if (follows != followed) {
       log_.Write(event_line(follows ? "store.followed" : "store.watched")
                      .Add("revision", mirror_.revision())
-                     .Add("reader", reader_));
+                     .Add("reader", reader_.has_value()));
     }
     followed = follows;
     if (follows) {
@@ -233,7 +241,7 @@
       NoteStore(true, "answered");
       Take(update.value(), true);
       pause = kFirstRetry;
-      if (!update.value().events.empty() && stop_.WaitFor(reader_ ? kWatchPause : kFallbackPause))
+      if (!update.value().events.empty() && stop_.WaitFor(PauseOfWatch()))
         return;
       continue;
     }
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "quincebank/base/clock.h"
+#include "quincebank/base/digest.h"
 #include "quincebank/placement/engine_room.h"
 #include "quincebank/placement/patience.h"
 
@@ -18,8 +19,13 @@
 constexpr int kMostSends = 4;
 // With less time left a new attempt is hopeless and only loads an upstream.
 constexpr milliseconds kLeastTime{10};
-// Pauses between looks for an upstream with room.
-constexpr milliseconds kPlaceRetry{10};
+// Longest pause between looks for an upstream with room.
+constexpr milliseconds kPlaceRetry{15};
+// Work of a request for its workspace's share of turns: an output token takes its engine about as
+// long as some prompt tokens.
+constexpr std::int64_t kOutputWeight = 10;
+constexpr std::int64_t kTokensPerTurn = 500;
+constexpr std::int64_t kMostTurns = 1'000;
 // Requests that may wait in the queue of an upstream, as a share of its slots.
 constexpr double kQueueShare = 0.75;
 // Part of the latency objective that a request may spend in the queue of an engine.
@@ -116,6 +122,8 @@
   service_ = catalog_->FindService(PickService(*route_, shared_.random.Unit()));
   if (service_ == nullptr)
     return own_answer{503, "unknown-service", kRetryUnknownService};
+  priority_ =
+      workspace != nullptr ? workspace->priority.value_or(route_->priority) : route_->priority;
   deadline_ = received_ + std::min(request_.time_left.value_or(route_->timeout), route_->timeout);
   last_event_ = request_.resume_after;
   return std::nullopt;
@@ -168,21 +176,54 @@
                            route_->event_gap_objective * kPassPercent / 100});
 }
 
+std::optional<known_upstream> forward_flow::LookForUpstream() {
+  // A newer snapshot may have taken an upstream out; the catalog in force at the start stays.
+  snapshot_ = shared_.snapshots.Get();
+  std::vector<const known_upstream*> candidates;
+  const placement placed = Place(*snapshot_, candidates);
+  obstacle_ = placed.obstacle;
+  if (!placed.chosen)
+    return std::nullopt;
+  return *candidates[*placed.chosen];
+}
+
+line_request forward_flow::Turn() const {
+  const std::int64_t tokens = request_.prompt_tokens + kOutputWeight * request_.most_output_tokens;
+  return {
+      StableHash64(workspace_), priority_,
+      static_cast<std::uint32_t>(std::clamp<std::int64_t>(tokens / kTokensPerTurn, 1, kMostTurns))};
+}
+
 std::optional<known_upstream> forward_flow::WaitForUpstream() {
+  service_line& waiting = shared_.LineOf(service_->name);
+  const line_request turn = Turn();
+  if (waiting.line.empty()) {
+    auto upstream = LookForUpstream();
+    if (upstream) {
+      waiting.line.Charge(turn);
+      return upstream;
+    }
+  }
+  waiting_line::place place;
+  if (!waiting.line.Enter(place, turn)) {
+    obstacle_ = placement_obstacle::kFull;
+    return std::nullopt;
+  }
   const time_point until =
       Now() + std::min(route_->latency_objective / kWaitShare, Left() - kLeastTime);
-  for (;;) {
-    // A newer snapshot may have taken an upstream out; the catalog in force at the start stays.
-    snapshot_ = shared_.snapshots.Get();
-    std::vector<const known_upstream*> candidates;
-    const placement placed = Place(*snapshot_, candidates);
-    obstacle_ = placed.obstacle;
-    if (placed.chosen)
-      return *candidates[*placed.chosen];
-    if (client_gone_ || Now() >= until)
-      return std::nullopt;
-    boost::this_fiber::sleep_for(kPlaceRetry);
+  std::optional<known_upstream> upstream;
+  while (!client_gone_ && !upstream && Now() < until) {
+    // What comes with time alone, such as the end of a rest, is looked for now and then.
+    waiting.changed.WaitFor(kPlaceRetry);
+    if (waiting.line.IsFirst(place))
+      upstream = LookForUpstream();
   }
+  if (upstream)
+    waiting.line.Serve(place);
+  else
+    waiting.line.Leave(place);
+  waiting.changed.NotifyAll();
+  return upstream;
 }
 
 nanoseconds forward_flow::PassTime() const {
@@ -226,6 +267,7 @@
       shared_.metrics.resumed.Add();
     last = Send(*upstream);
     upstream->evidence->OnEnd(last.outcome, Now());
+    shared_.OnRoom(service_->name);
     if (pulse_)
       pulse_->OnEnd();
     if (last.group_stalled)
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -10,6 +10,7 @@
 #include "quincebank/net/call_cancellation.h"
 #include "quincebank/net/sse.h"
 #include "quincebank/placement/choose_upstream.h"
+#include "quincebank/placement/waiting_line.h"
 
 namespace quincebank {
 
@@ -45,7 +46,11 @@
   [[nodiscard]] std::optional<own_answer> Resolve();
   /// \brief Sends the request until an upstream has answered it or nothing more may be sent.
   void Forward();
-  /// \brief Waits a moment for an upstream with room.
+  /// \brief Looks once for an upstream with room.
+  [[nodiscard]] std::optional<known_upstream> LookForUpstream();
+  /// \brief What decides the request's turn among those that wait.
+  [[nodiscard]] line_request Turn() const;
+  /// \brief Waits a moment for an upstream with room, in turn with other requests.
   [[nodiscard]] std::optional<known_upstream> WaitForUpstream();
   [[nodiscard]] placement Place(const fleet_snapshot& snapshot,
                                 std::vector<const known_upstream*>& candidates);
@@ -82,6 +87,7 @@
   const route_rule* route_ = nullptr;
   const service_rule* service_ = nullptr;
   std::string workspace_;
+  int priority_ = 0;
   boot_time deadline_;
   ref_ptr<call_cancellation> cancellation_;
   bool client_gone_ = false;
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -48,6 +48,16 @@
   return *share.budget;
 }
 
+service_line& gateway_shared::LineOf(const std::string& service) {
+  return lines.try_emplace(service, settings.most_waiting).first->second;
+}
+
+void gateway_shared::OnRoom(std::string_view service) {
+  const auto found = lines.find(service);
+  if (found != lines.end() && !found->second.line.empty())
+    found->second.changed.NotifyAll();
+}
+
 gateway_service::gateway_service(const gateway_settings& settings,
                                  const exchange_codec& exchanges,
                                  event_log& log,
@@ -109,7 +119,9 @@
   BOOST_OUTCOME_TRY(auto peers, http_server::Listen({&control_}, settings_.peers,
                                                     [this](http_exchange& e) { rpc_.Serve(e); }));
   servers_.push_back(std::move(peers));
-  loads_ = std::make_unique<load_watch>(shared_.snapshots, settings_.agent_port, log_);
+  loads_ =
+      std::make_unique<load_watch>(shared_.snapshots, settings_.agent_port, log_,
+                                   [this](const std::string& service) { shared_.OnRoom(service); });
   BOOST_OUTCOME_TRY(loads_->Start(traffic_, settings_.peers));
   BOOST_OUTCOME_TRY(sync_->Start(control_));
   steering_->Start(control_);
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -57,6 +57,9 @@
   settings.lease = reader.Millis("lease_ms", kMillisRange, settings.lease);
   settings.coordinator_lease =
       reader.Millis("coordinator_lease_ms", kMillisRange, settings.coordinator_lease);
+  constexpr int_range kWaiting{1, 100'000};
+  settings.most_waiting = static_cast<std::size_t>(
+      reader.Int("most_waiting", kWaiting, static_cast<std::int64_t>(settings.most_waiting)));
   constexpr int_range kBytes{1'024, std::int64_t{1} << 32U};
   const auto read_bytes = [&](std::string_view key, std::size_t& bytes) {
     bytes = static_cast<std::size_t>(reader.Int(key, kBytes, static_cast<std::int64_t>(bytes)));
--- a/libs/gateway/src/load_watch.cc
+++ b/libs/gateway/src/load_watch.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "quincebank/base/clock.h"
@@ -24,8 +25,11 @@
   return std::max(kLeastPeriod, kPeriodPerEngine * static_cast<std::int64_t>(engines));
 }
 
-load_watch::load_watch(const fleet_snapshot_box& box, std::uint16_t agent_port, event_log& log)
-    : box_(box), agent_port_(agent_port), log_(log) {}
+load_watch::load_watch(const fleet_snapshot_box& box,
+                       std::uint16_t agent_port,
+                       event_log& log,
+                       std::function<void(const std::string&)> on_load)
+    : box_(box), agent_port_(agent_port), log_(log), on_load_(std::move(on_load)) {}
 
 load_watch::~load_watch() {
   stop_.Set();
@@ -103,6 +107,7 @@
       found->pulse->OnStep(load.step, now);
       found->pulse->OnRunning(load.running);
     }
+    on_load_(service);
     return;
   }
 }
--- a/libs/net/include/quincebank/net/fiber_event.h
+++ b/libs/net/include/quincebank/net/fiber_event.h
@@ -33,4 +33,19 @@
   bool set_ = false;
 };
 
+/// \brief Wakes all fibers of one thread that wait for something to change.
+class fiber_broadcast {
+ public:
+  void NotifyAll() noexcept { changed_.notify_all(); }
+  /// \brief Suspends the calling fiber until the next call of `NotifyAll`, or for the duration.
+  void WaitFor(milliseconds duration) {
+    std::unique_lock lock(mutex_);
+    (void)changed_.wait_for(lock, duration);
+  }
+
+ private:
+  boost::fibers::mutex mutex_;
+  boost::fibers::condition_variable changed_;
+};
+
 }  // namespace quincebank
