--- a/libs/expert_control/include/quincebank/expert_control/count_window.h
+++ b/libs/expert_control/include/quincebank/expert_control/count_window.h
@@ -24,8 +24,8 @@
 /// \brief What a reader asks an agent for.
 struct count_question {
   std::uint64_t since = 0;  ///< Read that it has; 0 if it has none.
-  /// Choices of one set that are worth telling. A rank that has read no prompt since the last read
-  /// has little to tell, and most ranks have not.
+  /// Choices of an expert, on average, that are worth telling. A rank that has read no prompt since
+  /// the last read has little to tell, and most ranks have not.
   std::uint64_t least = 0;
 };
 
@@ -56,7 +56,7 @@
 
  private:
   std::uint64_t mark_ = 0;
-  std::vector<std::uint64_t> counts_;
+  pick_counts sum_;
 };
 
 /// \name Messages: counters as variable-length integers in base64, since JSON numbers of a large
--- a/libs/expert_control/src/count_window.cc
+++ b/libs/expert_control/src/count_window.cc
@@ -75,7 +75,7 @@
       window.counts[i] -= last_.counts[i];
       choices += window.counts[i];
     }
-    if (choices * kCountUnit < question.least)
+    if (choices * kCountUnit < question.least * window.counts.size())
       return {now.epoch, mark_, mark_, {}};
   }
   ++mark_;
@@ -84,19 +84,20 @@
 }
 
 result<pick_counts> count_sum::Add(const count_window& window) {
+  sum_.epoch = window.epoch;
   if (window.since == mark_ && window.mark == mark_ && mark_ != 0)
-    return pick_counts{window.epoch, counts_};
+    return sum_;
   const bool whole = window.since == 0;
-  if (!whole && (window.since != mark_ || window.counts.size() != counts_.size())) {
+  if (!whole && (window.since != mark_ || window.counts.size() != sum_.counts.size())) {
     mark_ = 0;
     return MakeError(error_code::kStale, "counts since another read");
   }
   if (whole)
-    counts_.assign(window.counts.size(), 0);
-  for (std::size_t i = 0; i < counts_.size(); ++i)
-    counts_[i] += window.counts[i];
+    sum_.counts.assign(window.counts.size(), 0);
+  for (std::size_t i = 0; i < sum_.counts.size(); ++i)
+    sum_.counts[i] += window.counts[i] * kCountUnit;
   mark_ = window.mark;
-  return pick_counts{window.epoch, counts_};
+  return sum_;
 }
 
 boost::json::object ToJson(const count_window& window) {
--- a/libs/expert_control/tests/count_window_test.cc
+++ b/libs/expert_control/tests/count_window_test.cc
@@ -24,23 +24,19 @@
 TEST(count_window, SumsStayRightWhateverIsLost) {
   count_recorder agent(100);
   count_sum reader;
-  const pick_counts first{1, {5, 0, 300}};
-  EXPECT_EQ(reader.Add(OverTheWire(agent.Take(Units(1, first.counts), {reader.mark()}))).value(),
-            first);
-  const pick_counts second{1, {6, 200, 70'000}};
-  const count_window window = agent.Take(Units(1, second.counts), {reader.mark()});
+  const pick_counts first = Units(1, {5, 0, 300});
+  EXPECT_EQ(reader.Add(OverTheWire(agent.Take(first, {reader.mark()}))).value(), first);
+  const pick_counts second = Units(1, {6, 200, 70'000});
+  const count_window window = agent.Take(second, {reader.mark()});
   EXPECT_EQ(window.counts, (std::vector<std::uint64_t>{1, 200, 69'700}));
   EXPECT_EQ(reader.Add(OverTheWire(window)).value(), second);
 
   (void)agent.Take(Units(1, {7, 201, 70'001}), {reader.mark()});
-  const pick_counts third{1, {8, 202, 70'002}};
-  EXPECT_EQ(reader.Add(OverTheWire(agent.Take(Units(1, third.counts), {reader.mark()}))).value(),
-            third);
+  const pick_counts third = Units(1, {8, 202, 70'002});
+  EXPECT_EQ(reader.Add(OverTheWire(agent.Take(third, {reader.mark()}))).value(), third);
 
-  const pick_counts restarted{2, {1, 0, 0}};
-  EXPECT_EQ(
-      reader.Add(OverTheWire(agent.Take(Units(2, restarted.counts), {reader.mark()}))).value(),
-      restarted);
+  const pick_counts restarted = Units(2, {1, 0, 0});
+  EXPECT_EQ(reader.Add(OverTheWire(agent.Take(restarted, {reader.mark()}))).value(), restarted);
 }
 
 // Guards against choices that are lost in rounding, or since there were too few to tell.
@@ -53,12 +49,12 @@
   pick_counts sum;
   for (std::uint64_t read = 0; read <= kReads; ++read) {
     const pick_counts now{1, {read * kEach, read * kEach}};
-    const count_window window = agent.Take(now, {reader.mark(), 200});
+    const count_window window = agent.Take(now, {reader.mark(), 100});
     told += window.counts.empty() ? 0 : 1;
     sum = reader.Add(OverTheWire(window)).value();
   }
   EXPECT_LT(told, 40);
-  EXPECT_NEAR(static_cast<double>(sum.counts[0] * kCountUnit), kReads * kEach, 200);
+  EXPECT_NEAR(static_cast<double>(sum.counts[0]), kReads * kEach, 200);
 }
 
 TEST(count_window, AWindowOfAnotherReadIsRefused) {
--- a/libs/gateway/src/agent_engine_port.cc
+++ b/libs/gateway/src/agent_engine_port.cc
@@ -13,9 +13,8 @@
 constexpr milliseconds kAgentTimeout{350};
 // An agent that did not answer is not asked again for this time.
 constexpr milliseconds kSilence{1'500};
-// Choices of all sets that are worth a message: those of a short prompt. A window holds thousands
-// of times as many.
-constexpr std::uint64_t kLeastChoices = 150'000;
+// Choices of an expert, on average, that are worth a message: those of a short prompt.
+constexpr std::uint64_t kLeastChoices = 48;
 // Counts of an engine that has not been read for this time are forgotten: engines that restart
 // have new names.
 constexpr milliseconds kCountLife{10'000};
