Claim from a current view; change maps by their peak; mistrust an assumed popularity

Cause: after the first read of any age a claim met an older holder and was refused (0.5 s lost after kill_all); an assumed popularity that had shifted meanwhile cost a rollout and a window; gains under 0.2 waited for 2 s at peaks of 1.5. Change: the first watch brings the view up to date before claims; peaks over 1.35 are lowered at once; what is only assumed must promise a gain of 0.35.

--- a/libs/gateway/include/quincebank/gateway/expert_steering.h
+++ b/libs/gateway/include/quincebank/gateway/expert_steering.h
@@ -41,6 +41,7 @@
     std::map<std::string, std::vector<std::uint64_t>> last_counts;  ///< By upstream.
     popularity_window popularity;
     time_point changed{};         ///< When its map was changed last.
+    bool assumed = false;         ///< No window has told the popularity yet.
     bool shifted = false;         ///< The last window told of a shift ...
     bool shifted_before = false;  ///< ... and so did the one before it.
     double choices = 0;           ///< Of one set, in the last read.
--- a/libs/gateway/src/expert_steering.cc
+++ b/libs/gateway/src/expert_steering.cc
@@ -17,14 +17,16 @@
 // Between reads of one group's counts.
 constexpr milliseconds kCountPeriod{100};
 constexpr milliseconds kLeastPause{10};
-// Least part of the expert time that a change of the map must save.
-constexpr double kLeastGain = 0.1;
 // Peaks up to this multiple of the mean load are left alone.
 constexpr double kTolerablePeak = 1.2;
-// A change that saves less than this part is made at most once in each such time: orders to all
-// ranks are not free, and counts of one window are noisy.
-constexpr double kUrgentGain = 0.2;
+// Least part of the expert time that a change of the map must save.
+constexpr double kLeastGain = 0.1;
+// Peaks beyond this are lowered at once. Smaller ones are lowered now and then: orders to all ranks
+// are not free, and counts of one window are noisy.
+constexpr double kUrgentPeak = 1.35;
 constexpr milliseconds kSmallChangePause{2'000};
+// Gain that justifies a change for a popularity that is only assumed: it may have shifted since.
+constexpr double kLeastGainUnseen = 0.35;
 // Reads of the counts in a row without any choice after which a group that stands still is looked
 // at: a pass may be held that nobody releases.
 constexpr int kIdleReads = 5;
@@ -217,9 +219,11 @@
   const even_share_plan plan =
       PlanEvenShares(target.shape, memory.map, memory.popularity.loads(), LimitsOf(view.profile));
   const double gain = plan.peak_before > 0 ? 1 - plan.peak_after / plan.peak_before : 0;
-  const bool due = gain >= kUrgentGain || Now() - memory.changed >= kSmallChangePause;
+  const bool urgent = plan.peak_before > plan.mean * kUrgentPeak;
+  const bool due = urgent || Now() - memory.changed >= kSmallChangePause;
+  const double least_gain = memory.assumed ? kLeastGainUnseen : kLeastGain;
   const bool change =
-      gain >= kLeastGain && due && plan.loaded > 0 && plan.peak_before > plan.mean * kTolerablePeak;
+      gain >= least_gain && due && plan.loaded > 0 && plan.peak_before > plan.mean * kTolerablePeak;
   log_.Write(event_line("expert.plan")
                  .Add("group", group)
                  .Add("epoch", memory.epoch)
@@ -271,8 +275,10 @@
                       return set.size() == static_cast<std::size_t>(target.shape.experts);
                     });
   log_.Write(event_line("expert.popularity_assumed").Add("group", group).Add("fits", fits));
-  if (fits)
-    memory.popularity.Assume(std::move(loads).value());
+  if (!fits)
+    return;
+  memory.popularity.Assume(std::move(loads).value());
+  memory.assumed = true;
 }
 
 bool expert_steering::ReadCounts(const group_view& view, group_memory& memory) {
@@ -293,8 +299,10 @@
   memory.choices = std::accumulate(window.front().begin(), window.front().end(), 0.0);
   if (idle)
     return memory.popularity.known();
-  memory.shifted_before = memory.shifted;
+  // The first window tells whether an assumption holds; it holds no choices of before.
+  memory.shifted_before = memory.shifted || memory.assumed;
   memory.shifted = memory.popularity.Add(window);
+  memory.assumed = false;
   if (memory.shifted) {
     log_.Write(event_line("expert.shift")
                    .Add("epoch", memory.epoch)
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -34,6 +34,8 @@
 // After readers have failed to hand over what they told of, an entry watches the store for this
 // time.
 constexpr milliseconds kDirectTime{3'000};
+// For a watch that returns at once.
+constexpr milliseconds kNoWait{1};
 // Between looks for loops that have not ended.
 constexpr milliseconds kStopPoll{2};
 // How long a coordinator goes on without a renewal of its lease, unless it hears of another one.
@@ -141,11 +143,14 @@
     // After a lost history an older state would be followed by a watch that is lost as well.
     auto all = store_.ReadAll(whole_ ? read_freshness::kNewest : read_freshness::kAnyAge);
     whole_ = !all.has_value() && whole_;
+    current_ = false;
     return all;
   }
-  watching_ = true;
-  auto update = store_.Watch(mirror_.revision(), settings_.watch_wait);
+  // What was read may be some seconds old; the first watch brings what has come since.
+  watching_ = current_;
+  auto update = store_.Watch(mirror_.revision(), current_ ? settings_.watch_wait : kNoWait);
   watching_ = false;
+  current_ = current_ || update.has_value();
   return update;
 }
 
@@ -157,8 +162,8 @@
 
 bool fleet_sync::Follows() const {
   const time_point now = Now();
-  return news_socket_ && !reader_ && !leaving_ && mirror_.last_contact() && now >= direct_until_ &&
-         readers_.InTouch(now);
+  return news_socket_ && !reader_ && !leaving_ && current_ && mirror_.last_contact() &&
+         now >= direct_until_ && readers_.InTouch(now);
 }
 
 void fleet_sync::Follow() {
@@ -430,7 +435,7 @@
 
 void fleet_sync::ClaimCoordination() {
   const store_item* const holder = mirror_.Find(kCoordinatorKey);
-  if (!RegistrationHolds() || IsCoordinator())
+  if (!RegistrationHolds() || !current_ || IsCoordinator())
     return;
   // An earlier incarnation of this entry is dead, although its lease has not ended yet.
   const bool own = holder != nullptr && holder->value.starts_with(settings_.name + "/");
