--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -136,9 +136,9 @@
   time_point direct_until_{};  ///< Until then the store is watched whatever readers tell.
   /// Place of this entry among the readers of its failure domain; nothing if it is none.
   std::optional<std::size_t> reader_;
-  bool current_ = false;       ///< The view has been brought up to date since the last whole read.
-  bool watching_ = false;      ///< A watch of the store is waiting.
-  bool whole_ = false;         ///< The next read must fetch the whole content.
+  bool current_ = false;   ///< The view has been brought up to date since the last whole read.
+  bool watching_ = false;  ///< A watch of the store is waiting.
+  bool whole_ = false;     ///< The next read must fetch the whole content.
   bool store_reachable_ = false;
 };
 
--- a/libs/rank_agent/src/rank_agent.cc
+++ b/libs/rank_agent/src/rank_agent.cc
@@ -101,7 +101,8 @@
                                                          &rank_agent::PushLoop};
   for (const auto loop : kLoops) {
     ++running_;
-    thread_.SpawnLoop("agent", [this, loop] { (this->*loop)(); }, stop_, [this] { --running_; });
+    thread_.SpawnLoop(
+        "agent", [this, loop] { (this->*loop)(); }, stop_, [this] { --running_; });
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
