Bound what is buffered between reads; answer requests that arrive while a server stops

Cause: (1) Beast sets no limit to the extension of a chunk and to a trailer, and the buffers of both ends had none, so an upstream or a client in trouble took memory until the process was killed. (2) A planned stop closed the acceptor with connections that were open already, dropped a connection that had just been accepted, and closed kept connections whose next request had arrived. The process ended when no request was running, which it may also be between the arrival of a request and the start of its fiber. Ruled out: heads (limited by the parser), bodies (limited by the reader). Change: buffers of 128 KB; at most 4 MB of a refused request are discarded. A stop takes the connections that wait, answers what has arrived, and ends when no connection is left.

--- a/libs/net/include/quincebank/net/http_server.h
+++ b/libs/net/include/quincebank/net/http_server.h
@@ -75,6 +75,8 @@
   void Close();
   /// \brief Number of requests that are being read or answered.
   [[nodiscard]] int running() const noexcept;
+  /// \brief Number of open connections. After `Close`, the process may end when there are none.
+  [[nodiscard]] int connections() const noexcept;
 
  private:
   class listener;
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -30,6 +30,9 @@
 using impl::io_outcome;
 
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
+// Bytes held between reads. A chunk's extension or a trailer is held until it is complete, and the
+// parser itself sets no limit to them.
+constexpr std::size_t kMostBuffered = std::size_t{128} * 1024;
 // Foreign answers that are skipped before a connection is given up.
 constexpr int kForeignAnswers = 3;
 // Bytes of one such answer that are skipped.
@@ -43,7 +46,7 @@
   explicit connection(asio::io_context& io) : stream(io) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMostBuffered};
   time_point answered{};                   ///< When its last answer ended.
   time_point expires = time_point::max();  ///< The server may close it from then on.
 };
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -26,11 +26,22 @@
 using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 constexpr logger kLog{"http"};
+// Bytes held between reads, beside the limit of a head. A chunk's extension or a trailer is held
+// until it is complete, and the parser itself sets no limit to them.
+constexpr std::size_t kMostBuffered = std::size_t{128} * 1024;
 // Pause after a failed accept (such as no file descriptors left), so that the loop doesn't spin.
 constexpr milliseconds kAcceptRetryDelay{50};
 
 struct connection : boost::intrusive::list_base_hook<> {
-  explicit connection(tcp::socket socket) : stream(std::move(socket)) {}
+  connection(tcp::socket socket, std::size_t most_buffered)
+      : stream(std::move(socket)), buffer(most_buffered) {}
+
+  /// \brief Whether bytes of a request have come that are not read yet.
+  [[nodiscard]] bool HasInput() {
+    char byte = 0;
+    return buffer.size() > 0 ||
+           ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  }
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
@@ -211,10 +222,11 @@
   void Close() {
     thread_.RunAndWait([this] {
       closing_ = true;
+      AcceptWaiting();
       boost::system::error_code ignored;
       acceptor_.close(ignored);
       for (connection& peer : connections_) {
-        if (!peer.idle)
+        if (!peer.idle || peer.HasInput())
           continue;
         peer.stream.cancel();
       }
@@ -230,37 +242,57 @@
   }
 
   [[nodiscard]] int fibers() const noexcept { return fibers_; }
+  [[nodiscard]] int connections() const noexcept { return open_; }
 
  private:
+  /// Takes the connections that the system has opened already: their clients have sent, or are
+  /// about to, and closing the acceptor would reset them.
+  void AcceptWaiting() {
+    boost::system::error_code ec;
+    acceptor_.non_blocking(true, ec);
+    while (!ec) {
+      tcp::socket socket(thread_.io());
+      acceptor_.accept(socket, ec);
+      if (!ec)
+        Take(std::move(socket));
+    }
+  }
+
   void Accept() {
     while (!closing_) {
       tcp::socket socket(thread_.io());
       const io_outcome accepted =
           Await([&](auto handler) { acceptor_.async_accept(socket, std::move(handler)); });
-      if (closing_)
+      if (accepted.ec && closing_)
         break;
       if (accepted.ec) {
         kLog.Warning("accept failed: ", accepted.ec.message());
         boost::this_fiber::sleep_for(kAcceptRetryDelay);
         continue;
       }
-      boost::system::error_code ignored;
-      socket.set_option(tcp::no_delay(true), ignored);
-      ++fibers_;
-      thread_.Spawn(
-          [self = shared_from_this(), shared = std::make_shared<tcp::socket>(std::move(socket))] {
-            self->Serve(std::move(*shared));
-            --self->fibers_;
-          });
+      Take(std::move(socket));
     }
   }
 
+  void Take(tcp::socket socket) {
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    ++fibers_;
+    ++open_;
+    thread_.Spawn(
+        [self = shared_from_this(), shared = std::make_shared<tcp::socket>(std::move(socket))] {
+          self->Serve(std::move(*shared));
+          --self->open_;
+          --self->fibers_;
+        });
+  }
+
   void Serve(tcp::socket socket) {
-    connection peer(std::move(socket));
+    connection peer(std::move(socket), kMostBuffered + server_.limits_.header_bytes);
     connections_.push_back(peer);
     // Whatever ends the loop, the list must not keep the connection.
     RunGuarded("connection", [&] {
-      while (!closing_ && ServeOne(peer)) {
+      while ((!closing_ || peer.HasInput()) && ServeOne(peer)) {
       }
     });
     connections_.erase(connections_.iterator_to(peer));
@@ -317,7 +349,8 @@
     peer.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     peer.stream.expires_after(kDiscardLimit);
     io_outcome read;
-    while (!read.ec) {
+    for (std::size_t discarded = 0; !read.ec && discarded < kMostDiscarded;
+         discarded += read.bytes) {
       peer.buffer.clear();
       read = Await([&](auto handler) {
         peer.stream.async_read_some(peer.buffer.prepare(kDiscardBytes), std::move(handler));
@@ -327,6 +360,7 @@
 
   static constexpr milliseconds kDiscardLimit{2'000};
   static constexpr std::size_t kDiscardBytes = std::size_t{64} * 1024;
+  static constexpr std::size_t kMostDiscarded = std::size_t{4} * 1024 * 1024;
   static constexpr std::size_t kReadBytes = 4096;
 
   http_server& server_;
@@ -334,6 +368,7 @@
   tcp::acceptor acceptor_;
   bool closing_ = false;
   std::atomic<int> fibers_{0};
+  std::atomic<int> open_{0};  ///< Connections that are served, or are about to be.
   boost::intrusive::list<connection> connections_;
 };
 
@@ -392,4 +427,11 @@
   return running_;
 }
 
+int http_server::connections() const noexcept {
+  int open = 0;
+  for (const auto& accepting : listeners_)
+    open += accepting->connections();
+  return open;
+}
+
 }  // namespace quincebank
--- a/libs/net/tests/endless_answer_test.cc
+++ b/libs/net/tests/endless_answer_test.cc
@@ -68,6 +68,8 @@
   constexpr milliseconds kPatience{300};
   constexpr milliseconds kLimit{4'000};
   constexpr std::size_t kMostBody = std::size_t{512} * 1024;
+  // What is skipped of a foreign answer, and what the system buffers for both ends.
+  constexpr std::size_t kMostTaken = std::size_t{16} * 1024 * 1024;
   endless_server server(GetParam());
   fiber_thread thread("client");
   bool opened = false;
@@ -84,6 +86,7 @@
   });
   EXPECT_EQ(opened, GetParam().opens);
   EXPECT_LT(Now() - begun, kLimit);
+  EXPECT_LT(server.sent(), kMostTaken);
   if (!opened)
     return;
   endless_server again(GetParam());
@@ -97,6 +100,7 @@
   });
   EXPECT_FALSE(complete);
   EXPECT_LT(Now() - begun, kLimit);
+  EXPECT_LT(again.sent(), kMostTaken);
 }
 
 std::string Head(const std::string& id, const std::string& framing) {
@@ -120,7 +124,14 @@
         endless_case{"foreign_answers", "", Head("other", "Content-Length: 1\r\n") + "z"},
         endless_case{"own_body", Head("own", ""), std::string(8'192, 'z'), milliseconds(0), true},
         endless_case{"own_body_byte_by_byte", Head("own", "Transfer-Encoding: chunked\r\n"),
-                     "1\r\nz\r\n", milliseconds(50), true}),
+                     "1\r\nz\r\n", milliseconds(50), true},
+        endless_case{"chunk_extension", Head("own", "Transfer-Encoding: chunked\r\n") + "1;x=",
+                     std::string(8'192, 'x'), milliseconds(0), true},
+        endless_case{
+            "foreign_chunk_extension",
+            Head("other", "Transfer-Encoding: chunked\r\n") + "1;x=", std::string(8'192, 'x')},
+        endless_case{"trailer", Head("own", "Transfer-Encoding: chunked\r\n") + "0\r\n",
+                     "X-More: " + std::string(500, 'y') + "\r\n", milliseconds(0), true}),
     [](const auto& info) { return std::string(info.param.name); });
 
 // Guards against a splitter that keeps what has no blank line without a limit.
