--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -190,7 +190,7 @@
   std::this_thread::sleep_until(
       std::min(started + lookup_ttl() * kStaleLookups + kStopMargin, last));
   clients_->Close();
-  while (clients_->connections() > 0 && Now() < last)
+  while (!clients_->Drained() && Now() < last)
     std::this_thread::sleep_for(kStopPoll);
   log_.Write(event_line("process.stopped").Add("running", clients_->running()));
 }
--- a/libs/net/include/quincebank/net/http_server.h
+++ b/libs/net/include/quincebank/net/http_server.h
@@ -75,8 +75,9 @@
   void Close();
   /// \brief Number of requests that are being read or answered.
   [[nodiscard]] int running() const noexcept;
-  /// \brief Number of open connections. After `Close`, the process may end when there are none.
-  [[nodiscard]] int connections() const noexcept;
+  /// \brief Whether, after `Close`, no connection is left and none can come any more. A count of
+  /// running requests misses those that have arrived and are about to be read.
+  [[nodiscard]] bool Drained() const noexcept;
 
  private:
   class listener;
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -242,7 +243,6 @@
   }
 
   [[nodiscard]] int fibers() const noexcept { return fibers_; }
-  [[nodiscard]] int connections() const noexcept { return open_; }
 
  private:
   /// Takes the connections that the system has opened already: their clients have sent, or are
@@ -278,11 +278,9 @@
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     ++fibers_;
-    ++open_;
     thread_.Spawn(
         [self = shared_from_this(), shared = std::make_shared<tcp::socket>(std::move(socket))] {
           self->Serve(std::move(*shared));
-          --self->open_;
           --self->fibers_;
         });
   }
@@ -334,7 +332,7 @@
     if (read.ec) {
       if (read.ec.category() == http::make_error_code(http::error::body_limit).category()) {
         exchange.Respond(RefuseParse(read.ec));
-        DiscardRest(peer);
+        DiscardRest(peer, kDiscardedBodies * server_.limits_.body_bytes);
       }
       return false;
     }
@@ -344,13 +342,12 @@
   }
 
   // Closing while the peer still sends resets the connection, and the peer loses the refusal.
-  static void DiscardRest(connection& peer) {
+  static void DiscardRest(connection& peer, std::uint64_t most) {
     boost::system::error_code ignored;
     peer.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     peer.stream.expires_after(kDiscardLimit);
     io_outcome read;
-    for (std::size_t discarded = 0; !read.ec && discarded < kMostDiscarded;
-         discarded += read.bytes) {
+    for (std::uint64_t discarded = 0; !read.ec && discarded < most; discarded += read.bytes) {
       peer.buffer.clear();
       read = Await([&](auto handler) {
         peer.stream.async_read_some(peer.buffer.prepare(kDiscardBytes), std::move(handler));
@@ -360,15 +357,14 @@
 
   static constexpr milliseconds kDiscardLimit{2'000};
   static constexpr std::size_t kDiscardBytes = std::size_t{64} * 1024;
-  static constexpr std::size_t kMostDiscarded = std::size_t{4} * 1024 * 1024;
+  static constexpr std::uint64_t kDiscardedBodies = 2;  ///< In the largest that are allowed.
   static constexpr std::size_t kReadBytes = 4096;
 
   http_server& server_;
   fiber_thread& thread_;
   tcp::acceptor acceptor_;
   bool closing_ = false;
-  std::atomic<int> fibers_{0};
-  std::atomic<int> open_{0};  ///< Connections that are served, or are about to be.
+  std::atomic<int> fibers_{0};  ///< That accept, and one for each connection.
   boost::intrusive::list<connection> connections_;
 };
 
@@ -427,11 +423,9 @@
   return running_;
 }
 
-int http_server::connections() const noexcept {
-  int open = 0;
-  for (const auto& accepting : listeners_)
-    open += accepting->connections();
-  return open;
+bool http_server::Drained() const noexcept {
+  return std::all_of(listeners_.begin(), listeners_.end(),
+                     [](const auto& accepting) { return accepting->fibers() == 0; });
 }
 
 }  // namespace quincebank
--- a/libs/net/tests/http_close_test.cc
+++ b/libs/net/tests/http_close_test.cc
@@ -83,7 +83,7 @@
   raw_client& sender = GetParam().kept ? client : late;
   sender.Send(kRequest);
   server->Close();
-  while (server->connections() > 0)
+  while (!server->Drained())
     std::this_thread::sleep_for(milliseconds(1));
   server.reset();
   const std::string head = sender.ReadHead();
@@ -110,6 +110,7 @@
   fiber_thread thread("server");
   http_limits limits;
   limits.read_timeout = seconds(20);
+  limits.body_bytes = std::uint64_t{1} * 1024 * 1024;
   const auto server = http_server::Listen(
                           {&thread}, {"127.0.0.1", 0}, [](http_exchange&) {}, limits)
                           .value();
