Reject at once what is known to wait in vain

Change: wait_plan and turn_pace, without I/O; the choice tells when the first cold limit opens. Only a turn that is predicted at twice the longest wait is not waited for.

--- a/libs/gateway/include/quincebank/gateway/gateway_service.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_service.h
@@ -21,6 +21,7 @@
 #include "quincebank/net/fiber_event.h"
 #include "quincebank/net/http_client.h"
 #include "quincebank/net/http_server.h"
+#include "quincebank/placement/turn_pace.h"
 #include "quincebank/placement/waiting_line.h"
 
 namespace quincebank {
@@ -36,6 +37,7 @@
   explicit service_line(std::size_t capacity) : line(capacity) {}
 
   waiting_line line;
+  turn_pace pace;
   fiber_broadcast changed;  ///< An upstream may have room, or a turn has passed on.
 };
 
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -9,6 +9,7 @@
 #include "quincebank/base/digest.h"
 #include "quincebank/placement/engine_room.h"
 #include "quincebank/placement/patience.h"
+#include "quincebank/placement/wait_plan.h"
 
 namespace quincebank {
 namespace {
@@ -33,8 +34,6 @@
 // Part of the gap objective that a pass may take, in percent: a held pass and the way to the client
 // need the rest.
 constexpr int kPassPercent = 80;
-// Part of the latency objective that a request waits for room before it is refused.
-constexpr int kWaitShare = 2;
 // When a client should come back whose route names a service that the configuration lacks.
 constexpr milliseconds kRetryUnknownService{1'000};
 
@@ -135,7 +134,7 @@
   std::vector<placement_candidate> views;
   const auto found = snapshot.upstreams.find(service_->name);
   if (found == snapshot.upstreams.end())
-    return {std::nullopt, placement_obstacle::kNoUpstream, false};
+    return {std::nullopt, placement_obstacle::kNoUpstream, false, time_point::max()};
   for (const known_upstream& upstream : found->second) {
     const upstream_record& record = upstream.record;
     if (record.leaving || snapshot.evacuated.contains(record.failure_domain))
@@ -154,7 +153,9 @@
                  (upstream.pulse && upstream.pulse->Stalled(now)) || StalledBefore(record);
     view.rests_until = upstream.evidence->rests_until();
     view.on_trial = upstream.evidence->on_trial();
-    view.rate_limited = !upstream.sender || !upstream.evidence->Allows(upstream.limit, now);
+    view.opens =
+        upstream.sender ? upstream.evidence->AllowedFrom(upstream.limit) : time_point::max();
+    view.rate_limited = view.opens > now;
     view.same_domain = record.failure_domain == shared_.settings.failure_domain;
     candidates.push_back(&upstream);
     views.push_back(view);
@@ -182,6 +183,7 @@
   std::vector<const known_upstream*> candidates;
   const placement placed = Place(*snapshot_, candidates);
   obstacle_ = placed.obstacle;
+  opens_ = placed.opens;
   if (!placed.chosen)
     return std::nullopt;
   return *candidates[*placed.chosen];
@@ -197,35 +199,45 @@
 std::optional<known_upstream> forward_flow::WaitForUpstream() {
   service_line& waiting = shared_.LineOf(service_->name);
   const line_request turn = Turn();
+  const time_point begun = Now();
+  obstacle_ = placement_obstacle::kFull;
+  opens_ = begun;
   if (waiting.line.empty()) {
     auto upstream = LookForUpstream();
     if (upstream) {
       waiting.line.Charge(turn);
       return upstream;
     }
+    waiting.pace.OnLineBegins(begun);
   }
+  const milliseconds longest = WaitFrom(begun, waiting.pace.WaitBehind(waiting.line.size(), begun));
   waiting_line::place place;
-  if (!waiting.line.Enter(place, turn)) {
-    obstacle_ = placement_obstacle::kFull;
+  if (longest.count() == 0 || !waiting.line.Enter(place, turn))
     return std::nullopt;
-  }
-  const time_point until =
-      Now() + std::min(route_->latency_objective / kWaitShare, Left() - kLeastTime);
   std::optional<known_upstream> upstream;
-  while (!client_gone_ && !upstream && Now() < until) {
+  while (!client_gone_ && !upstream && Now() < begun + longest) {
     // What comes with time alone, such as the end of a rest, is looked for now and then.
     waiting.changed.WaitFor(kPlaceRetry);
-    if (waiting.line.IsFirst(place))
-      upstream = LookForUpstream();
+    if (!waiting.line.IsFirst(place))
+      continue;
+    upstream = LookForUpstream();
+    if (!upstream && WaitFrom(Now(), milliseconds(0)).count() == 0)
+      break;
   }
-  if (upstream)
+  if (upstream) {
     waiting.line.Serve(place);
-  else
+    waiting.pace.OnTurn(Now());
+  } else {
     waiting.line.Leave(place);
+  }
   waiting.changed.NotifyAll();
   return upstream;
 }
 
+milliseconds forward_flow::WaitFrom(time_point now, milliseconds turn_wait) const {
+  return LongestWait(*route_, {obstacle_, opens_, turn_wait}, Left() - kLeastTime, now);
+}
+
 nanoseconds forward_flow::PassTime() const {
   return pulse_ ? pulse_->PassTime(Now()) : nanoseconds(0);
 }
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -48,9 +48,12 @@
   void Forward();
   /// \brief Looks once for an upstream with room.
   [[nodiscard]] std::optional<known_upstream> LookForUpstream();
+  /// \brief How long the request may wait from now on, as far as is known.
+  [[nodiscard]] milliseconds WaitFrom(time_point now, milliseconds turn_wait) const;
   /// \brief What decides the request's turn among those that wait.
   [[nodiscard]] line_request Turn() const;
-  /// \brief Waits a moment for an upstream with room, in turn with other requests.
+  /// \brief Waits a moment for an upstream with room, in turn with other requests, unless it is
+  /// known that the wait would be in vain.
   [[nodiscard]] std::optional<known_upstream> WaitForUpstream();
   [[nodiscard]] placement Place(const fleet_snapshot& snapshot,
                                 std::vector<const known_upstream*>& candidates);
@@ -92,6 +95,7 @@
   ref_ptr<call_cancellation> cancellation_;
   bool client_gone_ = false;
   placement_obstacle obstacle_ = placement_obstacle::kNone;
+  time_point opens_{};  ///< With an obstacle: no upstream takes the request before.
   std::vector<std::string> tried_;
   std::vector<std::string> stalled_groups_;  ///< Groups in which an attempt has stalled.
   ref_ptr<group_pulse> pulse_;               ///< Of the present attempt's group.
--- a/libs/placement/include/quincebank/placement/choose_upstream.h
+++ b/libs/placement/include/quincebank/placement/choose_upstream.h
@@ -21,6 +21,7 @@
   time_point rests_until{};
   bool on_trial = false;
   bool rate_limited = false;  ///< A further request would exceed what it takes when cold.
+  time_point opens{};         ///< When it takes the next one, if it is rate-limited.
   bool same_domain = false;   ///< In the failure domain of this entry.
 };
 
@@ -35,6 +36,7 @@
   std::optional<std::size_t> chosen;
   placement_obstacle obstacle = placement_obstacle::kNone;
   bool resting = false;  ///< The chosen one rests; there was no better one.
+  time_point opens{};    ///< If none is chosen: none takes the request before.
 };
 
 /// \brief Chooses the upstream with the shortest expected wait.
--- a/libs/placement/include/quincebank/placement/send_window.h
+++ b/libs/placement/include/quincebank/placement/send_window.h
@@ -58,7 +58,11 @@
 /// \brief Times of the last requests sent to one upstream.
 class send_window {
  public:
-  [[nodiscard]] bool Allows(const send_limit& limit, time_point now) const noexcept;
+  [[nodiscard]] bool Allows(const send_limit& limit, time_point now) const noexcept {
+    return now >= AllowedFrom(limit);
+  }
+  /// \brief When the next request may be sent; the past if there is no limit.
+  [[nodiscard]] time_point AllowedFrom(const send_limit& limit) const noexcept;
   void OnSend(const send_limit& limit, time_point now);
 
  private:
--- a/libs/placement/include/quincebank/placement/upstream_evidence.h
+++ b/libs/placement/include/quincebank/placement/upstream_evidence.h
@@ -37,6 +37,9 @@
   [[nodiscard]] bool Allows(const send_limit& limit, time_point now) const noexcept {
     return window_.Allows(limit, now);
   }
+  [[nodiscard]] time_point AllowedFrom(const send_limit& limit) const noexcept {
+    return window_.AllowedFrom(limit);
+  }
   [[nodiscard]] int in_flight() const noexcept { return in_flight_; }
   /// \brief Share of recent attempts that failed, 0 to 1; the newest weigh most.
   [[nodiscard]] double failure_share() const noexcept { return failure_share_; }
--- a/libs/placement/src/choose_upstream.cc
+++ b/libs/placement/src/choose_upstream.cc
@@ -1,5 +1,6 @@
 #include "quincebank/placement/choose_upstream.h"
 
+#include <algorithm>
 #include <array>
 
 namespace quincebank {
@@ -40,6 +41,9 @@
                          random_source& random) noexcept {
   placement best;
   best.obstacle = candidates.empty() ? placement_obstacle::kNoUpstream : placement_obstacle::kFull;
+  // A place in a full one may become free at any moment.
+  bool full = false;
+  time_point opens = time_point::max();
   double best_cost = 0;
   std::uint64_t usable = 0;
   std::uint64_t equals = 0;
@@ -48,10 +52,13 @@
   bool told = true;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const placement_candidate& candidate = candidates[i];
-    if (candidate.in_flight + candidate.reported.value_or(0) >= candidate.limit)
+    if (candidate.in_flight + candidate.reported.value_or(0) >= candidate.limit) {
+      full = true;
       continue;
+    }
     if (candidate.rate_limited) {
       best.obstacle = placement_obstacle::kRateLimited;
+      opens = std::min(opens, candidate.opens);
       continue;
     }
     if (candidate.rests || (candidate.on_trial && candidate.in_flight > 0)) {
@@ -79,6 +86,8 @@
   }
   if (best.chosen)
     best.obstacle = placement_obstacle::kNone;
+  else if (!full)
+    best.opens = opens;
   return best;
 }
 
--- a/libs/placement/src/send_window.cc
+++ b/libs/placement/src/send_window.cc
@@ -48,10 +48,10 @@
   return static_cast<std::size_t>(before) < senders;
 }
 
-bool send_window::Allows(const send_limit& limit, time_point now) const noexcept {
+time_point send_window::AllowedFrom(const send_limit& limit) const noexcept {
   if (limit.requests == 0 || sent_.size() < limit.requests)
-    return true;
-  return now - sent_[sent_.size() - limit.requests] >= limit.window;
+    return time_point::min();
+  return sent_[sent_.size() - limit.requests] + limit.window;
 }
 
 void send_window::OnSend(const send_limit& limit, time_point now) {
