Put the operators' limits of clients in force

Cause: the configuration's limits were read and used nowhere; the gateway took its own fixed ones (16 KB, 8 MB, 10 s for a whole request, 5 min idle). Change: a server may ask for its limits with each request; the head has a time limit of its own.

--- a/libs/gateway/include/quincebank/gateway/gateway_service.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_service.h
@@ -107,6 +107,8 @@
 
  private:
   [[nodiscard]] result<void> Listen(const endpoint& address, const http_handler& handler);
+  /// \brief What the operators' configuration lets clients send.
+  [[nodiscard]] http_limits LimitsOfClients() const;
   void ServeMetrics(http_exchange& exchange);
 
   const gateway_settings& settings_;
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -105,13 +105,11 @@
   engines_ = std::make_unique<agent_engine_port>(*rpc_client_, settings_.agent_port,
                                                  std::move(engines), log_);
   steering_ = std::make_unique<expert_steering>(*sync_, *engines_, log_, shared_.snapshots);
-  http_limits limits;
-  limits.idle_timeout = std::chrono::minutes(5);
-  BOOST_OUTCOME_TRY(
-      clients_,
-      http_server::Listen(
-          {&traffic_}, settings_.clients,
-          [this](http_exchange& exchange) { forward_flow(shared_, exchange).Run(); }, limits));
+  BOOST_OUTCOME_TRY(clients_,
+                    http_server::Listen(
+                        {&traffic_}, settings_.clients,
+                        [this](http_exchange& exchange) { forward_flow(shared_, exchange).Run(); },
+                        http_limits_source([this] { return LimitsOfClients(); })));
   BOOST_OUTCOME_TRY(Listen(settings_.readiness, handlers.readiness));
   BOOST_OUTCOME_TRY(Listen(settings_.directory, handlers.directory));
   BOOST_OUTCOME_TRY(Listen(settings_.metrics, [this](http_exchange& e) { ServeMetrics(e); }));
@@ -128,6 +126,17 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+http_limits gateway_service::LimitsOfClients() const {
+  const auto catalog = shared_.snapshots.Get()->catalog;
+  const client_limits configured = catalog ? catalog->limits() : client_limits{};
+  http_limits limits;
+  limits.header_bytes = configured.header_bytes;
+  limits.body_bytes = configured.body_bytes;
+  limits.header_timeout = configured.header_timeout;
+  limits.idle_timeout = configured.idle_timeout;
+  return limits;
+}
+
 bool gateway_service::Ready() const {
   return !leaving_ && shared_.snapshots.Get()->catalog;
 }
--- a/libs/net/include/quincebank/net/http_server.h
+++ b/libs/net/include/quincebank/net/http_server.h
@@ -42,11 +42,15 @@
 struct http_limits {
   std::uint32_t header_bytes = 16U * 1024U;
   std::uint64_t body_bytes = 8ULL * 1024U * 1024U;
-  milliseconds idle_timeout{60'000};   ///< Between requests of one connection.
-  milliseconds read_timeout{10'000};   ///< For a whole request, from its first byte.
-  milliseconds write_timeout{10'000};  ///< For each write of an answer.
+  milliseconds idle_timeout{60'000};    ///< Between requests of one connection.
+  milliseconds header_timeout{10'000};  ///< For a request's head, from its first byte.
+  milliseconds read_timeout{10'000};    ///< For the rest of a request, from the end of its head.
+  milliseconds write_timeout{10'000};   ///< For each write of an answer.
 };
 
+/// \brief Tells the limits in force; asked for each request by the thread of its connection.
+using http_limits_source = std::function<http_limits()>;
+
 /// \brief HTTP/1.1 server that runs a fiber for each connection.
 ///
 /// Each thread accepts on a socket of its own (SO_REUSEPORT), so that connections stay on one
@@ -60,6 +64,12 @@
       const endpoint& address,
       http_handler handler,
       const http_limits& limits = {});
+  /// \brief The same with limits that may change while the server runs.
+  [[nodiscard]] static result<std::unique_ptr<http_server>> Listen(
+      const std::vector<fiber_thread*>& threads,
+      const endpoint& address,
+      http_handler handler,
+      http_limits_source limits);
 
   ~http_server();
   http_server(const http_server&) = delete;
@@ -82,11 +92,11 @@
  private:
   class listener;
   friend class listener;
-  http_server(endpoint address, http_handler handler, const http_limits& limits);
+  http_server(endpoint address, http_handler handler, http_limits_source limits);
 
   endpoint address_;
   http_handler handler_;
-  http_limits limits_;
+  http_limits_source limits_;
   std::atomic<bool> announce_close_{false};
   std::atomic<int> running_{0};
   std::vector<std::shared_ptr<listener>> listeners_;
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -286,7 +286,7 @@
   }
 
   void Serve(tcp::socket socket) {
-    connection peer(std::move(socket), kMostBuffered + server_.limits_.header_bytes);
+    connection peer(std::move(socket), kMostBuffered + server_.limits_().header_bytes);
     connections_.push_back(peer);
     // Whatever ends the loop, the list must not keep the connection.
     RunGuarded("connection", [&] {
@@ -300,12 +300,13 @@
 
   bool ServeOne(connection& peer) {
     http::request_parser<http::string_body> parser;
-    parser.header_limit(server_.limits_.header_bytes);
-    parser.body_limit(server_.limits_.body_bytes);
+    const http_limits limits = server_.limits_();
+    parser.header_limit(limits.header_bytes);
+    parser.body_limit(limits.body_bytes);
     peer.idle = true;
     if (peer.buffer.size() == 0) {
       const io_outcome first = Await([&](auto handler) {
-        peer.stream.expires_after(server_.limits_.idle_timeout);
+        peer.stream.expires_after(limits.idle_timeout);
         peer.stream.async_read_some(peer.buffer.prepare(kReadBytes), std::move(handler));
       });
       if (first.ec)
@@ -315,24 +316,32 @@
     peer.idle = false;
     ++server_.running_;
     bool again = false;
-    RunGuarded("request", [&] { again = Answer(peer, parser); });
+    RunGuarded("request", [&] { again = Answer(peer, parser, limits); });
     --server_.running_;
     return again;
   }
 
-  bool Answer(connection& peer, http::request_parser<http::string_body>& parser) {
-    const io_outcome read = Await([&](auto handler) {
-      peer.stream.expires_after(server_.limits_.read_timeout);
-      http::async_read(peer.stream, peer.buffer, parser, std::move(handler));
+  bool Answer(connection& peer,
+              http::request_parser<http::string_body>& parser,
+              const http_limits& limits) {
+    io_outcome read = Await([&](auto handler) {
+      peer.stream.expires_after(limits.header_timeout);
+      http::async_read_header(peer.stream, peer.buffer, parser, std::move(handler));
     });
+    if (!read.ec && !parser.is_done()) {
+      read = Await([&](auto handler) {
+        peer.stream.expires_after(limits.read_timeout);
+        http::async_read(peer.stream, peer.buffer, parser, std::move(handler));
+      });
+    }
     const bool keep_alive =
         !read.ec && parser.keep_alive() && !closing_ && !server_.announce_close_;
     const http_request request = read.ec ? http_request{} : ToRequest(parser.release());
-    beast_exchange exchange(peer, request, server_.limits_, keep_alive);
+    beast_exchange exchange(peer, request, limits, keep_alive);
     if (read.ec) {
       if (read.ec.category() == http::make_error_code(http::error::body_limit).category()) {
         exchange.Respond(RefuseParse(read.ec));
-        DiscardRest(peer, kDiscardedBodies * server_.limits_.body_bytes);
+        DiscardRest(peer, kDiscardedBodies * limits.body_bytes);
       }
       return false;
     }
@@ -368,13 +377,21 @@
   boost::intrusive::list<connection> connections_;
 };
 
-http_server::http_server(endpoint address, http_handler handler, const http_limits& limits)
-    : address_(std::move(address)), handler_(std::move(handler)), limits_(limits) {}
+http_server::http_server(endpoint address, http_handler handler, http_limits_source limits)
+    : address_(std::move(address)), handler_(std::move(handler)), limits_(std::move(limits)) {}
 
 result<std::unique_ptr<http_server>> http_server::Listen(const std::vector<fiber_thread*>& threads,
                                                          const endpoint& address,
                                                          http_handler handler,
                                                          const http_limits& limits) {
+  return Listen(threads, address, std::move(handler),
+                http_limits_source([limits] { return limits; }));
+}
+
+result<std::unique_ptr<http_server>> http_server::Listen(const std::vector<fiber_thread*>& threads,
+                                                         const endpoint& address,
+                                                         http_handler handler,
+                                                         http_limits_source limits) {
   boost::system::error_code ec;
   const auto ip = asio::ip::make_address(address.address, ec);
   if (ec) {
@@ -385,7 +402,8 @@
     return MakeError(error_code::kUnavailable,
                      "can't listen on " + ToString(address) + ": " + ec.message());
   }
-  std::unique_ptr<http_server> server(new http_server(address, std::move(handler), limits));
+  std::unique_ptr<http_server> server(
+      new http_server(address, std::move(handler), std::move(limits)));
   for (fiber_thread* const thread : threads) {
     auto accepting = std::make_shared<listener>(*server, *thread);
     ec = accepting->Bind({ip, server->address_.port});
