--- a/libs/gateway/src/expert_steering.cc
+++ b/libs/gateway/src/expert_steering.cc
@@ -137,10 +137,10 @@
       continue;
     // The role is claimed before groups have formed, so that they are balanced as soon as they
     // have.
-    if (!sync_.IsCoordinator()) {
+    if (!sync_.IsCoordinator())
       sync_.ClaimCoordination();
+    if (!sync_.IsCoordinator())
       continue;
-    }
     for (const auto& [name, view] : Groups()) {
       group_memory& memory = groups_[name];
       if (memory.running)
