Ask engines for their present loads before a request is sent to a busy one

Load pattern: a burst of 1.7 times the traffic while a failure domain is evacuated. Ruled out: the best of all by told loads (herds); shorter periods of told loads (250 a second arrive at an entry already). Change: from half of the slots on the chosen engine and three others that were drawn are asked by datagram, for 15 ms at most; an agent answers with a fresh report. Silent ones keep what they told last.

--- a/libs/expert_control/include/quincebank/expert_control/load_messages.h
+++ b/libs/expert_control/include/quincebank/expert_control/load_messages.h
@@ -12,7 +12,7 @@
 /// \brief Asks an agent for the load of the engine beside it, until the subscription lapses.
 struct load_subscription {
   std::string upstream;    ///< Engine that the entry believes to be there.
-  milliseconds period{0};  ///< Between two loads.
+  milliseconds period{0};  ///< Between two loads; 0 asks for a single one at once.
 
   [[nodiscard]] bool operator==(const load_subscription&) const = default;
 };
--- a/libs/gateway/include/quincebank/gateway/gateway_metrics.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_metrics.h
@@ -25,6 +25,9 @@
       {"quincebank_repeats_total", "Attempts after the first one of a request.", {}});
   counter& resumed = registry.AddCounter(
       {"quincebank_streams_resumed_total", "Streams that went on at another upstream.", {}});
+  counter& asked = registry.AddCounter({"quincebank_engines_asked_total",
+                                        "Choices for which engines told their present loads.",
+                                        {}});
   counter& lookups =
       registry.AddCounter({"quincebank_lookups_total", "Look-ups of entry addresses.", {}});
   gauge& config_version = registry.AddGauge(
--- a/libs/gateway/include/quincebank/gateway/gateway_service.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_service.h
@@ -62,6 +62,7 @@
   gateway_metrics metrics;
   random_source random;
   const time_point process_started = Now();
+  load_watch* loads = nullptr;  ///< Null if engines have no agents.
   http_client* http = nullptr;
   std::map<std::string, repeat_share, std::less<>> repeats;
   std::map<std::string, service_line, std::less<>> lines;
--- a/libs/gateway/include/quincebank/gateway/load_watch.h
+++ b/libs/gateway/include/quincebank/gateway/load_watch.h
@@ -3,12 +3,14 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 
 #include "quincebank/base/event_log.h"
 #include "quincebank/expert_control/load_messages.h"
 #include "quincebank/gateway/fleet_snapshot.h"
 #include "quincebank/net/datagram_socket.h"
+#include "quincebank/net/fiber_event.h"
 #include "quincebank/net/fiber_thread.h"
 
 namespace quincebank {
@@ -33,16 +35,21 @@
   /// \param address  where loads arrive.
   [[nodiscard]] result<void> Start(fiber_thread& thread, const endpoint& address);
 
+  /// \brief Asks engines for their present loads and suspends the fiber until they have told them,
+  /// for some milliseconds at most. Those that are silent keep what they told last.
+  void Ask(std::span<const known_upstream* const> upstreams);
+
  private:
   void SubscribeLoop();
   void ReceiveLoop();
-  void Take(const engine_load& load) const;
+  void Take(const engine_load& load);
 
   const fleet_snapshot_box& box_;
   const std::uint16_t agent_port_;
   event_log& log_;
   const std::function<void(const std::string&)> on_load_;
   std::unique_ptr<datagram_socket> socket_;
+  fiber_broadcast told_;
   stop_signal stop_;
   std::atomic<int> running_{0};  ///< Loops that have not ended.
 };
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -129,7 +129,8 @@
 }
 
 placement forward_flow::Place(const fleet_snapshot& snapshot,
-                              std::vector<const known_upstream*>& candidates) {
+                              std::vector<const known_upstream*>& candidates,
+                              std::span<const known_upstream* const> among) {
   const time_point now = Now();
   std::vector<placement_candidate> views;
   const auto found = snapshot.upstreams.find(service_->name);
@@ -137,6 +138,8 @@
     return {std::nullopt, placement_obstacle::kNoUpstream, false, time_point::max()};
   for (const known_upstream& upstream : found->second) {
     const upstream_record& record = upstream.record;
+    if (!among.empty() && std::find(among.begin(), among.end(), &upstream) == among.end())
+      continue;
     if (record.leaving || snapshot.evacuated.contains(record.failure_domain))
       continue;
     if (std::find(tried_.begin(), tried_.end(), record.id) != tried_.end())
@@ -186,7 +189,21 @@
   opens_ = placed.opens;
   if (!placed.chosen)
     return std::nullopt;
-  return *candidates[*placed.chosen];
+  if (placed.rival_count == 0 || shared_.loads == nullptr)
+    return *candidates[*placed.chosen];
+  std::vector<const known_upstream*> asked{candidates[*placed.chosen]};
+  for (std::size_t i = 0; i < placed.rival_count; ++i)
+    asked.push_back(candidates[placed.rivals.at(i)]);
+  shared_.metrics.asked.Add();
+  shared_.loads->Ask(asked);
+  // Other requests may have been sent meanwhile, so that all is looked at again.
+  candidates.clear();
+  const placement better = Place(*snapshot_, candidates, asked);
+  if (better.chosen)
+    return *candidates[*better.chosen];
+  obstacle_ = placement_obstacle::kFull;
+  opens_ = Now();
+  return std::nullopt;
 }
 
 line_request forward_flow::Turn() const {
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -55,8 +56,10 @@
   /// \brief Waits a moment for an upstream with room, in turn with other requests, unless it is
   /// known that the wait would be in vain.
   [[nodiscard]] std::optional<known_upstream> WaitForUpstream();
+  /// \param among  upstreams to choose from; all of the service's if empty.
   [[nodiscard]] placement Place(const fleet_snapshot& snapshot,
-                                std::vector<const known_upstream*>& candidates);
+                                std::vector<const known_upstream*>& candidates,
+                                std::span<const known_upstream* const> among = {});
   /// \brief Adds what the agent beside an engine has told of it.
   void AddEngineLoad(const known_upstream& upstream, int others, placement_candidate& view) const;
   [[nodiscard]] attempt_report Send(const known_upstream& upstream);
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -79,10 +79,10 @@
     steering_->Stop();
     steering_->Join();
   }
+  clients_.reset();
   loads_.reset();
   if (sync_)
     sync_->Stop();
-  clients_.reset();
   servers_.clear();
 }
 
@@ -117,10 +117,6 @@
   BOOST_OUTCOME_TRY(auto peers, http_server::Listen({&control_}, settings_.peers,
                                                     [this](http_exchange& e) { rpc_.Serve(e); }));
   servers_.push_back(std::move(peers));
-  loads_ =
-      std::make_unique<load_watch>(shared_.snapshots, settings_.agent_port, log_,
-                                   [this](const std::string& service) { shared_.OnRoom(service); });
-  BOOST_OUTCOME_TRY(loads_->Start(traffic_, settings_.peers));
   BOOST_OUTCOME_TRY(sync_->Start(control_));
   steering_->Start(control_);
   return BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/libs/gateway/src/load_watch.cc
+++ b/libs/gateway/src/load_watch.cc
@@ -18,6 +18,9 @@
 // Added to the period by each engine: at most 250 loads a second arrive at an entry.
 constexpr milliseconds kPeriodPerEngine{4};
 constexpr milliseconds kStopPoll{2};
+// For the answers of agents that are asked: several round trips within a region, and a small part
+// of any latency objective.
+constexpr milliseconds kAnswerTime{15};
 
 }  // namespace
 
@@ -93,7 +96,26 @@
   }
 }
 
-void load_watch::Take(const engine_load& load) const {
+void load_watch::Ask(std::span<const known_upstream* const> upstreams) {
+  if (!socket_)
+    return;
+  const time_point asked = Now();
+  for (const known_upstream* const upstream : upstreams) {
+    const std::string& id = upstream->record.id;
+    if (!socket_->Send({upstream->record.address.address, agent_port_},
+                       Encode(load_subscription{id, milliseconds(0)})))
+      log_.Write(event_line("load.not_asked").Add("upstream", id));
+  }
+  const auto told = [&] {
+    return std::all_of(upstreams.begin(), upstreams.end(), [&](const known_upstream* upstream) {
+      return upstream->evidence->told() >= asked;
+    });
+  };
+  for (time_point now = asked; now < asked + kAnswerTime && !told(); now = Now())
+    told_.WaitFor(std::chrono::ceil<milliseconds>(asked + kAnswerTime - now));
+}
+
+void load_watch::Take(const engine_load& load) {
   const auto snapshot = box_.Get();
   const time_point now = Now();
   for (const auto& [service, upstreams] : snapshot->upstreams) {
@@ -107,6 +129,7 @@
       found->pulse->OnStep(load.step, now);
       found->pulse->OnRunning(load.running);
     }
+    told_.NotifyAll();
     on_load_(service);
     return;
   }
--- a/libs/placement/include/quincebank/placement/choose_upstream.h
+++ b/libs/placement/include/quincebank/placement/choose_upstream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -32,11 +33,18 @@
   kRateLimited,  ///< All with room have got as much as a cold upstream may get.
 };
 
+/// Engines that are asked for their loads beside the chosen one.
+inline constexpr std::size_t kMostRivals = 3;
+
 struct placement {
   std::optional<std::size_t> chosen;
   placement_obstacle obstacle = placement_obstacle::kNone;
   bool resting = false;  ///< The chosen one rests; there was no better one.
   time_point opens{};    ///< If none is chosen: none takes the request before.
+  /// Engines that were drawn beside the chosen one. Set where it is worth asking all of them for
+  /// their present loads before the request is sent.
+  std::array<std::size_t, kMostRivals> rivals{};
+  std::size_t rival_count = 0;
 };
 
 /// \brief Chooses the upstream with the shortest expected wait.
@@ -47,6 +55,11 @@
 ///
 /// Where the loads of engines are told, it is the better of two that are drawn: all entries see the
 /// same figures, some hundred milliseconds old, and would otherwise send to the same engine.
+///
+/// Answers a burst in which engines are nearly full: in the time that a load takes to be told, an
+/// engine gets several requests of entries that do not know of each other, and those that come last
+/// wait for a whole answer although other engines have free slots. Some that were drawn are then
+/// to be asked.
 [[nodiscard]] placement ChooseUpstream(std::span<const placement_candidate> candidates,
                                        random_source& random) noexcept;
 
--- a/libs/placement/include/quincebank/placement/upstream_evidence.h
+++ b/libs/placement/include/quincebank/placement/upstream_evidence.h
@@ -31,6 +31,9 @@
   /// \brief Requests of other entries as last told; nothing if that is too long ago.
   [[nodiscard]] std::optional<int> others(time_point now) const noexcept;
 
+  /// \brief When the engine last told its load.
+  [[nodiscard]] time_point told() const noexcept { return told_; }
+
   /// \brief Another rank of its group is gone, so that it can't serve for a while.
   void OnGroupStalled(time_point now);
 
--- a/libs/placement/src/choose_upstream.cc
+++ b/libs/placement/src/choose_upstream.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace quincebank {
 namespace {
@@ -15,6 +16,14 @@
 // others down by a part of theirs.
 constexpr double kQueuedCost = 2;
 
+// Share of its slots from which an engine is asked for its present load: below, a few requests that
+// are not known of do not fill it.
+constexpr double kAskShare = 0.5;
+
+bool IsBusy(const placement_candidate& candidate) noexcept {
+  return candidate.in_flight + candidate.reported.value_or(0) >= candidate.slots * kAskShare;
+}
+
 double Cost(const placement_candidate& candidate) noexcept {
   const double in_flight = candidate.in_flight + candidate.reported.value_or(0) + 1.0;
   const double slots = candidate.slots;
@@ -25,8 +34,11 @@
   return cost * (1 + kFailureCost * candidate.failure_share);
 }
 
-/// Keeps two of the usable candidates seen so far, each pair with the same probability.
-void Draw(std::array<std::size_t, 2>& drawn,
+// Engines that are drawn; the better of the first two is chosen.
+constexpr std::size_t kDrawn = kMostRivals + 1;
+
+/// Keeps some of the usable candidates seen so far, each choice with the same probability.
+void Draw(std::array<std::size_t, kDrawn>& drawn,
           std::uint64_t usable,
           std::size_t candidate,
           random_source& random) noexcept {
@@ -48,7 +60,7 @@
   std::uint64_t usable = 0;
   std::uint64_t equals = 0;
   std::optional<std::size_t> fallback;
-  std::array<std::size_t, 2> drawn{};
+  std::array<std::size_t, kDrawn> drawn{};
   bool told = true;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const placement_candidate& candidate = candidates[i];
@@ -78,8 +90,18 @@
     best.chosen = i;
     best_cost = cost;
   }
-  if (told && usable > drawn.size())
-    best.chosen = Cost(candidates[drawn[0]]) <= Cost(candidates[drawn[1]]) ? drawn[0] : drawn[1];
+  if (told && usable > drawn.size()) {
+    // Only the set of the drawn ones is random, not their order.
+    std::swap(drawn[0], drawn.at(random.Below(kDrawn)));
+    std::swap(drawn[1], drawn.at(1 + random.Below(kDrawn - 1)));
+    if (Cost(candidates[drawn[1]]) < Cost(candidates[drawn[0]]))
+      std::swap(drawn[0], drawn[1]);
+    best.chosen = drawn[0];
+    if (IsBusy(candidates[drawn[0]])) {
+      best.rival_count = kMostRivals;
+      std::copy(drawn.begin() + 1, drawn.end(), best.rivals.begin());
+    }
+  }
   if (!best.chosen && fallback) {
     best.chosen = fallback;
     best.resting = true;
--- a/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
+++ b/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
@@ -6,11 +6,13 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "quincebank/base/error.h"
 #include "quincebank/expert_control/count_window.h"
 #include "quincebank/expert_control/engine_port.h"
 #include "quincebank/net/datagram_socket.h"
+#include "quincebank/net/fiber_event.h"
 #include "quincebank/net/fiber_thread.h"
 #include "quincebank/net/http_client.h"
 #include "quincebank/net/http_server.h"
@@ -71,6 +73,9 @@
 
   void ReceiveLoop();
   void PushLoop();
+  /// \brief Answers entries that ask for the present load. Those that ask while the engine is being
+  /// read share the next report.
+  void AnswerLoop();
   /// \brief Sends the load of one engine to the subscribers that are due.
   void Push(const std::string& upstream, const std::vector<endpoint>& receivers);
   [[nodiscard]] result<boost::json::value> Report(const rank_question& question);
@@ -87,6 +92,8 @@
   std::unique_ptr<datagram_socket> socket_;
   count_recorder counts_;
   std::map<endpoint, subscriber> subscribers_;
+  std::map<std::string, std::vector<endpoint>> asked_;  ///< By engine.
+  fiber_event asked_event_;
   stop_signal stop_;
   std::atomic<int> running_{0};  ///< Loops that have not ended.
 };
--- a/libs/rank_agent/src/rank_agent.cc
+++ b/libs/rank_agent/src/rank_agent.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "quincebank/base/clock.h"
@@ -21,6 +22,8 @@
 // Subscriptions are renewed every second, so that two may be lost.
 constexpr milliseconds kSubscriptionLife{3'500};
 constexpr milliseconds kStopPoll{2};
+// Entries that wait for one answer; those beyond it do without.
+constexpr std::size_t kMostAskers = 64;
 
 /// Leaves room for all reads of one process in the numbers of a JSON message.
 std::uint64_t FirstMark() {
@@ -97,8 +100,8 @@
   BOOST_OUTCOME_TRY(server_, http_server::Listen({&thread_}, settings_.address,
                                                  [this](http_exchange& e) { rpc_.Serve(e); }));
   BOOST_OUTCOME_TRY(socket_, datagram_socket::Bind(thread_, server_->address()));
-  constexpr std::array<void (rank_agent::*)(), 2> kLoops{&rank_agent::ReceiveLoop,
-                                                         &rank_agent::PushLoop};
+  constexpr std::array<void (rank_agent::*)(), 3> kLoops{
+      &rank_agent::ReceiveLoop, &rank_agent::PushLoop, &rank_agent::AnswerLoop};
   for (const auto loop : kLoops) {
     ++running_;
     thread_.SpawnLoop(
@@ -115,6 +118,13 @@
     const auto asked = DecodeSubscription(received.value().payload);
     if (!asked)
       continue;  // Anyone may send here; entries repeat what is lost.
+    if (asked.value().period.count() == 0) {
+      std::vector<endpoint>& askers = asked_[asked.value().upstream];
+      if (askers.size() < kMostAskers)
+        askers.push_back(received.value().sender);
+      asked_event_.Set();
+      continue;
+    }
     const time_point now = Now();
     subscriber& entry = subscribers_[received.value().sender];
     entry.upstream = asked.value().upstream;
@@ -139,6 +149,16 @@
   }
 }
 
+void rank_agent::AnswerLoop() {
+  while (!stop_.IsSet()) {
+    if (!asked_event_.WaitFor(kPushTick))
+      continue;
+    const auto asked = std::exchange(asked_, {});
+    for (const auto& [upstream, askers] : asked)
+      Push(upstream, askers);
+  }
+}
+
 void rank_agent::Push(const std::string& upstream, const std::vector<endpoint>& receivers) {
   upstream_record rank;
   rank.id = upstream;
