--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -195,6 +195,7 @@
   for (std::size_t i = 0; i < placed.rival_count; ++i)
     asked.push_back(candidates[placed.rivals.at(i)]);
   shared_.metrics.asked.Add();
+  asked_ += static_cast<int>(asked.size());
   shared_.loads->Ask(asked);
   // Other requests may have been sent meanwhile, so that all is looked at again.
   candidates.clear();
--- a/libs/gateway/src/forward_report.cc
+++ b/libs/gateway/src/forward_report.cc
@@ -84,6 +84,12 @@
       .Add("failure_share", upstream.evidence->failure_share())
       .Add("upstream_revision", upstream.record.store_revision)
       .Add("ms", took);
+  if (upstream.evidence->told() != time_point{}) {
+    line.Add("others", upstream.evidence->told_load())
+        .Add("told_ms",
+             std::chrono::duration_cast<milliseconds>(Now() - upstream.evidence->told()));
+  }
+  line.Add("asked", asked_);
   if (!report.reason.empty())
     line.Add("reason", report.reason);
   if (last_event_)
