--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -105,6 +105,11 @@
   engines_ = std::make_unique<agent_engine_port>(*rpc_client_, settings_.agent_port,
                                                  std::move(engines), log_);
   steering_ = std::make_unique<expert_steering>(*sync_, *engines_, log_, shared_.snapshots);
+  loads_ =
+      std::make_unique<load_watch>(shared_.snapshots, settings_.agent_port, log_,
+                                   [this](const std::string& service) { shared_.OnRoom(service); });
+  BOOST_OUTCOME_TRY(loads_->Start(traffic_, settings_.peers));
+  shared_.loads = loads_.get();
   BOOST_OUTCOME_TRY(clients_,
                     http_server::Listen(
                         {&traffic_}, settings_.clients,
