--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -189,7 +189,7 @@
   opens_ = placed.opens;
   if (!placed.chosen)
     return std::nullopt;
-  if (placed.rival_count == 0 || shared_.loads == nullptr)
+  if (!placed.ask || shared_.loads == nullptr)
     return *candidates[*placed.chosen];
   std::vector<const known_upstream*> asked{candidates[*placed.chosen]};
   for (std::size_t i = 0; i < placed.rival_count; ++i)
--- a/libs/placement/include/quincebank/placement/choose_upstream.h
+++ b/libs/placement/include/quincebank/placement/choose_upstream.h
@@ -41,9 +41,10 @@
   placement_obstacle obstacle = placement_obstacle::kNone;
   bool resting = false;  ///< The chosen one rests; there was no better one.
   time_point opens{};    ///< If none is chosen: none takes the request before.
-  /// Engines that were drawn beside the chosen one. Set where it is worth asking all of them for
-  /// their present loads before the request is sent.
-  std::array<std::size_t, kMostRivals> rivals{};
+  /// Whether it is worth asking the chosen engine and its rivals for their present loads before the
+  /// request is sent.
+  bool ask = false;
+  std::array<std::size_t, kMostRivals> rivals{};  ///< Drawn beside the chosen one.
   std::size_t rival_count = 0;
 };
 
--- a/libs/placement/src/choose_upstream.cc
+++ b/libs/placement/src/choose_upstream.cc
@@ -47,6 +47,24 @@
     drawn[place] = candidate;
 }
 
+/// Chooses the better of two of the drawn engines, the first of which is sent to if nobody is
+/// asked. Only the set of the drawn ones is random, not their order.
+void DecideByLoads(std::span<const placement_candidate> candidates,
+                   std::span<std::size_t> drawn,
+                   random_source& random,
+                   placement& best) noexcept {
+  std::swap(drawn[0], drawn[random.Below(drawn.size())]);
+  if (drawn.size() > 1) {
+    std::swap(drawn[1], drawn[1 + random.Below(drawn.size() - 1)]);
+    if (Cost(candidates[drawn[1]]) < Cost(candidates[drawn[0]]))
+      std::swap(drawn[0], drawn[1]);
+  }
+  best.chosen = drawn[0];
+  best.ask = IsBusy(candidates[drawn[0]]);
+  best.rival_count = drawn.size() - 1;
+  std::copy(drawn.begin() + 1, drawn.end(), best.rivals.begin());
+}
+
 }  // namespace
 
 placement ChooseUpstream(std::span<const placement_candidate> candidates,
@@ -90,18 +108,9 @@
     best.chosen = i;
     best_cost = cost;
   }
-  if (told && usable > drawn.size()) {
-    // Only the set of the drawn ones is random, not their order.
-    std::swap(drawn[0], drawn.at(random.Below(kDrawn)));
-    std::swap(drawn[1], drawn.at(1 + random.Below(kDrawn - 1)));
-    if (Cost(candidates[drawn[1]]) < Cost(candidates[drawn[0]]))
-      std::swap(drawn[0], drawn[1]);
-    best.chosen = drawn[0];
-    if (IsBusy(candidates[drawn[0]])) {
-      best.rival_count = kMostRivals;
-      std::copy(drawn.begin() + 1, drawn.end(), best.rivals.begin());
-    }
-  }
+  if (told && usable > 0)
+    DecideByLoads(candidates, std::span(drawn).first(std::min<std::size_t>(usable, kDrawn)), random,
+                  best);
   if (!best.chosen && fallback) {
     best.chosen = fallback;
     best.resting = true;
--- a/libs/placement/tests/herd_test.cc
+++ b/libs/placement/tests/herd_test.cc
@@ -67,9 +67,10 @@
     if (!placed.chosen)
       continue;
     std::size_t chosen = *placed.chosen;
-    if (ask && placed.rival_count > 0) {
+    if (ask && placed.ask) {
       std::vector<std::size_t> asked{chosen};
-      asked.insert(asked.end(), placed.rivals.begin(), placed.rivals.end());
+      asked.insert(asked.end(), placed.rivals.begin(),
+                   placed.rivals.begin() + static_cast<std::ptrdiff_t>(placed.rival_count));
       std::vector<placement_candidate> answered;
       for (const std::size_t engine : asked) {
         others[entry][engine] = total[engine] - own[entry][engine];
