--- a/libs/placement/src/choose_upstream.cc
+++ b/libs/placement/src/choose_upstream.cc
@@ -47,22 +47,25 @@
     drawn[place] = candidate;
 }
 
-/// Chooses the better of two of the drawn engines, the first of which is sent to if nobody is
-/// asked. Only the set of the drawn ones is random, not their order.
+/// Chooses among the drawn engines: the better of two if there are more than were drawn, since
+/// their loads are old and known to all entries alike, and the best one otherwise. \param more
+/// whether there are more usable engines.
 void DecideByLoads(std::span<const placement_candidate> candidates,
                    std::span<std::size_t> drawn,
+                   bool more,
                    random_source& random,
                    placement& best) noexcept {
-  std::swap(drawn[0], drawn[random.Below(drawn.size())]);
-  if (drawn.size() > 1) {
+  if (more) {
+    // Only the set of the drawn ones is random, not their order.
+    std::swap(drawn[0], drawn[random.Below(drawn.size())]);
     std::swap(drawn[1], drawn[1 + random.Below(drawn.size() - 1)]);
-    if (Cost(candidates[drawn[1]]) < Cost(candidates[drawn[0]]))
-      std::swap(drawn[0], drawn[1]);
+    best.chosen = Cost(candidates[drawn[1]]) < Cost(candidates[drawn[0]]) ? drawn[1] : drawn[0];
+  }
+  best.ask = IsBusy(candidates[*best.chosen]);
+  for (const std::size_t engine : drawn) {
+    if (engine != *best.chosen)
+      best.rivals.at(best.rival_count++) = engine;
   }
-  best.chosen = drawn[0];
-  best.ask = IsBusy(candidates[drawn[0]]);
-  best.rival_count = drawn.size() - 1;
-  std::copy(drawn.begin() + 1, drawn.end(), best.rivals.begin());
 }
 
 }  // namespace
@@ -108,9 +111,10 @@
     best.chosen = i;
     best_cost = cost;
   }
-  if (told && usable > 0)
-    DecideByLoads(candidates, std::span(drawn).first(std::min<std::size_t>(usable, kDrawn)), random,
-                  best);
+  if (told && usable > 0) {
+    const auto count = std::min<std::size_t>(usable, kDrawn);
+    DecideByLoads(candidates, std::span(drawn).first(count), usable > kDrawn, random, best);
+  }
   if (!best.chosen && fallback) {
     best.chosen = fallback;
     best.resting = true;
