--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -163,7 +163,13 @@
     candidates.push_back(&upstream);
     views.push_back(view);
   }
-  return ChooseUpstream(views, shared_.random);
+  const placement placed = ChooseUpstream(views, shared_.random);
+  if (placed.chosen) {
+    sent_to_ = views[*placed.chosen];
+    told_age_ = std::chrono::duration_cast<milliseconds>(
+        now - candidates[*placed.chosen]->evidence->told());
+  }
+  return placed;
 }
 
 void forward_flow::AddEngineLoad(const known_upstream& upstream,
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -102,7 +102,9 @@
   std::vector<std::string> tried_;
   std::vector<std::string> stalled_groups_;  ///< Groups in which an attempt has stalled.
   ref_ptr<group_pulse> pulse_;               ///< Of the present attempt's group.
-  int asked_ = 0;  ///< Engines that were asked for their loads, for all attempts.
+  placement_candidate sent_to_;  ///< What the last choice read of the chosen upstream ...
+  milliseconds told_age_{0};     ///< ... and the age of its told load.
+  int asked_ = 0;                ///< Engines that were asked for their loads, for all attempts.
   int sends_ = 0;
   int runs_ = 0;  ///< Attempts that may have run.
   verdict ran_ = verdict::kNotRun;
--- a/libs/gateway/src/forward_report.cc
+++ b/libs/gateway/src/forward_report.cc
@@ -84,12 +84,11 @@
       .Add("failure_share", upstream.evidence->failure_share())
       .Add("upstream_revision", upstream.record.store_revision)
       .Add("ms", took);
-  if (upstream.evidence->told() != time_point{}) {
-    line.Add("others", upstream.evidence->told_load())
-        .Add("told_ms",
-             std::chrono::duration_cast<milliseconds>(Now() - upstream.evidence->told()));
-  }
-  line.Add("asked", asked_);
+  line.Add("load", sent_to_.in_flight + sent_to_.reported.value_or(0))
+      .Add("limit", sent_to_.limit)
+      .Add("asked", asked_);
+  if (sent_to_.reported)
+    line.Add("told_ms", told_age_);
   if (!report.reason.empty())
     line.Add("reason", report.reason);
   if (last_event_)
--- a/libs/gateway/tests/load_watch_test.cc
+++ b/libs/gateway/tests/load_watch_test.cc
@@ -78,7 +78,7 @@
   EXPECT_GT(question.period.count(), 0);
   Tell(entry, 7);
   ASSERT_TRUE(AwaitTold(1));
-  EXPECT_EQ(upstream_.evidence->told_load(), 8);
+  EXPECT_EQ(upstream_.evidence->others(Now()), 8);
 }
 
 // Guards against requests that wait for agents which are silent.
@@ -94,7 +94,7 @@
   });
   thread_.RunAndWait([&] { watch_->Ask(asked); });
   agent.join();
-  EXPECT_EQ(upstream_.evidence->told_load(), 4);
+  EXPECT_EQ(upstream_.evidence->others(Now()), 4);
   const time_point begun = Now();
   thread_.RunAndWait([&] { watch_->Ask(asked); });
   EXPECT_LT(Now() - begun, kMost);
--- a/libs/placement/include/quincebank/placement/upstream_evidence.h
+++ b/libs/placement/include/quincebank/placement/upstream_evidence.h
@@ -31,8 +31,6 @@
   /// \brief Requests of other entries as last told; nothing if that is too long ago.
   [[nodiscard]] std::optional<int> others(time_point now) const noexcept;
 
-  /// \brief Requests of other entries as last told, however long ago.
-  [[nodiscard]] int told_load() const noexcept { return others_; }
   /// \brief When the engine last told its load.
   [[nodiscard]] time_point told() const noexcept { return told_; }
 
