--- a/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
+++ b/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
@@ -4,6 +4,7 @@
 #include <boost/json/object.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -11,11 +12,13 @@
 #include "quincebank/base/error.h"
 #include "quincebank/expert_control/count_window.h"
 #include "quincebank/expert_control/engine_port.h"
+#include "quincebank/expert_control/load_messages.h"
 #include "quincebank/net/datagram_socket.h"
 #include "quincebank/net/fiber_event.h"
 #include "quincebank/net/fiber_thread.h"
 #include "quincebank/net/http_client.h"
 #include "quincebank/net/http_server.h"
+#include "quincebank/rank_agent/expected_arrivals.h"
 #include "quincebank/rpc/rpc.h"
 
 namespace quincebank {
@@ -76,6 +79,9 @@
   /// \brief Answers entries that ask for the present load. Those that ask while the engine is being
   /// read share the next report.
   void AnswerLoop();
+  void Answer(const std::string& upstream, const std::vector<endpoint>& askers);
+  /// \returns Nothing if the engine can't be read.
+  [[nodiscard]] std::optional<engine_load> ReadLoad(const std::string& upstream);
   /// \brief Sends the load of one engine to the subscribers that are due.
   void Push(const std::string& upstream, const std::vector<endpoint>& receivers);
   [[nodiscard]] result<boost::json::value> Report(const rank_question& question);
@@ -94,6 +100,7 @@
   std::map<endpoint, subscriber> subscribers_;
   std::map<std::string, std::vector<endpoint>> asked_;  ///< By engine.
   fiber_event asked_event_;
+  expected_arrivals expected_;
   stop_signal stop_;
   std::atomic<int> running_{0};  ///< Loops that have not ended.
 };
--- a/libs/rank_agent/src/rank_agent.cc
+++ b/libs/rank_agent/src/rank_agent.cc
@@ -155,20 +155,39 @@
       continue;
     const auto asked = std::exchange(asked_, {});
     for (const auto& [upstream, askers] : asked)
-      Push(upstream, askers);
+      Answer(upstream, askers);
   }
 }
 
-void rank_agent::Push(const std::string& upstream, const std::vector<endpoint>& receivers) {
+void rank_agent::Answer(const std::string& upstream, const std::vector<endpoint>& askers) {
+  auto load = ReadLoad(upstream);
+  if (!load)
+    return;  // Those that ask do without after a moment.
+  const int waiting = load->waiting;
+  for (const endpoint& asker : askers) {
+    const time_point now = Now();
+    load->waiting = waiting + expected_.Count(now);
+    expected_.OnAnswer(now);
+    (void)socket_->Send(asker, Encode(*load));
+  }
+}
+
+std::optional<engine_load> rank_agent::ReadLoad(const std::string& upstream) {
   upstream_record rank;
   rank.id = upstream;
   rank.address = settings_.engine;
   const std::array<const upstream_record*, 1> ranks{&rank};
   const auto report = std::move(engines_->Reports(ranks).front());
   if (!report)
+    return std::nullopt;
+  return engine_load{upstream, report.value().running, report.value().waiting, report.value().step};
+}
+
+void rank_agent::Push(const std::string& upstream, const std::vector<endpoint>& receivers) {
+  const auto load = ReadLoad(upstream);
+  if (!load)
     return;  // Entries do without loads that grow old.
-  const std::string payload = Encode(
-      engine_load{upstream, report.value().running, report.value().waiting, report.value().step});
+  const std::string payload = Encode(*load);
   for (const endpoint& receiver : receivers)
     (void)socket_->Send(receiver, payload);
 }
