--- a/libs/base/include/quincebank/base/time.h
+++ b/libs/base/include/quincebank/base/time.h
@@ -23,7 +23,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<boot_clock>;
-  static constexpr bool is_steady = true;
+  // The standard names this member of a clock.
+  static constexpr bool is_steady = true;  // NOLINT(readability-identifier-naming)
 
   [[nodiscard]] static time_point now() noexcept {
     std::timespec time{};
