Send to superseded registrations only if nothing else is known

Change: a superseded upstream is chosen only if no other is full, cold or resting; the request waits for the cold limit or is rejected at once with a Retry-After. Tests: choose_upstream_test (superseded_*); they use a new field and were not run on the code before. Also a lint finding in a benchmark.

--- a/bench/experts/shift_table.cc
+++ b/bench/experts/shift_table.cc
@@ -67,6 +67,7 @@
     set_loads loads;
     for (const auto& ranking : ranks_) {
       std::vector<double> of_set;
+      of_set.reserve(ranking.size());
       for (const int place : ranking)
         of_set.push_back(std::pow(place + 1.0, -kind_.exponent));
       const double sum = std::accumulate(of_set.begin(), of_set.end(), 0.0);
--- a/libs/gateway/include/quincebank/gateway/fleet_snapshot.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_snapshot.h
@@ -21,7 +21,8 @@
   ref_ptr<upstream_evidence> evidence;  ///< Kept while the same incarnation has the address.
   ref_ptr<group_pulse> pulse;           ///< Of its group; null if it is in none.
   send_limit limit;         ///< Share of this entry in what the upstream can take when cold.
-  bool superseded = false;  ///< Another upstream has taken its place; used if there is no other.
+  bool superseded = false;  ///< Another upstream has taken its place; used only if nothing else
+                            ///< is known.
   bool sender = true;       ///< Whether this entry may send to it at all.
 };
 
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -151,8 +151,8 @@
     if (const auto others = upstream.evidence->others(now))
       AddEngineLoad(upstream, *others, view);
     view.failure_share = upstream.evidence->failure_share();
-    view.rests = upstream.evidence->Rests(now) || upstream.superseded ||
-                 (record.group && !record.group->open) ||
+    view.superseded = upstream.superseded;
+    view.rests = upstream.evidence->Rests(now) || (record.group && !record.group->open) ||
                  (upstream.pulse && upstream.pulse->Stalled(now)) || StalledBefore(record);
     view.rests_until = upstream.evidence->rests_until();
     view.on_trial = upstream.evidence->on_trial();
--- a/libs/placement/include/quincebank/placement/choose_upstream.h
+++ b/libs/placement/include/quincebank/placement/choose_upstream.h
@@ -21,6 +21,7 @@
   bool rests = false;
   time_point rests_until{};
   bool on_trial = false;
+  bool superseded = false;    ///< A newer registration has its address.
   bool rate_limited = false;  ///< A further request would exceed what it takes when cold.
   time_point opens{};         ///< When it takes the next one, if it is rate-limited.
   bool same_domain = false;   ///< In the failure domain of this entry.
@@ -54,6 +55,10 @@
 /// fail, since each failure costs a repeat. Upstreams that rest are used only if there is no
 /// other one. Draws among equals.
 ///
+/// Answers a return from a loss of all power: the new upstreams are cold and take few requests, and
+/// the old registrations have not lapsed. A superseded one is chosen only if there is nothing else
+/// to wait for, since what is sent there is refused or stalls.
+///
 /// Where the loads of engines are told, it is the better of two that are drawn: all entries see the
 /// same figures, some hundred milliseconds old, and would otherwise send to the same engine.
 ///
--- a/libs/placement/src/choose_upstream.cc
+++ b/libs/placement/src/choose_upstream.cc
@@ -81,16 +81,24 @@
   std::uint64_t usable = 0;
   std::uint64_t equals = 0;
   std::optional<std::size_t> fallback;
+  std::optional<std::size_t> superseded;
+  bool limited = false;
   std::array<std::size_t, kDrawn> drawn{};
   bool told = true;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const placement_candidate& candidate = candidates[i];
+    if (candidate.superseded) {
+      if (!candidate.rate_limited && candidate.in_flight < candidate.limit)
+        superseded = i;
+      continue;
+    }
     if (candidate.in_flight + candidate.reported.value_or(0) >= candidate.limit) {
       full = true;
       continue;
     }
     if (candidate.rate_limited) {
       best.obstacle = placement_obstacle::kRateLimited;
+      limited = true;
       opens = std::min(opens, candidate.opens);
       continue;
     }
@@ -115,6 +123,8 @@
     const auto count = std::min<std::size_t>(usable, kDrawn);
     DecideByLoads(candidates, std::span(drawn).first(count), usable > kDrawn, random, best);
   }
+  if (!best.chosen && !fallback && !full && !limited)
+    fallback = superseded;
   if (!best.chosen && fallback) {
     best.chosen = fallback;
     best.resting = true;
--- a/libs/placement/tests/placement_test.cc
+++ b/libs/placement/tests/placement_test.cc
@@ -54,6 +54,7 @@
   c.on_trial = true;
   c.in_flight = 1;
 };
+const auto kSuperseded = [](placement_candidate& c) { c.superseded = true; };
 const auto kNear = [](placement_candidate& c) { c.same_domain = true; };
 
 INSTANTIATE_TEST_SUITE_P(
@@ -82,6 +83,25 @@
                     1,
                     placement_obstacle::kNone,
                     true},
+        // After a loss of all power the new upstreams are cold and old registrations are left.
+        choice_case{"superseded_or_cold",
+                    {Candidate(kSuperseded), Candidate(kCold)},
+                    std::nullopt,
+                    placement_obstacle::kRateLimited},
+        choice_case{"superseded_or_full",
+                    {Candidate(kSuperseded), Candidate(kFull)},
+                    std::nullopt,
+                    placement_obstacle::kFull},
+        choice_case{"superseded_or_resting",
+                    {Candidate(kSuperseded), Candidate(kResting)},
+                    1,
+                    placement_obstacle::kNone,
+                    true},
+        choice_case{"only_superseded",
+                    {Candidate(kSuperseded)},
+                    0,
+                    placement_obstacle::kNone,
+                    true},
         choice_case{"trial", {Candidate(kTrial), Candidate(kBusy)}, 1, placement_obstacle::kNone},
         choice_case{"near", {Candidate(), Candidate(kNear)}, 1, placement_obstacle::kNone}),
     [](const auto& info) { return std::string(info.param.name); });
