Log the age of the view and removals that are delayed

The logs could not tell a view that no watch confirms from one whose store calls fail, nor a removal that came late from one that this entry itself delays. `store.lost` and `store.reached` now carry `view_age_ms`, and `store.removal_delayed` names the key and whether a peer passed it on. No decision changes.

--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -125,6 +125,8 @@
   /// \brief Returns this entry's record, see `ParseEntryRecord`.
   [[nodiscard]] std::string RegistrationRecord() const;
   [[nodiscard]] std::vector<entry_record> Entries() const;
+  /// \brief Time since the store last confirmed that this view is complete.
+  [[nodiscard]] milliseconds ViewAge() const;
   /// \brief Records whether the last call to the store succeeded; logs a change.
   void UpdateStoreReachability(bool reachable, std::string_view reason);
 
@@ -164,6 +166,8 @@
   time_point watch_directly_until_{};  ///< Until then this entry does not follow readers.
   /// Position of this entry among the store readers of its failure domain; empty if it is not one.
   std::optional<std::size_t> reader_index_;
+  /// When a watch last succeeded. Renewals of leases do not show that the view is complete.
+  std::optional<time_point> view_confirmed_at_;
   bool view_current_ = false;      ///< A watch has succeeded since the last full read.
   bool watching_ = false;          ///< A blocking watch of the store is waiting.
   bool full_read_needed_ = false;  ///< The store has lost the history since the known revision.
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -139,9 +139,14 @@
   store_reachable_ = reachable;
   log_.Write(event_line(reachable ? "store.reached" : "store.lost")
                  .Add("revision", mirror_.revision())
+                 .Add("view_age_ms", ViewAge())
                  .Add("reason", reason));
 }
 
+milliseconds fleet_sync::ViewAge() const {
+  return std::chrono::duration_cast<milliseconds>(Now() - view_confirmed_at_.value_or(started_));
+}
+
 result<store_update> fleet_sync::ReadStore() {
   if (full_read_needed_ || !mirror_.last_contact()) {
     // After the store has lost the history, a stale read would only lead to a watch that fails the
@@ -258,6 +263,8 @@
       continue;  // The watch was cancelled because a reader became live.
     if (update) {
       UpdateStoreReachability(true, "answered");
+      if (view_current_)
+        view_confirmed_at_ = Now();
       ApplyUpdate(update.value(), true);
       pause = kMinStoreRetryDelay;
       if (!update.value().events.empty() && stop_.WaitFor(WatchPause()))
@@ -346,6 +353,15 @@
   const std::vector<std::string> changed = mirror_.Apply(update, from_store, Now());
   if (mirror_.revision() != before)
     revision_changed_.Set();
+  for (const store_event& event : update.events) {
+    const store_item* const kept = event.removed ? mirror_.Find(event.item.key) : nullptr;
+    if (kept == nullptr || kept->revision > event.item.revision)
+      continue;
+    log_.Write(event_line("store.removal_delayed")
+                   .Add("key", event.item.key)
+                   .Add("revision", event.item.revision)
+                   .Add("from_store", from_store));
+  }
   if (changed.empty())
     return;
   for (const std::string& key : changed)
