Delay removals only after an outage for all entries

Cause: removals are delayed by 2.5 s after an outage, since leases also end while the store is down, but an entry took the failure of its own calls for an outage of the store. It got true removals from its peers within half a second and then delayed them.

Peers now report in `store.since` how long ago the store confirmed their view, and readers do so in their announcements. The store counts as down only if it has answered no entry for 2.5 s; that a peer reaches it first after a true outage starts the grace period as before.

--- a/libs/fleet/include/quincebank/fleet/store_mirror.h
+++ b/libs/fleet/include/quincebank/fleet/store_mirror.h
@@ -30,6 +30,7 @@
 /// Applies updates from the store and from other entries (instances of the load balancer), in any
 /// order. Leases also expire while the store is down, so a removal during an outage or soon after
 /// it takes effect only after a grace period, and not at all if the key is written again before.
+/// The store is down only if it answers no entry: calls of single hosts may fail for other reasons.
 class store_mirror {
  public:
   explicit store_mirror(const mirror_settings& settings = {}) noexcept : settings_(settings) {}
@@ -44,6 +45,9 @@
   /// \brief A call to the store succeeded, which ends an outage. For a watch this is known only
   /// when it returns.
   void OnContact(time_point now);
+  /// \brief A call of another entry succeeded at `answered`. A store that answers others is not
+  /// down, even if the calls of this entry fail.
+  void OnPeerContact(time_point answered);
   /// \brief A call to the store failed.
   void OnStoreFailure(time_point now) noexcept {
     if (!failing_since_)
@@ -82,6 +86,8 @@
     std::uint64_t revision = 0;
   };
 
+  /// \brief Whether the store has answered no entry for `min_outage`.
+  [[nodiscard]] bool IsOutage(time_point now) const noexcept;
   bool Put(const store_item& item);
   bool Remove(std::string_view key, std::uint64_t revision, time_point now);
 
@@ -91,6 +97,7 @@
   std::uint64_t removals_complete_after_ = 0;  ///< `removals_` holds all later ones.
   std::uint64_t revision_ = 0;
   std::optional<time_point> last_contact_;
+  std::optional<time_point> answered_at_;    ///< When the store last answered any entry.
   std::optional<time_point> failing_since_;  ///< First failure since the last contact.
   std::optional<time_point> grace_until_;    ///< End of the grace period after the last outage.
 };
--- a/libs/fleet/src/store_mirror.cc
+++ b/libs/fleet/src/store_mirror.cc
@@ -5,15 +5,26 @@
 
 namespace quincebank {
 
+bool store_mirror::IsOutage(time_point now) const noexcept {
+  return failing_since_ &&
+         now - std::max(*failing_since_, answered_at_.value_or(*failing_since_)) >=
+             settings_.min_outage;
+}
+
 void store_mirror::OnContact(time_point now) {
-  const bool in_outage =
-      last_contact_ && failing_since_ && now - *failing_since_ >= settings_.min_outage;
-  if (in_outage)
-    grace_until_ = now + settings_.lease_grace_period;
+  OnPeerContact(now);
   last_contact_ = now;
   failing_since_.reset();
 }
 
+void store_mirror::OnPeerContact(time_point answered) {
+  if (answered_at_ && answered <= *answered_at_)
+    return;
+  if (answered_at_ && IsOutage(answered))
+    grace_until_ = answered + settings_.lease_grace_period;
+  answered_at_ = answered;
+}
+
 bool store_mirror::Put(const store_item& item) {
   const auto [found, added] = items_.try_emplace(item.key, entry{item, std::nullopt});
   if (added)
@@ -36,7 +47,7 @@
     removals_.pop_front();
   }
   // Another entry may pass on the removal before this one has reached the store again.
-  const bool in_outage = failing_since_ && now - *failing_since_ >= settings_.min_outage;
+  const bool in_outage = IsOutage(now);
   if (in_outage || (grace_until_ && now < *grace_until_)) {
     if (!found->second.remove_at)
       found->second.remove_at = in_outage ? now + settings_.lease_grace_period : *grace_until_;
--- a/libs/fleet/tests/store_mirror_test.cc
+++ b/libs/fleet/tests/store_mirror_test.cc
@@ -5,6 +5,8 @@
 namespace quincebank {
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr time_point kStart{std::chrono::hours(1)};
 
 store_event Put(std::string key, std::uint64_t revision) {
@@ -142,5 +144,37 @@
   EXPECT_EQ(mirror.Expire(received + seconds(3)), strings{"a"});
 }
 
+struct outage_case {
+  const char* name;
+  std::vector<seconds> peer_contacts;  ///< Since the start; own calls fail from 1 s on.
+  seconds removed_at;
+  bool delayed;
+};
+
+class peer_contact_test : public testing::TestWithParam<outage_case> {};
+
+// Guards against requests to upstreams that left while the store rejected only this entry, and
+// against the loss of all upstreams after an outage that ended for a peer first.
+TEST_P(peer_contact_test, OnlyAnOutageForAllEntriesDelaysRemovals) {
+  store_mirror mirror;
+  mirror.Apply({{Put("a", 5)}, true, 8}, true, kStart);
+  mirror.OnStoreFailure(kStart + seconds(1));
+  for (const seconds contact : GetParam().peer_contacts)
+    mirror.OnPeerContact(kStart + contact);
+  mirror.Apply({{Removal("a", 9)}, false, 9}, false, kStart + GetParam().removed_at);
+  EXPECT_EQ(mirror.Find("a") != nullptr, GetParam().delayed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    contacts,
+    peer_contact_test,
+    testing::Values(outage_case{"peers_reach_the_store", {2s, 4s, 6s, 8s}, 9s, false},
+                    outage_case{"no_peer_reaches_it", {}, 9s, true},
+                    outage_case{"peers_lost_it_too", {2s, 4s}, 9s, true},
+                    outage_case{"a_peer_reached_it_again", {2s, 8s}, 9s, true},
+                    outage_case{"grace_period_is_over", {2s, 8s, 10s, 11s}, 11s, false},
+                    outage_case{"late_report_of_an_old_contact", {6s, 2s}, 7s, true}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 }  // namespace
 }  // namespace quincebank
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -61,6 +61,8 @@
 constexpr milliseconds kEntryDiscoveryTime{900};
 // Period of the checks for removals whose grace period is over.
 constexpr milliseconds kExpiryCheckPeriod{200};
+// Ages in milliseconds that another entry may report.
+constexpr int_range kViewAgeRange{0, 86'400'000};
 
 }  // namespace
 
@@ -93,6 +95,8 @@
       return JoinErrors(errors);
     const store_update update = mirror_.Since(since);
     json::object answer{{"revision", update.revision}, {"whole", update.whole}};
+    if (view_confirmed_at_)
+      answer["view_age_ms"] = ViewAge().count();
     json::array items;
     for (const store_event& event : update.events) {
       json::object item{{"key", event.item.key}, {"revision", event.item.revision}};
@@ -235,6 +239,7 @@
         !entries_.contains(std::string(kEntryPrefix) + announcement.value().reader))
       continue;
     reader_tracker_.OnAnnouncement(announcement.value(), Now());
+    mirror_.OnPeerContact(Now() - announcement.value().age);
     if (!FollowsReaders())
       continue;
     if (watching_)
@@ -323,6 +328,9 @@
   store_update update;
   update.revision = static_cast<std::uint64_t>(reader.Int("revision", {}));
   update.whole = reader.Bool("whole", false);
+  // An age that is missing or unreadable is no contact.
+  const milliseconds view_age(reader.Int("view_age_ms", kViewAgeRange, kViewAgeRange.max));
+  mirror_.OnPeerContact(Now() - view_age);
   if (update.revision <= since)
     return false;
   reader.Each("items", [&](json_reader& item) {
