Judge the freshness of the view by watches, not by lease renewals

Callers got answers by configurations that had been replaced, and requests reached upstreams that had announced that they leave, up to 3.5 s after the change where 2 s are allowed.

Cause: any successful call counted as contact with the store, renewals of leases too, but only a watch brings changes. When the connection of a watch went silent, the renewals on other connections went on, so that the entry neither read from its peers nor stopped announcing itself as live to those that follow it. TCP keep-alive ended the connection after 3 s; where something on the way still acknowledges segments, it took the timeout of the watch, 10.6 s.

A watch now waits 1 s at most and confirms the view when it returns. An entry whose view is not confirmed 250 ms after that reads from its peers, whatever its other calls do, and readers announce the age of the confirmation. This bounds the age by the wait and two short calls.

--- a/libs/fleet/include/quincebank/fleet/store_mirror.h
+++ b/libs/fleet/include/quincebank/fleet/store_mirror.h
@@ -71,8 +71,6 @@
 
   /// \brief Revision of the store up to which all changes are known; 0 before the first read.
   [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
-  /// \brief Time of the last successful call to the store; nothing before the first one.
-  [[nodiscard]] std::optional<time_point> last_contact() const noexcept { return last_contact_; }
 
  private:
   struct entry {
@@ -96,7 +94,6 @@
   std::deque<removal> removals_;
   std::uint64_t removals_complete_after_ = 0;  ///< `removals_` holds all later ones.
   std::uint64_t revision_ = 0;
-  std::optional<time_point> last_contact_;
   std::optional<time_point> answered_at_;    ///< When the store last answered any entry.
   std::optional<time_point> failing_since_;  ///< First failure since the last contact.
   std::optional<time_point> grace_until_;    ///< End of the grace period after the last outage.
--- a/libs/fleet/src/store_mirror.cc
+++ b/libs/fleet/src/store_mirror.cc
@@ -13,7 +13,6 @@
 
 void store_mirror::OnContact(time_point now) {
   OnPeerContact(now);
-  last_contact_ = now;
   failing_since_.reset();
 }
 
--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -28,9 +28,10 @@
 /// Runs on the control thread.
 ///
 /// Watches the shared store, or follows the store readers of the failure domain (see
-/// `store_relay.h`). While the store does not answer, reads the views of other entries, since the
-/// store may be unreachable from single hosts only. Registers this entry in the store under a lease
-/// and holds the coordinator role if this entry has claimed it.
+/// `store_relay.h`). While no watch confirms this view, reads the views of other entries, since the
+/// store may be unreachable from single hosts only, or a connection may have gone silent. Registers
+/// this entry in the store under a lease and holds the coordinator role if this entry has claimed
+/// it.
 class fleet_sync {
  public:
   fleet_sync(const gateway_settings& settings,
@@ -84,7 +85,7 @@
   void FollowReader();
   /// \brief Registers this entry and renews the lease of its registration.
   void RegisterLoop();
-  /// \brief Carries out delayed removals. Reads from other entries while the store does not answer.
+  /// \brief Carries out delayed removals. Reads from other entries while this view is outdated.
   void PeerLoop();
   /// \brief Renews the coordinator's lease, which is shorter than that of registrations.
   void CoordinatorLoop();
@@ -92,9 +93,14 @@
   [[nodiscard]] result<store_update> ReadStore();
   /// \param from_store  false if another entry passed the update on.
   void ApplyUpdate(const store_update& update, bool from_store);
+  /// State of another entry's view.
+  enum class peer_view : std::uint8_t {
+    kUnavailable,  ///< The entry gave no usable answer.
+    kOutdated,     ///< The store has not confirmed it lately.
+    kCurrent,
+  };
   /// \brief Fetches and applies the changes that another entry knows beyond this view.
-  /// \returns Whether there were any.
-  [[nodiscard]] bool ReadPeer(const endpoint& peer);
+  [[nodiscard]] peer_view ReadPeer(const endpoint& peer);
   /// \brief Brings the decoded state of a key up to date with the mirror.
   void ApplyRecord(const std::string& key);
   void ApplyCatalog(const store_item& item);
@@ -127,6 +133,10 @@
   [[nodiscard]] std::vector<entry_record> Entries() const;
   /// \brief Time since the store last confirmed that this view is complete.
   [[nodiscard]] milliseconds ViewAge() const;
+  /// \brief Whether a watch that should have confirmed this view has not done so.
+  [[nodiscard]] bool IsViewOutdated() const;
+  /// \brief The store, or a reader that knows no later revision, confirmed this view.
+  void ConfirmView(time_point at);
   /// \brief Records whether the last call to the store succeeded; logs a change.
   void UpdateStoreReachability(bool reachable, std::string_view reason);
 
@@ -166,7 +176,7 @@
   time_point watch_directly_until_{};  ///< Until then this entry does not follow readers.
   /// Position of this entry among the store readers of its failure domain; empty if it is not one.
   std::optional<std::size_t> reader_index_;
-  /// When a watch last succeeded. Renewals of leases do not show that the view is complete.
+  /// When a watch of this entry or of its reader last confirmed that this view is complete.
   std::optional<time_point> view_confirmed_at_;
   bool view_current_ = false;      ///< A watch has succeeded since the last full read.
   bool watching_ = false;          ///< A blocking watch of the store is waiting.
--- a/libs/gateway/include/quincebank/gateway/gateway_settings.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_settings.h
@@ -68,8 +68,10 @@
   milliseconds engine_timeout{400};  ///< For each call to an engine.
   /// Upper limit on the age of reports that engines send to other hosts.
   milliseconds max_engine_report_age{300};
-  std::uint16_t agent_port = 0;         ///< Of the agents on engine hosts; 0 if there are none.
-  milliseconds max_watch_wait{10'000};  ///< Upper limit on the wait of one watch call.
+  std::uint16_t agent_port = 0;  ///< Of the agents on engine hosts; 0 if there are none.
+  /// Upper limit on the wait of one watch call. A watch that does not return by then shows that its
+  /// connection has gone silent, so this bounds the age of the view.
+  milliseconds max_watch_wait{1'000};
   /// Interval of reads from peers while the store does not answer.
   milliseconds peer_poll_interval{500};
   milliseconds lease{3'000};  ///< Lifetime of this entry's registration in the store.
--- a/libs/gateway/include/quincebank/gateway/store_relay.h
+++ b/libs/gateway/include/quincebank/gateway/store_relay.h
@@ -19,7 +19,7 @@
 struct revision_announcement {
   std::string reader;          ///< Name of the announcing entry.
   std::uint64_t revision = 0;  ///< Store revision up to which it knows all changes.
-  milliseconds age{0};         ///< Time since the store last answered the reader.
+  milliseconds age{0};         ///< Time since a watch last confirmed that this is the newest one.
 
   [[nodiscard]] bool operator==(const revision_announcement&) const = default;
 };
@@ -44,9 +44,9 @@
 
 /// \brief Tracks the announcements of the store readers of an entry's failure domain.
 ///
-/// A reader is live while it sends announcements and the store answers it. An entry follows the
-/// readers while at least one is live, and otherwise watches the store itself. Readers that are
-/// silent or get no answer from the store stop being live within one to two seconds.
+/// A reader is live while it sends announcements and its watches of the store succeed. An entry
+/// follows the readers while at least one is live, and otherwise watches the store itself. Readers
+/// that are silent or whose watches get no answer stop being live within one to two seconds.
 class store_reader_tracker {
  public:
   void OnAnnouncement(const revision_announcement& announcement, time_point now);
@@ -63,8 +63,8 @@
   /// Last announcement of one reader.
   struct reader_state {
     std::uint64_t revision = 0;
-    time_point store_contact{};  ///< When the store last answered the reader.
-    time_point received_at{};    ///< When its last announcement arrived.
+    time_point confirmed_at{};  ///< When a watch last confirmed the reader's view.
+    time_point received_at{};   ///< When its last announcement arrived.
   };
 
   [[nodiscard]] static bool IsLive(const reader_state& reader, time_point now);
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -61,6 +61,9 @@
 constexpr milliseconds kEntryDiscoveryTime{900};
 // Period of the checks for removals whose grace period is over.
 constexpr milliseconds kExpiryCheckPeriod{200};
+// A view counts as outdated this long after a watch should have confirmed it. Leaves time for a
+// slow answer of the store.
+constexpr milliseconds kWatchSlack{250};
 // Ages in milliseconds that another entry may report.
 constexpr int_range kViewAgeRange{0, 86'400'000};
 
@@ -151,8 +154,16 @@
   return std::chrono::duration_cast<milliseconds>(Now() - view_confirmed_at_.value_or(started_));
 }
 
+bool fleet_sync::IsViewOutdated() const {
+  return !view_confirmed_at_ || ViewAge() >= settings_.max_watch_wait + kWatchSlack;
+}
+
+void fleet_sync::ConfirmView(time_point at) {
+  view_confirmed_at_ = std::max(view_confirmed_at_.value_or(at), at);
+}
+
 result<store_update> fleet_sync::ReadStore() {
-  if (full_read_needed_ || !mirror_.last_contact()) {
+  if (full_read_needed_ || mirror_.revision() == 0) {
     // After the store has lost the history, a stale read would only lead to a watch that fails the
     // same way, so the newest state is read.
     auto all =
@@ -163,8 +174,9 @@
   }
   // The full read may be some seconds old. The first watch returns the changes since then at once.
   watching_ = view_current_;
-  auto update =
-      store_.Watch(mirror_.revision(), view_current_ ? settings_.max_watch_wait : kNoWait);
+  const milliseconds wait =
+      view_current_ ? std::max(settings_.max_watch_wait - ViewAge(), kNoWait) : kNoWait;
+  auto update = store_.Watch(mirror_.revision(), wait);
   watching_ = false;
   view_current_ = view_current_ || update.has_value();
   return update;
@@ -180,18 +192,19 @@
 bool fleet_sync::FollowsReaders() const {
   const time_point now = Now();
   return announcement_socket_ && !reader_index_ && !leaving_ && view_current_ &&
-         mirror_.last_contact() && now >= watch_directly_until_ &&
-         reader_tracker_.HasLiveReader(now);
+         now >= watch_directly_until_ && reader_tracker_.HasLiveReader(now);
 }
 
 void fleet_sync::FollowReader() {
-  const auto reader = reader_tracker_.ReaderAheadOf(mirror_.revision(), Now());
+  const std::uint64_t followed_from = mirror_.revision();
+  const auto reader = reader_tracker_.ReaderAheadOf(followed_from, Now());
   if (!reader) {
     announcement_received_.WaitFor(kAnnouncementPeriod);
     return;
   }
   const auto known = entries_.find(std::string(kEntryPrefix) + *reader);
-  if (known != entries_.end() && ReadPeer(known->second.peers))
+  if (known != entries_.end() && ReadPeer(known->second.peers) != peer_view::kUnavailable &&
+      mirror_.revision() > followed_from)
     return;
   reader_tracker_.OnReadFailure(*reader);
   if (reader_tracker_.HasLiveReader(Now()))
@@ -204,15 +217,13 @@
   time_point announced_at{};
   while (!stop_.IsSet()) {
     const time_point now = Now();
-    const auto contact = mirror_.last_contact();
     const bool due =
         mirror_.revision() != announced_revision || now - announced_at >= kAnnouncementPeriod;
-    if (reader_index_ && contact && due && !leaving_) {
+    if (reader_index_ && view_confirmed_at_ && due && !leaving_) {
       announced_revision = mirror_.revision();
       announced_at = now;
       const std::string payload =
-          Encode(revision_announcement{settings_.name, announced_revision,
-                                       std::chrono::duration_cast<milliseconds>(now - *contact)});
+          Encode(revision_announcement{settings_.name, announced_revision, ViewAge()});
       for (const auto& [key, entry] : entries_) {
         if (entry.failure_domain == settings_.failure_domain && entry.name != settings_.name)
           (void)announcement_socket_->Send({entry.peers.address, settings_.announcements.port},
@@ -239,9 +250,12 @@
         !entries_.contains(std::string(kEntryPrefix) + announcement.value().reader))
       continue;
     reader_tracker_.OnAnnouncement(announcement.value(), Now());
-    mirror_.OnPeerContact(Now() - announcement.value().age);
+    const time_point confirmed_at = Now() - announcement.value().age;
+    mirror_.OnPeerContact(confirmed_at);
     if (!FollowsReaders())
       continue;
+    if (announcement.value().revision <= mirror_.revision())
+      ConfirmView(confirmed_at);
     if (watching_)
       store_.CancelWatch();
     announcement_received_.Set();
@@ -269,7 +283,7 @@
     if (update) {
       UpdateStoreReachability(true, "answered");
       if (view_current_)
-        view_confirmed_at_ = Now();
+        ConfirmView(Now());
       ApplyUpdate(update.value(), true);
       pause = kMinStoreRetryDelay;
       if (!update.value().events.empty() && stop_.WaitFor(WatchPause()))
@@ -290,6 +304,7 @@
 
 void fleet_sync::PeerLoop() {
   std::size_t first_peer = incarnation_;
+  bool was_outdated = false;
   while (!stop_.WaitFor(kExpiryCheckPeriod)) {
     const auto removed = mirror_.Expire(Now());
     for (const std::string& key : removed)
@@ -298,13 +313,21 @@
     starting_ = starting_ && !settled;
     if (!removed.empty() || settled)
       Publish();
-    if (store_reachable_ || !mirror_.last_contact() || FollowsReaders())
+    // Renewed leases show that the store answers, but not that this view is complete.
+    const bool outdated = mirror_.revision() != 0 && !FollowsReaders() && IsViewOutdated();
+    if (outdated != was_outdated) {
+      log_.Write(event_line(outdated ? "view.outdated" : "view.current")
+                     .Add("revision", mirror_.revision())
+                     .Add("view_age_ms", ViewAge()));
+    }
+    was_outdated = outdated;
+    if (!outdated)
       continue;
     const std::vector<entry_record> entries = Entries();
-    // A peer that can't reach the store either has nothing newer, so all are tried in rotation.
-    for (std::size_t i = 0; i < entries.size() && !store_reachable_; ++i) {
+    // A peer whose view is outdated too may still know more, so all are tried in rotation.
+    for (std::size_t i = 0; i < entries.size() && IsViewOutdated(); ++i) {
       const entry_record& peer = entries[(first_peer + i) % entries.size()];
-      if (peer.name != settings_.name && ReadPeer(peer.peers))
+      if (peer.name != settings_.name && ReadPeer(peer.peers) == peer_view::kCurrent)
         break;
     }
     ++first_peer;
@@ -313,7 +336,7 @@
   }
 }
 
-bool fleet_sync::ReadPeer(const endpoint& peer) {
+fleet_sync::peer_view fleet_sync::ReadPeer(const endpoint& peer) {
   constexpr milliseconds kPeerTimeout{250};
   const std::uint64_t since = mirror_.revision();
   const auto answer = rpc_.Call(peer, "store.since", {{"since", since}}, kPeerTimeout);
@@ -321,7 +344,7 @@
     log_.Write(event_line("peer.failed")
                    .Add("peer", ToString(peer))
                    .Add("reason", answer.error().message));
-    return false;
+    return peer_view::kUnavailable;
   }
   std::vector<error> errors;
   json_reader reader(answer.value(), "", errors);
@@ -331,8 +354,10 @@
   // An age that is missing or unreadable is no contact.
   const milliseconds view_age(reader.Int("view_age_ms", kViewAgeRange, kViewAgeRange.max));
   mirror_.OnPeerContact(Now() - view_age);
+  const peer_view state = view_age < settings_.max_watch_wait + kWatchSlack ? peer_view::kCurrent
+                                                                            : peer_view::kOutdated;
   if (update.revision <= since)
-    return false;
+    return state;
   reader.Each("items", [&](json_reader& item) {
     store_event event;
     event.item.key = item.String("key");
@@ -346,14 +371,14 @@
     log_.Write(event_line("peer.unreadable")
                    .Add("peer", ToString(peer))
                    .Add("reason", JoinErrors(errors).message));
-    return false;
+    return peer_view::kUnavailable;
   }
   log_.Write(event_line("peer.read")
                  .Add("peer", ToString(peer))
                  .Add("from_revision", since)
                  .Add("revision", update.revision));
   ApplyUpdate(update, false);
-  return true;
+  return state;
 }
 
 void fleet_sync::ApplyUpdate(const store_update& update, bool from_store) {
--- a/libs/gateway/src/store_relay.cc
+++ b/libs/gateway/src/store_relay.cc
@@ -17,10 +17,10 @@
 // Prefix of the hashed key, so that readers are selected independently of other rendezvous
 // selections among the same entries.
 constexpr std::string_view kReaderScorePrefix = "store-reader/";
-// A reader announces itself several times within the announcement expiry. It contacts the store at
-// least once a second to renew its lease, which is well within the contact expiry.
+// A reader announces itself several times within the announcement expiry. A watch confirms its view
+// at least once a second, which is well within the confirmation expiry.
 constexpr milliseconds kAnnouncementExpiry{1'300};
-constexpr milliseconds kStoreContactExpiry{2'000};
+constexpr milliseconds kConfirmationExpiry{2'000};
 
 }  // namespace
 
@@ -60,7 +60,7 @@
                                           time_point now) {
   reader_state& reader = readers_[announcement.reader];
   reader.revision = std::max(reader.revision, announcement.revision);
-  reader.store_contact = now - announcement.age;
+  reader.confirmed_at = now - announcement.age;
   reader.received_at = now;
   std::erase_if(readers_, [&](const auto& item) { return !IsLive(item.second, now); });
 }
@@ -73,7 +73,7 @@
 
 bool store_reader_tracker::IsLive(const reader_state& reader, time_point now) {
   return now - reader.received_at < kAnnouncementExpiry &&
-         now - reader.store_contact < kStoreContactExpiry;
+         now - reader.confirmed_at < kConfirmationExpiry;
 }
 
 bool store_reader_tracker::HasLiveReader(time_point now) const {
