Do not restore removed keys from a late answer of the store

Callers could be sent for good to an upstream that had left, or a domain stay evacuated after it was taken back.

Cause: while a watch is under way, a peer may pass on an addition and the removal that follows it. The answer to the watch then added the key again, and the next watch starts after the revision of the removal.

All keys that existed at the known revision are known, so one that is missing has been removed; an older state of it is ignored unless the update is the whole content of that revision or a later one. The test failed before.

--- a/libs/fleet/include/quincebank/fleet/store_mirror.h
+++ b/libs/fleet/include/quincebank/fleet/store_mirror.h
@@ -86,7 +86,8 @@
 
   /// \brief Whether the store has answered no entry for `min_outage`.
   [[nodiscard]] bool IsOutage(time_point now) const noexcept;
-  bool Put(const store_item& item);
+  /// \param supersedes_view  the update holds the whole content and is not older than this one.
+  bool Put(const store_item& item, bool supersedes_view);
   bool Remove(std::string_view key, std::uint64_t revision, time_point now);
 
   const mirror_settings settings_;
--- a/libs/fleet/src/store_mirror.cc
+++ b/libs/fleet/src/store_mirror.cc
@@ -24,7 +24,10 @@
   answered_at_ = answered;
 }
 
-bool store_mirror::Put(const store_item& item) {
+bool store_mirror::Put(const store_item& item, bool supersedes_view) {
+  // All keys that existed at `revision_` are known, so a missing one has been removed since.
+  if (!supersedes_view && item.revision <= revision_ && !items_.contains(item.key))
+    return false;
   const auto [found, added] = items_.try_emplace(item.key, entry{item, std::nullopt});
   if (added)
     return true;
@@ -63,6 +66,7 @@
     OnContact(now);
   std::vector<std::string> changed;
   std::set<std::string_view> present;
+  const bool supersedes_view = update.whole && update.revision >= revision_;
   for (const store_event& event : update.events) {
     if (event.removed) {
       if (Remove(event.item.key, event.item.revision, now))
@@ -70,7 +74,7 @@
       continue;
     }
     present.insert(event.item.key);
-    if (Put(event.item))
+    if (Put(event.item, supersedes_view))
       changed.push_back(event.item.key);
   }
   if (update.whole) {
--- a/libs/fleet/tests/store_mirror_test.cc
+++ b/libs/fleet/tests/store_mirror_test.cc
@@ -176,5 +176,16 @@
                     outage_case{"late_report_of_an_old_contact", {6s, 2s}, 7s, true}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Guards against an upstream that is restored for good: a peer has passed on its removal while a
+// watch was under way, and the next watch starts after that revision.
+TEST(store_mirror, LateAnswerDoesNotRestoreARemovedKey) {
+  store_mirror mirror;
+  mirror.Apply({{Put("a", 5)}, true, 8}, true, kStart);
+  mirror.Apply({{Put("b", 9), Removal("b", 10)}, false, 10}, false, kStart);
+  EXPECT_TRUE(mirror.Apply({{Put("b", 9)}, false, 9}, true, kStart).empty());
+  EXPECT_TRUE(mirror.Apply({{Put("a", 5), Put("b", 9)}, true, 9}, true, kStart).empty());
+  EXPECT_EQ(Keys(mirror), strings{"a"});
+}
+
 }  // namespace
 }  // namespace quincebank
