Leave out delayed removals from the whole content sent to a peer

An entry could keep an upstream for good that had left, and send it requests.

Cause: an entry that delays a removal after an outage still holds the key. A peer whose revision is older than its first read gets the whole content, with that key and without the removal, and its next watch starts after it.

The whole content now leaves such keys out, and the receiver applies its own grace period. The test failed before.

--- a/libs/fleet/src/store_mirror.cc
+++ b/libs/fleet/src/store_mirror.cc
@@ -118,7 +118,8 @@
   update.revision = revision_;
   update.whole = since < removals_complete_after_;
   for (const auto& [key, known] : items_) {
-    if (update.whole || known.item.revision > since)
+    // The whole content tells of removals only by what it leaves out.
+    if (update.whole ? !known.remove_at : known.item.revision > since)
       update.events.push_back({known.item, false});
   }
   if (update.whole)
--- a/libs/fleet/tests/store_mirror_test.cc
+++ b/libs/fleet/tests/store_mirror_test.cc
@@ -187,5 +187,19 @@
   EXPECT_EQ(Keys(mirror), strings{"a"});
 }
 
+// Guards against a removal that never reaches an entry because its peer still delayed it when it
+// sent its whole content.
+TEST(store_mirror, WholeContentLeavesOutDelayedRemovals) {
+  store_mirror mirror;
+  mirror.Apply({{Put("a", 5), Put("b", 9)}, true, 9}, true, kStart);
+  mirror.OnStoreFailure(kStart + seconds(1));
+  mirror.Apply({{Removal("a", 10)}, false, 10}, true, kStart + seconds(5));
+  ASSERT_NE(mirror.Find("a"), nullptr);
+  store_mirror follower;
+  follower.Apply({{Put("a", 5), Put("gone", 4)}, true, 6}, true, kStart);
+  follower.Apply(mirror.Since(6), false, kStart);
+  EXPECT_EQ(Keys(follower), strings{"b"});
+}
+
 }  // namespace
 }  // namespace quincebank
