Blame a prompt segment only when the reports on its crashes are complete

Cause: an entry decided at the report that brought a segment to three crashes, when the reports of other entries on the same crash were still under way; and joined reports lost the order of segments in each prompt, so that the more specific segment was no longer known.

Evidence: `upstream.crashed`, which now names the segments: a bystander with the first segment was reported 0.2 to 2 ms before the request that held both.

Reports now hold the segments of each request. All segments that fit are blocked for a second, in which the reports arrive, and then only the one that was served longest ago or, among equals, comes later in the prompt. The two new cases of crash_blame_test failed before.

--- a/libs/gateway/include/quincebank/gateway/gateway_service.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_service.h
@@ -58,8 +58,9 @@
   [[nodiscard]] service_queue& QueueFor(const std::string& service);
   /// \brief Wakes the queued requests of a service since an upstream may have free capacity.
   void NotifyCapacity(std::string_view service);
-  /// \brief Takes a report on a crashed upstream from this entry or another one.
-  void OnCrash(const crash_report& report);
+  /// \brief How long requests are rejected because one of their prompt segments crashes upstreams;
+  /// 0 if they are not.
+  [[nodiscard]] milliseconds BlockedTime(const std::vector<std::string>& segments);
 
   const gateway_settings& settings;
   rules_holder rules;
--- a/libs/gateway/src/fleet_sync_crashes.cc
+++ b/libs/gateway/src/fleet_sync_crashes.cc
@@ -1,7 +1,5 @@
 // Part of fleet_sync: shares reports on crashed upstreams with the other entries.
 
-#include <algorithm>
-
 #include "fleet_keys.h"
 #include "quincebank/base/clock.h"
 #include "quincebank/gateway/fleet_sync.h"
@@ -24,11 +22,8 @@
 void fleet_sync::ShareCrash(const crash_report& report) {
   const auto [found, first] = unshared_crashes_.try_emplace(report.upstream, report);
   if (!first) {
-    std::vector<std::string>& joined = found->second.segments;
-    for (const std::string& segment : report.segments) {
-      if (std::find(joined.begin(), joined.end(), segment) == joined.end())
-        joined.push_back(segment);
-    }
+    std::vector<std::vector<std::string>>& joined = found->second.requests;
+    joined.insert(joined.end(), report.requests.begin(), report.requests.end());
     return;
   }
   ++running_loops_;
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/algorithm/string/join.hpp>
 #include <boost/fiber/operations.hpp>
 #include <utility>
 
@@ -100,7 +101,7 @@
     SendOwnResponse(*refusal);
     return;
   }
-  const milliseconds blocked = BlockedTime();
+  const milliseconds blocked = shared_.BlockedTime(request_.shared_segments);
   if (blocked.count() > 0) {
     SendOwnResponse({503, kBlockedReason, blocked});
     return;
@@ -303,7 +304,7 @@
       break;
     }
     // Reports on crashes may have arrived while the request waited.
-    if (BlockedTime().count() > 0) {
+    if (shared_.BlockedTime(request_.shared_segments).count() > 0) {
       last_result.reason = kBlockedReason;
       break;
     }
@@ -345,12 +346,6 @@
   Finish(last_result);
 }
 
-milliseconds forward_flow::BlockedTime() const {
-  const time_point now = Now();
-  const auto until = shared_.crashes.BlockedUntil(request_.shared_segments, now);
-  return until ? std::chrono::duration_cast<milliseconds>(*until - now) : milliseconds(0);
-}
-
 void forward_flow::CheckForCrash(const known_upstream& upstream) {
   std::vector<std::string> suspects = shared_.crashes.Suspects(request_.shared_segments, Now());
   if (suspects.empty())
@@ -360,13 +355,14 @@
   const auto reachable = shared_.http->CheckReachable(upstream.record.address, kCrashCheckTimeout);
   if (reachable || reachable.error().code == error_code::kTimeout)
     return;
-  const crash_report report{upstream.record.id + "." + std::to_string(upstream.record.incarnation),
-                            at, std::move(suspects)};
   shared_.log.Write(event_line("upstream.crashed")
                         .Add("upstream", upstream.record.id)
                         .Add("request", request_.attempt_id)
-                        .Add("segments", static_cast<std::uint64_t>(report.segments.size())));
-  shared_.OnCrash(report);
+                        .Add("segments", boost::algorithm::join(suspects, ",")));
+  crash_report report{
+      upstream.record.id + "." + std::to_string(upstream.record.incarnation), at, {}};
+  report.requests.push_back(std::move(suspects));
+  shared_.crashes.OnCrash(report, Now());
   if (shared_.share_crash)
     shared_.share_crash(report);
 }
@@ -589,7 +585,7 @@
     return;
   }
   if (verdict_ == verdict::kNotRun) {
-    const milliseconds blocked = BlockedTime();
+    const milliseconds blocked = shared_.BlockedTime(request_.shared_segments);
     SendOwnResponse({503, last_result.reason,
                      blocked.count() > 0 ? blocked
                                          : RetryAfter(*route_, obstacle_, last_result.outcome,
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -87,9 +87,6 @@
   [[nodiscard]] attempt_result RelayBuffered(http_stream& stream);
   /// \brief Classifies an attempt that ended with a transport error.
   [[nodiscard]] attempt_result MakeErrorResult(const error& failure) const;
-  /// \brief How long the request is rejected because one of its prompt segments crashes upstreams;
-  /// 0 if it is not.
-  [[nodiscard]] milliseconds BlockedTime() const;
   /// \brief Reports the request's prompt segments if the upstream has crashed.
   void CheckForCrash(const known_upstream& upstream);
   /// \brief Checks whether another attempt may follow and takes a token of the retry budget for it.
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -65,15 +65,16 @@
     found->second.capacity_changed.NotifyAll();
 }
 
-void gateway_context::OnCrash(const crash_report& report) {
+milliseconds gateway_context::BlockedTime(const std::vector<std::string>& segments) {
   const time_point now = Now();
-  for (const std::string& segment : crashes.OnCrash(report, now)) {
+  for (const std::string& segment : crashes.Evaluate(now)) {
     log.Write(event_line("segment.blocked")
                   .Add("segment", segment)
-                  .Add("upstream", report.upstream)
                   .Add("for_ms", std::chrono::duration_cast<milliseconds>(
                                      crashes.BlockedUntil({segment}, now).value_or(now) - now)));
   }
+  const auto until = crashes.BlockedUntil(segments, now);
+  return until ? std::chrono::duration_cast<milliseconds>(*until - now) : milliseconds(0);
 }
 
 gateway_service::gateway_service(const gateway_settings& settings,
@@ -145,7 +146,7 @@
                                                     [this](http_exchange& e) { rpc_.Serve(e); }));
   internal_servers_.push_back(std::move(peers));
   fleet_sync_->OnCrashReports([this](const crash_report& report) {
-    traffic_thread_.Spawn([this, report] { shared_.OnCrash(report); });
+    traffic_thread_.Spawn([this, report] { shared_.crashes.OnCrash(report, Now()); });
   });
   shared_.share_crash = [this](const crash_report& report) {
     control_thread_.Spawn([this, report] { fleet_sync_->ShareCrash(report); });
--- a/libs/placement/include/quincebank/placement/crash_blame.h
+++ b/libs/placement/include/quincebank/placement/crash_blame.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstddef>
 #include <deque>
 #include <map>
@@ -15,9 +16,10 @@
 
 /// \brief Upstream that crashed while it ran requests, as one entry saw it.
 struct crash_report {
-  std::string upstream;               ///< Id and incarnation of the upstream.
-  milliseconds at{0};                 ///< Unix time at which the entry noticed the crash.
-  std::vector<std::string> segments;  ///< Suspect prompt segments of the requests that it ran.
+  std::string upstream;  ///< Id and incarnation of the upstream.
+  milliseconds at{0};    ///< Unix time at which the entry noticed the crash.
+  /// Suspect prompt segments of each request that it ran, in prompt order.
+  std::vector<std::vector<std::string>> requests;
 
   [[nodiscard]] bool operator==(const crash_report&) const = default;
 };
@@ -35,6 +37,8 @@
   int crashes_to_block = 3;
   /// Upstreams that crash within this time may have a common cause and count once.
   milliseconds common_cause_window{100};
+  /// Time within which all entries have reported a crash.
+  milliseconds report_time{1'000};
   /// A segment that was served within this time is not reported.
   milliseconds served_memory{60'000};
   milliseconds block_time{600'000};  ///< After the last crash.
@@ -46,9 +50,12 @@
 ///
 /// Several requests run on an upstream when it crashes, and sound requests share segments with
 /// those that crash it. A segment is blocked if it was present in several crashes and no request
-/// with it was served since the first of them. If several segments fit, the one that was served
-/// less recently is blocked, then the one that is later in the prompt; its crashes do not count for
-/// other segments. A served request clears its segments.
+/// with it was served since the first of them. If several segments fit, one is blocked: that which
+/// was served less recently, is later in the prompt, or was in more of the requests, in this order.
+/// Its crashes do not count for other segments. A served request clears its segments.
+///
+/// The reports of all entries on a crash take a moment to arrive. Until then all segments that fit
+/// are blocked.
 ///
 /// Used by one thread.
 class crash_blame {
@@ -59,8 +66,10 @@
   [[nodiscard]] std::vector<std::string> Suspects(const std::vector<std::string>& segments,
                                                   time_point now) const;
   /// \brief Adds a report; those of several entries on one crash are joined.
+  void OnCrash(const crash_report& report, time_point now);
+  /// \brief Decides which segments stay blocked, if the reports on the last crashes are complete.
   /// \returns The segments that are blocked from now on.
-  std::vector<std::string> OnCrash(const crash_report& report, time_point now);
+  std::vector<std::string> Evaluate(time_point now);
   /// \brief A request with these segments was served completely.
   void OnServed(const std::vector<std::string>& segments, time_point now);
   /// \brief Returns until when requests with one of the segments are rejected, if so.
@@ -71,22 +80,36 @@
   struct crash {
     std::string upstream;
     milliseconds at{0};
-    std::vector<std::string> segments;  ///< In prompt order for each request.
+    std::vector<std::vector<std::string>> requests;
     time_point received{};
     bool explained = false;  ///< A blocked segment was present.
   };
 
+  /// Evidence against a segment; the larger one is blocked.
+  struct evidence {
+    time_point::duration not_served_for{0};
+    std::size_t position = 0;  ///< Largest one in the prompts of the requests.
+    int requests = 0;          ///< In unexplained crashes.
+
+    [[nodiscard]] auto operator<=>(const evidence&) const = default;
+  };
+
+  [[nodiscard]] evidence EvidenceAgainst(const std::string& segment, time_point now) const;
+  /// \brief Returns the segments that were present in enough crashes.
+  [[nodiscard]] std::set<std::string, std::less<>> Candidates() const;
   /// \brief Returns the segment to block next, if any.
-  [[nodiscard]] std::optional<std::string> FindCulprit() const;
+  [[nodiscard]] std::optional<std::string> FindCulprit(time_point now) const;
   /// \brief Counts unexplained crashes with a segment; those with a common cause count once.
   [[nodiscard]] int CountCrashes(const std::string& segment) const;
-  void Explain(const std::string& segment);
+  void Block(const std::string& segment);
   void Forget(time_point now);
 
   const crash_blame_settings settings_;
   std::deque<crash> crashes_;  ///< In the order of their first report.
   std::map<std::string, time_point, std::less<>> blocked_until_;
   std::map<std::string, time_point, std::less<>> served_at_;
+  std::set<std::string, std::less<>> candidates_;  ///< Blocked until `evaluate_at_`.
+  std::optional<time_point> evaluate_at_;
 };
 
 }  // namespace quincebank
--- a/libs/placement/src/crash_blame.cc
+++ b/libs/placement/src/crash_blame.cc
@@ -14,13 +14,20 @@
   return std::find(segments.begin(), segments.end(), segment) != segments.end();
 }
 
+bool Contains(const std::vector<std::vector<std::string>>& requests, const std::string& segment) {
+  return std::any_of(requests.begin(), requests.end(),
+                     [&](const std::vector<std::string>& one) { return Contains(one, segment); });
+}
+
 }  // namespace
 
 std::string Encode(const crash_report& report) {
-  json::array segments(report.segments.begin(), report.segments.end());
+  json::array requests;
+  for (const std::vector<std::string>& segments : report.requests)
+    requests.push_back(json::object{{"segments", json::array(segments.begin(), segments.end())}});
   return json::serialize(json::object{{"upstream", report.upstream},
                                       {"at_ms", report.at.count()},
-                                      {"segments", std::move(segments)}});
+                                      {"requests", std::move(requests)}});
 }
 
 std::optional<crash_report> DecodeCrashReport(std::string_view text) {
@@ -32,7 +39,9 @@
   crash_report report;
   report.upstream = reader.String("upstream");
   report.at = milliseconds(reader.Int("at_ms", {}));
-  report.segments = reader.Strings("segments");
+  reader.Each("requests", [&](json_reader& request) {
+    report.requests.push_back(request.Strings("segments"));
+  });
   if (!errors.empty())
     return std::nullopt;
   return report;
@@ -49,7 +58,7 @@
   return suspects;
 }
 
-std::vector<std::string> crash_blame::OnCrash(const crash_report& report, time_point now) {
+void crash_blame::OnCrash(const crash_report& report, time_point now) {
   Forget(now);
   auto known = std::find_if(crashes_.begin(), crashes_.end(),
                             [&](const crash& other) { return other.upstream == report.upstream; });
@@ -58,48 +67,86 @@
     known = std::prev(crashes_.end());
   }
   known->at = std::min(known->at, report.at);
-  for (const std::string& segment : report.segments) {
-    if (Contains(known->segments, segment))
-      continue;
-    const auto served = served_at_.find(segment);
-    if (served != served_at_.end() && served->second > known->received)
+  for (std::vector<std::string> segments : report.requests) {
+    std::erase_if(segments, [&](const std::string& segment) {
+      const auto served = served_at_.find(segment);
+      return served != served_at_.end() && served->second > known->received;
+    });
+    // An entry's own report comes back from the store.
+    if (segments.empty() || std::find(known->requests.begin(), known->requests.end(), segments) !=
+                                known->requests.end())
       continue;
-    known->segments.push_back(segment);
-    const auto blocked = blocked_until_.find(segment);
-    if (blocked == blocked_until_.end())
-      continue;
-    // Requests that were sent before the block, or the first ones after an older block has ended.
-    blocked->second = known->received + settings_.block_time;
-    known->explained = true;
+    for (const std::string& segment : segments) {
+      const auto blocked = blocked_until_.find(segment);
+      if (blocked == blocked_until_.end())
+        continue;
+      // Requests that were sent before the block, or the first ones after an older block has ended.
+      blocked->second = known->received + settings_.block_time;
+      known->explained = true;
+    }
+    known->requests.push_back(std::move(segments));
   }
+  candidates_ = Candidates();
+  if (!candidates_.empty() && !evaluate_at_)
+    evaluate_at_ = now + settings_.report_time;
+}
+
+std::vector<std::string> crash_blame::Evaluate(time_point now) {
   std::vector<std::string> blocked;
-  while (const auto culprit = FindCulprit()) {
-    blocked_until_[*culprit] = now + settings_.block_time;
-    Explain(*culprit);
+  if (!evaluate_at_ || now < *evaluate_at_)
+    return blocked;
+  while (const auto culprit = FindCulprit(now)) {
+    Block(*culprit);
     blocked.push_back(*culprit);
   }
+  candidates_.clear();
+  evaluate_at_.reset();
   return blocked;
 }
 
-std::optional<std::string> crash_blame::FindCulprit() const {
-  std::optional<std::string> culprit;
-  time_point culprit_served{};
+crash_blame::evidence crash_blame::EvidenceAgainst(const std::string& segment,
+                                                   time_point now) const {
+  const auto served = served_at_.find(segment);
+  evidence found;
+  found.not_served_for =
+      served == served_at_.end() ? time_point::duration::max() : now - served->second;
   for (const crash& one : crashes_) {
     if (one.explained)
       continue;
-    for (const std::string& segment : one.segments) {
-      if (culprit == segment || CountCrashes(segment) < settings_.crashes_to_block)
+    for (const std::vector<std::string>& segments : one.requests) {
+      const auto at = std::find(segments.begin(), segments.end(), segment);
+      if (at == segments.end())
         continue;
-      const auto found = served_at_.find(segment);
-      const time_point served = found == served_at_.end() ? time_point{} : found->second;
-      // Among equals the last one wins, which is the later one in the prompt.
-      if (culprit && served > culprit_served)
-        continue;
-      culprit = segment;
-      culprit_served = served;
+      ++found.requests;
+      found.position = std::max(found.position, static_cast<std::size_t>(at - segments.begin()));
     }
-    if (culprit)
-      return culprit;
+  }
+  return found;
+}
+
+std::set<std::string, std::less<>> crash_blame::Candidates() const {
+  std::set<std::string, std::less<>> candidates;
+  for (const crash& one : crashes_) {
+    if (one.explained)
+      continue;
+    for (const std::vector<std::string>& segments : one.requests)
+      candidates.insert(segments.begin(), segments.end());
+  }
+  std::erase_if(candidates, [&](const std::string& segment) {
+    return CountCrashes(segment) < settings_.crashes_to_block;
+  });
+  return candidates;
+}
+
+std::optional<std::string> crash_blame::FindCulprit(time_point now) const {
+  std::optional<std::string> culprit;
+  evidence most;
+  for (const std::string& segment : Candidates()) {
+    const evidence against = EvidenceAgainst(segment, now);
+    if (culprit && against <= most)
+      continue;
+    culprit = segment;
+    most = against;
   }
   return culprit;
 }
@@ -107,7 +154,7 @@
 int crash_blame::CountCrashes(const std::string& segment) const {
   std::vector<milliseconds> times;
   for (const crash& one : crashes_) {
-    if (!one.explained && Contains(one.segments, segment))
+    if (!one.explained && Contains(one.requests, segment))
       times.push_back(one.at);
   }
   std::sort(times.begin(), times.end());
@@ -122,9 +169,14 @@
   return count;
 }
 
-void crash_blame::Explain(const std::string& segment) {
-  for (crash& one : crashes_)
-    one.explained = one.explained || Contains(one.segments, segment);
+void crash_blame::Block(const std::string& segment) {
+  time_point& until = blocked_until_[segment];
+  for (crash& one : crashes_) {
+    if (!Contains(one.requests, segment))
+      continue;
+    one.explained = true;
+    until = std::max(until, one.received + settings_.block_time);
+  }
 }
 
 void crash_blame::OnServed(const std::vector<std::string>& segments, time_point now) {
@@ -133,8 +185,11 @@
     if (crashes_.empty() && blocked_until_.empty())
       continue;
     blocked_until_.erase(segment);
-    for (crash& one : crashes_)
-      std::erase(one.segments, segment);
+    candidates_.erase(segment);
+    for (crash& one : crashes_) {
+      for (std::vector<std::string>& request : one.requests)
+        std::erase(request, segment);
+    }
   }
   if (served_at_.size() <= settings_.max_served)
     return;
@@ -150,14 +205,15 @@
 
 std::optional<time_point> crash_blame::BlockedUntil(const std::vector<std::string>& segments,
                                                     time_point now) const {
-  if (blocked_until_.empty())
+  if (blocked_until_.empty() && candidates_.empty())
     return std::nullopt;
   std::optional<time_point> until;
   for (const std::string& segment : segments) {
     const auto blocked = blocked_until_.find(segment);
-    if (blocked == blocked_until_.end() || blocked->second <= now)
-      continue;
-    until = std::max(until.value_or(blocked->second), blocked->second);
+    if (blocked != blocked_until_.end() && blocked->second > now)
+      until = std::max(until.value_or(blocked->second), blocked->second);
+    if (candidates_.contains(segment) && evaluate_at_ && *evaluate_at_ > now)
+      until = std::max(until.value_or(*evaluate_at_), *evaluate_at_);
   }
   return until;
 }
--- a/libs/placement/tests/crash_blame_test.cc
+++ b/libs/placement/tests/crash_blame_test.cc
@@ -39,13 +39,16 @@
   for (const auto& step : GetParam().steps) {
     if (const auto* const crash = std::get_if<crash_step>(&step)) {
       now = kStart + crash->at;
-      blame.OnCrash({crash->upstream, crash->at, blame.Suspects(crash->segments, now)}, now);
+      blame.Evaluate(now);
+      blame.OnCrash({crash->upstream, crash->at, {blame.Suspects(crash->segments, now)}}, now);
     } else {
       const auto& served = std::get<served_step>(step);
       now = kStart + served.at;
       blame.OnServed(served.segments, now);
     }
   }
+  now += crash_blame_settings{}.report_time;
+  blame.Evaluate(now);
   for (const std::string& segment : GetParam().blocked)
     EXPECT_TRUE(blame.BlockedUntil({"x", segment}, now)) << segment;
   for (const std::string& segment : GetParam().allowed)
@@ -85,6 +88,18 @@
                     crash_step{"b", {"bad", "later"}, 2s}, crash_step{"c", {"bad", "later"}, 3s}},
                    {"bad"},
                    {"later"}},
+        blame_case{"an_entry_that_served_the_first_segment_reports_first",
+                   {crash_step{"a", {"bad"}, 0s}, crash_step{"a", {"first", "bad"}, 0s},
+                    crash_step{"b", {"bad"}, 1s}, crash_step{"b", {"first", "bad"}, 1s},
+                    crash_step{"c", {"bad"}, 2s}, crash_step{"c", {"first", "bad"}, 2s}},
+                   {"bad"},
+                   {"first"}},
+        blame_case{"popular_first_segment_reported_before_the_other_one",
+                   {crash_step{"a", {"first", "bad"}, 0s}, crash_step{"b", {"first", "bad"}, 1s},
+                    crash_step{"b", {"first"}, 1s}, crash_step{"c", {"first"}, 2s},
+                    crash_step{"c", {"first", "bad"}, 2'100ms}},
+                   {"bad"},
+                   {"first"}},
         blame_case{"bystanders",
                    {crash_step{"a", {"one"}, 0s}, crash_step{"a", {"bad"}, 0s},
                     crash_step{"b", {"bad"}, 1s}, crash_step{"b", {"two"}, 1s},
@@ -113,10 +128,23 @@
                    {"bad"}}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Guards against further crashes while the reports of other entries are under way.
+TEST(crash_blame, BlocksAllCandidatesUntilTheReportsAreComplete) {
+  crash_blame blame;
+  for (int i = 0; i < 3; ++i)
+    blame.OnCrash({std::to_string(i), i * 1s, {{"first", "bad"}}}, kStart + i * 1s);
+  const time_point now = kStart + 2s;
+  EXPECT_TRUE(blame.Evaluate(now).empty());
+  EXPECT_EQ(blame.BlockedUntil({"first"}, now), now + crash_blame_settings{}.report_time);
+  const time_point later = now + crash_blame_settings{}.report_time;
+  EXPECT_EQ(blame.Evaluate(later), strings{"bad"});
+  EXPECT_FALSE(blame.BlockedUntil({"first"}, later));
+}
+
 TEST(crash_report, SurvivesARoundTripAndRejectsOtherText) {
-  const crash_report report{"i-1/5", 812ms, {"a", "b"}};
+  const crash_report report{"i-1/5", 812ms, {{"a", "b"}, {"c"}}};
   EXPECT_EQ(DecodeCrashReport(Encode(report)), report);
-  for (const char* const bad : {"", "[]", "{}", R"({"upstream":1,"at_ms":1,"segments":[]})"})
+  for (const char* const bad : {"", "[]", "{}", R"({"upstream":1,"at_ms":1,"requests":[]})"})
     EXPECT_FALSE(DecodeCrashReport(bad)) << bad;
 }
 
