Do not write another answer into a stream that has begun

Clients found the head and text of another answer in the middle of their stream, and the connection stayed open, when a stream broke off and the upstream at which it was resumed answered with 404 or another status below 500 that is no stream (report of another operator).

Cause: answers that are no streams are buffered and sent as a response of their own; only those from 500 on were held back.

Evidence: the raw bytes that a client received, in resumed_stream_test: "HTTP/1.1 404 Not Found" after the second event. The case not_found failed before, after 60 s; the later cases did not run then. Such an answer now counts as a failed attempt, so that the stream is left incomplete.

--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -454,6 +454,12 @@
   }
   if (stream.status() < 300 && IsEventStream(stream.headers()))
     return RelayStream(stream);
+  if (head_sent_) {
+    // The client has received a part of a stream, and this is not the rest of it.
+    attempt.ran = verdict::kRan;
+    attempt.reason = "status " + std::to_string(stream.status()) + " instead of a resumed stream";
+    return attempt;
+  }
   return RelayBuffered(stream);
 }
 
