Do not trust a refusal without an attempt id on a kept connection

Clients could be told that a request has not run and may be sent again, while its upstream ran it: a faulty upstream wrote the refusal of an earlier request once more on the connection (report of another operator).

Cause: an answer that names another request is skipped, but one that names none was taken for that of the current request. Requests that may not be repeated use a connection of their own and were not affected.

On a kept connection such a refusal now proves nothing: the request may have run, and the connection is closed.

--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -436,6 +436,12 @@
   const upstream_response_info info =
       shared_.codec.DecodeResponse(stream.status(), stream.headers());
   attempt_result attempt;
+  if ((info.wrong_instance || info.not_run) && info.attempt_id.empty() &&
+      stream.is_on_kept_connection()) {
+    attempt.reason = "status " + std::to_string(stream.status()) +
+                     " without attempt id may be the refusal of an earlier request";
+    return attempt;
+  }
   if (info.wrong_instance || info.not_run) {
     const auto body = stream.ReadSome();  // Frees the connection for the next request.
     attempt.ran = verdict::kNotRun;
--- a/libs/net/include/quincebank/net/http_client.h
+++ b/libs/net/include/quincebank/net/http_client.h
@@ -49,6 +49,8 @@
 
   [[nodiscard]] virtual int status() const noexcept = 0;
   [[nodiscard]] virtual const http_headers& headers() const noexcept = 0;
+  /// \brief Whether the connection had served other requests before.
+  [[nodiscard]] virtual bool is_on_kept_connection() const noexcept = 0;
   /// \brief Suspends the fiber until bytes have come.
   /// \returns The bytes, nothing at the end of the body, or an error: `kTimeout` after silence,
   ///          `kTruncated` if the connection ended before the body did.
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -184,6 +184,7 @@
       : pool_(std::move(pool)),
         peer_(call.peer),
         connection_(std::move(connected)),
+        kept_connection_(connection_->answered != time_point{}),
         cancellation_(call.cancellation, *connection_),
         idle_timeout_(call.idle_timeout),
         most_idle_(call.most_idle) {
@@ -260,6 +261,7 @@
   void SetDeadline(time_point deadline) override { deadline_ = deadline; }
   [[nodiscard]] int status() const noexcept override { return parser_->get().result_int(); }
   [[nodiscard]] const http_headers& headers() const noexcept override { return headers_; }
+  [[nodiscard]] bool is_on_kept_connection() const noexcept override { return kept_connection_; }
 
   result<std::optional<std::string>> ReadSome() override {
     std::string bytes;
@@ -324,6 +326,7 @@
   std::shared_ptr<Pool> pool_;
   endpoint peer_;
   std::unique_ptr<connection> connection_;
+  const bool kept_connection_;
   cancellation_scope cancellation_;  // After `connection_`, which it refers to.
   milliseconds idle_timeout_;
   time_point deadline_ = time_point::max();
