Honour Server-Leaving and Retry-After in the answers of upstreams

Neither field was decoded.

Any answer of an upstream that names the request now sets a mark on that start of the upstream: it gets no further requests from this entry, whatever the store says; a pause takes it out until its end, and requests wait or are rejected as with a rate limit. Answers of another instance and damaged values set nothing.

--- a/libs/gateway/include/quincebank/gateway/exchange_codec.h
+++ b/libs/gateway/include/quincebank/gateway/exchange_codec.h
@@ -44,6 +44,8 @@
   bool wrong_instance = false;  ///< Another upstream has the address now; the request was not run.
   /// Id of the upstream whose failure caused the rejection; may be empty.
   std::string faulty_upstream;
+  bool leaving = false;  ///< The upstream is shutting down.
+  /// Time for which an upstream that rejected the request asks for no others.
   std::optional<milliseconds> retry_after;
 };
 
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -152,7 +152,8 @@
     const upstream_record& record = upstream.record;
     if (!subset.empty() && std::find(subset.begin(), subset.end(), &upstream) == subset.end())
       continue;
-    if (record.leaving || snapshot.evacuated_domains.contains(record.failure_domain))
+    if (record.leaving || upstream.health->leaving() ||
+        snapshot.evacuated_domains.contains(record.failure_domain))
       continue;
     if (std::find(tried_upstreams_.begin(), tried_upstreams_.end(), record.id) !=
         tried_upstreams_.end())
@@ -172,6 +173,7 @@
     candidate.probing = upstream.health->probing();
     candidate.available_at =
         upstream.may_send ? upstream.health->AllowedFrom(upstream.limit) : time_point::max();
+    candidate.available_at = std::max(candidate.available_at, upstream.health->paused_until());
     candidate.rate_limited = candidate.available_at > now;
     candidate.same_domain = record.failure_domain == shared_.settings.failure_domain;
     eligible.push_back(&upstream);
@@ -414,9 +416,33 @@
   const auto stream = shared_.http->Open(call);
   if (!stream)
     return MakeErrorResult(stream.error());
+  ApplyUpstreamState(upstream, *stream.value());
   return HandleResponse(*stream.value());
 }
 
+void forward_flow::ApplyUpstreamState(const known_upstream& upstream,
+                                      const http_stream& stream) const {
+  const upstream_response_info info =
+      shared_.codec.DecodeResponse(stream.status(), stream.headers());
+  // The answer of another instance, or one that names no request, says nothing about this upstream.
+  if (info.wrong_instance || info.attempt_id.empty())
+    return;
+  if (info.leaving && !upstream.health->leaving()) {
+    upstream.health->OnLeaving();
+    shared_.log.Write(event_line("upstream.announced_leaving")
+                          .Add("upstream", upstream.record.id)
+                          .Add("request", request_.attempt_id)
+                          .Add("status", stream.status()));
+  }
+  if (!info.retry_after || info.retry_after->count() == 0)
+    return;
+  upstream.health->OnPause(Now() + *info.retry_after);
+  shared_.log.Write(event_line("upstream.paused")
+                        .Add("upstream", upstream.record.id)
+                        .Add("request", request_.attempt_id)
+                        .Add("for_ms", *info.retry_after));
+}
+
 attempt_result forward_flow::MakeErrorResult(const error& failure) const {
   attempt_result attempt;
   attempt.reason = failure.message;
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -78,6 +78,8 @@
                      placement_candidate& candidate) const;
   /// \brief Makes one attempt at an upstream and relays its response.
   [[nodiscard]] attempt_result SendAttempt(const known_upstream& upstream);
+  /// \brief Records whether the upstream is leaving or asks for a pause.
+  void ApplyUpstreamState(const known_upstream& upstream, const http_stream& stream) const;
   /// \brief Evaluates the response header and relays the body to the client.
   [[nodiscard]] attempt_result HandleResponse(http_stream& stream);
   /// \brief Passes on the events of a stream as they arrive, each one only when it is complete.
--- a/libs/placement/include/quincebank/placement/crash_blame.h
+++ b/libs/placement/include/quincebank/placement/crash_blame.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <deque>
 #include <map>
@@ -8,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "quincebank/base/time.h"
@@ -91,7 +91,10 @@
     std::size_t position = 0;  ///< Largest one in the prompts of the requests.
     int requests = 0;          ///< In unexplained crashes.
 
-    [[nodiscard]] auto operator<=>(const evidence&) const = default;
+    [[nodiscard]] bool operator<(const evidence& other) const {
+      return std::tie(not_served_for, position, requests) <
+             std::tie(other.not_served_for, other.position, other.requests);
+    }
   };
 
   [[nodiscard]] evidence EvidenceAgainst(const std::string& segment, time_point now) const;
--- a/libs/placement/include/quincebank/placement/upstream_health.h
+++ b/libs/placement/include/quincebank/placement/upstream_health.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -44,6 +45,13 @@
   /// \brief Ejects the upstream because another rank of its group is down.
   void OnGroupStalled(time_point now);
 
+  /// \brief The upstream has stated that it is shutting down. Holds until it ends.
+  void OnLeaving() noexcept { leaving_ = true; }
+  [[nodiscard]] bool leaving() const noexcept { return leaving_; }
+  /// \brief The upstream has asked for no requests until then.
+  void OnPause(time_point until) noexcept { paused_until_ = std::max(paused_until_, until); }
+  [[nodiscard]] time_point paused_until() const noexcept { return paused_until_; }
+
   /// \brief Whether the rate limit allows a request now.
   [[nodiscard]] bool Allows(const send_limit& limit, time_point now) const noexcept {
     return window_.Allows(limit, now);
@@ -76,6 +84,8 @@
   double failure_share_ = 0;
   time_point ejected_until_{};
   bool probing_ = false;
+  bool leaving_ = false;
+  time_point paused_until_{};
 };
 
 }  // namespace quincebank
--- a/libs/placement/src/crash_blame.cc
+++ b/libs/placement/src/crash_blame.cc
@@ -143,7 +143,7 @@
   evidence most;
   for (const std::string& segment : Candidates()) {
     const evidence against = EvidenceAgainst(segment, now);
-    if (culprit && against <= most)
+    if (culprit && !(most < against))
       continue;
     culprit = segment;
     most = against;
