--- a/libs/fleet/src/store_mirror.cc
+++ b/libs/fleet/src/store_mirror.cc
@@ -118,7 +118,7 @@
   update.revision = revision_;
   update.whole = since < removals_complete_after_;
   for (const auto& [key, known] : items_) {
-    // The whole content tells of removals only by what it leaves out.
+    // In the whole content, a missing key is the only sign of a removal.
     if (update.whole ? !known.remove_at : known.item.revision > since)
       update.events.push_back({known.item, false});
   }
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -424,7 +424,7 @@
                                       const http_stream& stream) const {
   const upstream_response_info info =
       shared_.codec.DecodeResponse(stream.status(), stream.headers());
-  // The answer of another instance, or one that names no request, says nothing about this upstream.
+  // The answer of another instance, or one without an id, is no evidence about this upstream.
   if (info.wrong_instance || info.attempt_id.empty())
     return;
   if (info.leaving && !upstream.health->leaving()) {
