--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# The stand-ins of the scripts are Python programs (standard library only), so nothing is compiled.
+# Checks that the interpreter is there and that the stand-ins can be loaded.
+set -euo pipefail
+cd "$(dirname "$0")"
+python3 -B -c '
+import sys
+sys.path.insert(0, "standins")
+import config, consumer, deployment, http11, replica, store
+'
