--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -4,6 +4,7 @@
 import json
 import os
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -11,6 +12,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 sys.path.insert(0, os.path.dirname(__file__))
 
@@ -46,6 +48,15 @@
         self.file.flush()
 
 
+def raise_fd_limit(least):
+    """Lets this process use as many descriptors as the system allows it."""
+    most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    if most != resource.RLIM_INFINITY and most < least:
+        raise CannotRun(f"the limit of descriptors is {most}, below {least}")
+    wanted = 65536 if most == resource.RLIM_INFINITY else most
+    resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, most))
+
+
 def free_ports(hosts, count):
     """Returns `count` consecutive ports that are free on each of the addresses."""
     for first in range(21000 + os.getpid() % 400 * 20, 60000, 40):
@@ -92,6 +103,7 @@
 
     def __init__(self, name, binary, settings, folder):
         self.name, self.binary = name, binary
+        self.max_fds = None  # Set before the start if the case depends on it.
         self.settings = os.path.join(folder, name + ".json")
         self.log = os.path.join(folder, name + ".log")
         with open(self.settings, "w", encoding="utf-8") as file:
@@ -99,9 +111,13 @@
         self.process = None
 
     def start(self):
+        def limit_fds():
+            resource.setrlimit(resource.RLIMIT_NOFILE, (self.max_fds, self.max_fds))
+
         log = open(self.log, "ab")
         self.process = subprocess.Popen(
             [self.binary], cwd=ROOT, stdout=log, stderr=log,
+            preexec_fn=limit_fds if self.max_fds else None,
             env={"PATH": os.environ["PATH"], "QUINCEBANK_CONFIG": self.settings})
         log.close()
 
@@ -112,10 +128,10 @@
     def running(self):
         return self.process is not None and self.process.poll() is None
 
-    def rss_mb(self):
+    def rss_mib(self):
         try:
             with open(f"/proc/{self.process.pid}/statm", encoding="ascii") as file:
-                return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+                return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 2**20
         except (OSError, IndexError):
             return 0.0
 
@@ -218,6 +234,10 @@
         record.write(f"cannot run: {reason}")
         print(f"cannot run: {reason}")
         sys.exit(2)
+    except Exception:  # pylint: disable=broad-except
+        record.write(traceback.format_exc())
+        traceback.print_exc()
+        sys.exit(2)
     for breach in breaches:
         record.write("BREACH " + breach)
         print("BREACH " + breach)
