--- a/review/standins/rank_group.py
+++ b/review/standins/rank_group.py
@@ -18,12 +18,21 @@
 PICKS = 2000  # Choices of experts in one pass, by set and rank.
 HOT = 5  # Experts that are in demand, of each set.
 
+# What the configuration says of the engines.
+ENGINE = {"slots": 12, "kv_capacity": 280000, "kv_bytes": 35136, "link_mbps": 92000.0, "stride": 4,
+          "models": [{"name": "m"}], "step_ms": 4.55, "per_seq_ms": 0.905, "context_per_k": 0.0183,
+          "read_per_s": 61400.0, "pairs_per_m": 0.525, "chunk": 512, "report_lag_ms": 200.0,
+          "usual": {"prompt": 835, "answer": 97}, "sets": SETS, "experts": EXPERTS,
+          "placements": PLACEMENTS, "spare": SPARE, "expert_mb": 1700.0, "expert_share": 0.85,
+          "form_ms": 600.0}
+
 
 class Group:
     """Begins the passes of all ranks together and notes passes in which the maps differ."""
 
-    def __init__(self, record, size):
+    def __init__(self, record, name, size):
         self.record = record
+        self.name = name
         self.size = size
         self.step = 0
         self.epoch = 1
@@ -66,13 +75,13 @@
         text = f"with versions {versions}"
         if self.breaches and self.breaches[-1].endswith(text):
             return  # The passes after it are only counted.
-        self.breaches.append(f"MAP: pass {self.step} begins {text}")
+        self.breaches.append(f"MAP: pass {self.step} of {self.name} begins {text}")
         self.record.write(self.breaches[-1])
 
 
 class Rank(Replica):
     def __init__(self, group, rank, store, record, host, port, service, zone, faults):
-        membership = {"name": "g-1", "epoch": group.epoch, "rank": rank, "state": "open"}
+        membership = {"name": group.name, "epoch": group.epoch, "rank": rank, "state": "open"}
         super().__init__(store, record, host, port, service, zone,
                          group={"group": membership, "size": group.size})
         self.group, self.rank, self.faults = group, rank, faults
