review: one empty entry stops all gateways from following the store

CONFIG: a request sent later than the time to apply a confirmed version must not be handled as only an older version allows.

The store client refuses an empty value, and the error makes each watch and each full read fail as a whole. After one empty entry of another writer the gateways keep their old configuration for good, and one that restarts never gets ready.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,83 +1,106 @@
-"""One odd entry among those of the replicas ends one gateway after the other.
+"""One empty entry among those of the replicas stops all gateways from following the store.
 
-The entry names a group of many million ranks. Whoever coordinates the groups makes room for that
-many ranks, exceeds the memory of its machine and is killed; the next gateway takes the role over.
+A watch and a full read fail as a whole if one item has an empty value. The gateways go on with what
+they knew before: a confirmed configuration is never in force, and one that restarts never serves.
 """
 
 import asyncio
 import os
-import random
+import signal
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
 
-from config import config  # noqa: E402
-from consumer import Channel, attempt_id, request_bytes  # noqa: E402
+from config import config, service  # noqa: E402
+from consumer import ask, attempt_id, request_bytes  # noqa: E402
 from deployment import Deployment, run_case  # noqa: E402
-from memory import Watch  # noqa: E402
-from rank_group import ENGINE  # noqa: E402
 from replica import Replica  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-RUN_S = 45
-CONSUMERS = 20
-DEADLINE_MS = 8000
-ENDS_FOR_FAULT = 3
-ODD_SIZE = 100_000_000  # Ranks; the largest groups of the pages have 96.
+APPLY_S = 2.0  # `config_apply_ms`
+OUTSIDE_S = 0.1  # Added to it, for the script's own delays.
+ORDERS_S = 15
+ORDER_DEADLINE_MS = 1500
+GRACE_S = 8
+RECOVERY_S = 12
 
 
-async def consumer(deployment, record, until, seen):
-    addresses, expires, channel = [], 0, None
-    while time.monotonic() < until:
-        if time.monotonic() >= expires:
-            addresses = await deployment.lookup(random.choice(deployment.gateways)) or addresses
-            expires = time.monotonic() + 1
-        if channel is None or not channel.open or channel.address not in addresses:
-            channel = Channel(random.choice(addresses))
-        attempt = attempt_id()
-        data = request_bytes("POST", "/draft/24x85", attempt, DEADLINE_MS, b"{}")
-        outcome = await channel.ask(data, DEADLINE_MS / 1e3)
-        name = f"{outcome.status} {'complete' if outcome.complete else outcome.why}"
-        seen[name] = seen.get(name, 0) + 1
-        record.write(f"consumer of {attempt}: {name}")
-        if outcome.status != 200 or not outcome.complete:
-            await asyncio.sleep(0.3)
+def changed():
+    """The next version: the orders' route leads to another service."""
+    values = config(version=11)
+    values["services"].append(service("desk-b", 48))
+    for route in values["routes"]:
+        if route["name"] == "r-order":
+            route["service"] = "desk-b"
+    return values
+
+
+async def place_order(record, gateway, services):
+    attempt = attempt_id()
+    data = request_bytes("POST", "/order/15", attempt, ORDER_DEADLINE_MS, b"{}")
+    outcome = await ask(gateway.clients, data, ORDER_DEADLINE_MS / 1e3)
+    ran = [name for name, replicas in services.items()
+           if any(attempt in replica.runs for replica in replicas)]
+    record.write(f"order {attempt} at {gateway.name}: {outcome.status} {outcome.why}, run by {ran}")
+    return attempt, outcome, ran
+
+
+async def restart(deployment, record, gateway):
+    """Stops a gateway as planned and starts it again. Returns whether it gets ready."""
+    record.write(f"SIGTERM to {gateway.name}")
+    gateway.signal(signal.SIGTERM)
+    until = time.monotonic() + GRACE_S
+    while gateway.running() and time.monotonic() < until:
+        await asyncio.sleep(0.05)
+    gateway.signal(signal.SIGKILL)
+    gateway.process.wait()
+    gateway.start()
+    try:
+        await deployment.wait_ready(gateway, RECOVERY_S)
+        return True
+    except Exception as reason:  # pylint: disable=broad-except
+        record.write(f"{RECOVERY_S} s after its start: {reason}")
+        return False
 
 
 async def case(record):
-    values = config()
-    values["services"][0]["engine"] = ENGINE
-    deployment = Deployment(["lahore", "faisalabad", "multan"], values)
-    watch = Watch(record, deployment.gateways)
-    seen = {}
+    deployment = Deployment(["lahore", "faisalabad"], config())
+    breaches = []
     try:
         await deployment.start()
-        for i in range(4):
-            await Replica(deployment.store, record, deployment.replica_hosts[i], deployment.port,
-                          "drafts", "lahore").start()
+        services = {"desk": [], "desk-b": []}
+        for i, name in enumerate(["desk", "desk", "desk-b", "desk-b"]):
+            replica = Replica(deployment.store, record, deployment.replica_hosts[i],
+                              deployment.port, name, "lahore", 6)
+            services[name].append(replica)
+            await replica.start()
         await asyncio.sleep(2)
-        asyncio.ensure_future(watch.run())
+        for gateway in deployment.gateways:
+            await place_order(record, gateway, services)
         if TROUBLE:
-            odd = {"service": "drafts", "address": f"{deployment.replica_hosts[30]}:9",
-                   "zone": "multan", "version": "v1", "slots": 12, "state": "ready",
-                   "cold_remaining_ms": 0, "sequence": 0, "born": 1796000000000,
-                   "group": {"name": "g-1", "epoch": 1, "rank": 0, "state": "open"},
-                   "size": ODD_SIZE}
-            deployment.store.put("servers/i-0ddba115", odd)
-            record.write(f"another writer leaves the entry {odd}")
-        until = time.monotonic() + RUN_S
-        await asyncio.gather(*[consumer(deployment, record, until, seen)
-                               for _ in range(CONSUMERS)])
+            deployment.store.put("servers/i-0ddba115", b"")
+            record.write("another writer leaves an empty entry, servers/i-0ddba115")
+        await asyncio.sleep(5)
+        deployment.store.put("op/config", changed())
+        confirmed = time.monotonic()
+        record.write("version 11 is confirmed: orders go to desk-b")
+        await asyncio.sleep(APPLY_S + OUTSIDE_S)
+        while time.monotonic() < confirmed + ORDERS_S:
+            for gateway in deployment.gateways:
+                sent = time.monotonic()
+                attempt, _, ran = await place_order(record, gateway, services)
+                if "desk" in ran:
+                    breaches.append(
+                        f"CONFIG {attempt} at {gateway.name}: sent {sent - confirmed:.1f} s after "
+                        "version 11 was confirmed, run by the service of version 7")
+            await asyncio.sleep(0.5)
+        ready = await restart(deployment, record, deployment.gateways[0])
+        record.write(f"{deployment.gateways[0].name} is ready again: {ready}")
+        print(f"ready again after a planned restart: {ready}")
+        return breaches
     finally:
         deployment.stop()
-    summary = f"answers {seen}, peaks in MiB {watch.peaks}, ends {watch.ends}"
-    record.write(summary)
-    print(summary)
-    faulty = [name for name, ends in watch.ends.items() if ends >= ENDS_FOR_FAULT]
-    if len(faulty) < 2:
-        return []
-    return [f"Fault: {name} ended {watch.ends[name]} times" for name in faulty]
 
 
 run_case(case)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -4,7 +4,6 @@
 import json
 import os
 import re
-import resource
 import shutil
 import signal
 import socket
@@ -51,15 +50,6 @@
         self.file.flush()
 
 
-def raise_fd_limit(least):
-    """Lets this process use as many descriptors as the system allows it."""
-    most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
-    if most != resource.RLIM_INFINITY and most < least:
-        raise CannotRun(f"the limit of descriptors is {most}, below {least}")
-    wanted = 65536 if most == resource.RLIM_INFINITY else most
-    resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, most))
-
-
 def free_ports(hosts, count):
     """Returns `count` consecutive ports that are free on each of the addresses."""
     for first in range(21000 + os.getpid() % 400 * 20, 60000, 40):
@@ -106,7 +96,6 @@
 
     def __init__(self, name, binary, settings, folder):
         self.name, self.binary = name, binary
-        self.max_fds = None  # Set before the start if the case depends on it.
         self.settings = os.path.join(folder, name + ".json")
         self.log = os.path.join(folder, name + ".log")
         with open(self.settings, "w", encoding="utf-8") as file:
@@ -114,13 +103,9 @@
         self.process = None
 
     def start(self):
-        def limit_fds():
-            resource.setrlimit(resource.RLIMIT_NOFILE, (self.max_fds, self.max_fds))
-
         log = open(self.log, "ab")
         self.process = subprocess.Popen(
             [self.binary], cwd=ROOT, stdout=log, stderr=log,
-            preexec_fn=limit_fds if self.max_fds else None,
             env={"PATH": os.environ["PATH"], "QUINCEBANK_CONFIG": self.settings})
         log.close()
 
