--- a/review/3/case.py
+++ b/review/3/case.py
@@ -22,13 +22,16 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 GRACE_S = 8.0
 DEADLINE_MS = 8000
-KEEP_FACTOR = 3  # Some consumers keep an answer of the directory three times as long.
+ZONES = ["lahore", "faisalabad", "multan"]  # Two gateways in each, as on the sheet.
+KEEP_FACTOR = 3  # Some consumers keep an answer of the directory three times as long:
+LONG_KEEPERS = 3  # one in so many; the others keep it for its lifetime.
 WORK = "56x85"  # Events of a stream and the gap between them in ms: about 4.8 s.
 # The rule excuses answers under way in the last sixth of the grace time, of requests that were sent
 # up to 3 s after the SIGTERM; the rest is for the time that the signal takes.
 EXCUSED_UNTIL_S = 3.05
-CONSUMERS = 48
-CYCLES = 4
+CONSUMERS = 90  # In BEGIN_S, so 75 streams a second, as on the sheet.
+BEGIN_S = 1.2
+CYCLES = 6  # Each gateway is stopped once.
 
 
 class Stop:
@@ -39,7 +42,7 @@
         self.at = None
 
 
-async def consumer(deployment, record, stop, begin, breaches):
+async def consumer(deployment, record, stop, begin, factor, breaches):
     """Looks up once, and sends a stream shortly before its answer of the directory expires."""
     await asyncio.sleep(max(0, begin - time.monotonic()))
     others = [one for one in deployment.gateways if one is not stop.gateway]
@@ -47,7 +50,7 @@
     looked_up = time.monotonic()
     if not addresses:
         return
-    await asyncio.sleep(max(0, looked_up + deployment.ttl * KEEP_FACTOR - 0.05 - time.monotonic()))
+    await asyncio.sleep(max(0, looked_up + deployment.ttl * factor - 0.05 - time.monotonic()))
     address = random.choice(addresses)
     if address != stop.gateway.clients:
         return
@@ -81,7 +84,7 @@
 
 
 async def case(record):
-    deployment = Deployment(["lahore", "lahore", "lahore"], config())
+    deployment = Deployment(ZONES * 2, config())
     breaches = []
     deployment.replicas = []
     try:
@@ -93,10 +96,11 @@
             await replica.start()
         await asyncio.sleep(2)
         for cycle in range(CYCLES):
-            stop = Stop(deployment.gateways[cycle % 3])
+            stop = Stop(deployment.gateways[cycle])
             begin = time.monotonic() + 0.3
             tasks = [asyncio.ensure_future(
-                consumer(deployment, record, stop, begin + 0.2 + i * 1.2 / CONSUMERS, breaches))
+                consumer(deployment, record, stop, begin + 0.2 + i * BEGIN_S / CONSUMERS,
+                         1 if i % LONG_KEEPERS else KEEP_FACTOR, breaches))
                 for i in range(CONSUMERS)]
             await asyncio.sleep(0.5)
             if TROUBLE:
