Keep following the store past an item without bytes

A gateway that was restarted never got ready.

Cause: one entry under the upstreams' prefix with an empty value. The decoder of a change read the value with json_reader::String, which refuses an empty string, and its error failed the whole answer, so that each watch and each full read failed until the entry was gone. Class: one bad element fails the whole collection. Full reads, items handed over by other entries, any other key, an item whose value is left out and an empty key had the same cause.

Values and keys may be empty now. The item is kept, its record names nothing, and the decoder of the record reports it, with the key, the field and the number of bytes.

--- a/libs/base/include/quincebank/base/json_reader.h
+++ b/libs/base/include/quincebank/base/json_reader.h
@@ -42,7 +42,10 @@
   json_reader(const boost::json::value& value, std::string path, std::vector<error>& errors);
 
   [[nodiscard]] bool Has(std::string_view key) const noexcept;
+  /// \brief Reads a required string that must not be empty.
   [[nodiscard]] std::string String(std::string_view key);
+  /// \brief Reads a required string that may be empty.
+  [[nodiscard]] std::string Text(std::string_view key);
   [[nodiscard]] std::string String(std::string_view key, std::string_view fallback);
   [[nodiscard]] std::int64_t Int(std::string_view key, int_range range);
   [[nodiscard]] std::int64_t Int(std::string_view key, int_range range, std::int64_t fallback);
--- a/libs/base/src/json_reader.cc
+++ b/libs/base/src/json_reader.cc
@@ -94,6 +94,10 @@
   return std::string(value->get_string());
 }
 
+std::string json_reader::Text(std::string_view key) {
+  return Find(key, true) == nullptr ? std::string() : String(key, "");
+}
+
 std::string json_reader::String(std::string_view key, std::string_view fallback) {
   const json::value* const value = Find(key, false);
   if (value == nullptr)
--- a/libs/base/tests/json_reader_test.cc
+++ b/libs/base/tests/json_reader_test.cc
@@ -72,5 +72,18 @@
   EXPECT_TRUE(ParseJson("// settings\n{\"a\": 1, /* last */ }").has_value());
 }
 
+TEST(json_reader_test, TextMayBeEmptyButNotMissing) {
+  const auto parsed = ParseJson(R"({"empty":"","number":1})");
+  std::vector<error> errors;
+  json_reader reader(parsed.value(), "", errors);
+  EXPECT_EQ(reader.Text("empty"), "");
+  EXPECT_TRUE(errors.empty());
+  EXPECT_EQ(reader.Text("missing"), "");
+  EXPECT_EQ(reader.Text("number"), "");
+  ASSERT_EQ(errors.size(), 2U);
+  EXPECT_EQ(errors[0].path, "/missing");
+  EXPECT_EQ(errors[1].path, "/number");
+}
+
 }  // namespace
 }  // namespace quincebank
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -360,11 +360,11 @@
     return state;
   reader.Each("items", [&](json_reader& item) {
     store_event event;
-    event.item.key = item.String("key");
+    event.item.key = item.Text("key");
     event.item.revision = static_cast<std::uint64_t>(item.Int("revision", {}));
     event.removed = item.Bool("removed", false);
     if (!event.removed)
-      event.item.value = Base64Decode(item.String("value")).value_or(std::string());
+      event.item.value = Base64Decode(item.String("value", "")).value_or(std::string());
     update.events.push_back(std::move(event));
   });
   if (!errors.empty()) {
--- a/libs/gateway/src/fleet_sync_records.cc
+++ b/libs/gateway/src/fleet_sync_records.cc
@@ -73,6 +73,7 @@
   if (!decoded) {
     log_.Write(event_line("config.unreadable")
                    .Add("revision", item.revision)
+                   .Add("bytes", static_cast<std::uint64_t>(item.value.size()))
                    .Add("reason", Describe(decoded.error())));
     return;
   }
@@ -108,6 +109,7 @@
     log_.Write(event_line("upstream.unreadable")
                    .Add("key", key)
                    .Add("revision", item->revision)
+                   .Add("bytes", static_cast<std::uint64_t>(item->value.size()))
                    .Add("reason", Describe(decoded.error())));
     if (known != upstreams_.end())
       upstreams_.erase(known);
@@ -156,8 +158,11 @@
   entries_.erase(key);
   if (item == nullptr)
     return;
-  log_.Write(
-      event_line("entry.unreadable").Add("key", key).Add("reason", Describe(record.error())));
+  log_.Write(event_line("entry.unreadable")
+                 .Add("key", key)
+                 .Add("revision", item->revision)
+                 .Add("bytes", static_cast<std::uint64_t>(item->value.size()))
+                 .Add("reason", Describe(record.error())));
 }
 
 std::vector<entry_record> fleet_sync::Entries() const {
