Search for complete groups in a function of its own

No change of behaviour: expert_rebalancer::Groups becomes FindRankGroups, so that a test can call it without a fleet.

--- a/libs/gateway/include/quincebank/gateway/expert_rebalancer.h
+++ b/libs/gateway/include/quincebank/gateway/expert_rebalancer.h
@@ -12,6 +12,7 @@
 #include "quincebank/experts/shift_detector.h"
 #include "quincebank/gateway/fleet_snapshot.h"
 #include "quincebank/gateway/fleet_sync.h"
+#include "quincebank/gateway/rank_groups.h"
 #include "quincebank/net/fiber_thread.h"
 
 namespace quincebank {
@@ -53,13 +54,6 @@
     double choices = 0;           ///< Expert choices in the first set, in the last read.
     int idle_reads = 0;           ///< Consecutive reads without any expert choice.
   };
-  /// Ranks of one complete group in one snapshot.
-  struct group_view {
-    ref_ptr<const fleet_snapshot> snapshot;  ///< Owns the records.
-    std::vector<const upstream_record*> ranks;
-    engine_profile profile;
-    std::uint64_t epoch = 0;
-  };
 
   [[nodiscard]] static group_state MakeState(std::uint64_t epoch);
   /// \brief Whether the catalog has a service whose engines are expert-parallel.
@@ -68,13 +62,10 @@
   void ScanLoop(fiber_thread& thread);
   /// \brief Balances one group until it is incomplete or this entry is no longer coordinator.
   void GroupLoop(const std::string& group, group_state& state);
-  /// \brief Returns the groups whose ranks are all open and in the same epoch, by service and group
-  /// name.
-  [[nodiscard]] std::map<std::string, group_view> Groups() const;
   /// \brief One round for a group: recovers it after a new epoch or when it makes no progress,
   /// reads its counts and changes its map if the gain justifies that.
   void Balance(const std::string& group,
-               const group_view& view,
+               const rank_group& view,
                group_state& state,
                map_rollout& rollout);
   /// \brief Reads the map in use from the ranks. Returns false, and logs the reason, if that fails.
@@ -83,7 +74,7 @@
   void AssumePopularity(const std::string& group, const rollout_group& target, group_state& state);
   /// \brief Adds the expert choices of all ranks since the last read to the popularity.
   /// \returns Whether the popularity is known.
-  [[nodiscard]] bool ReadCounts(const group_view& view, group_state& state);
+  [[nodiscard]] bool ReadCounts(const rank_group& view, group_state& state);
 
   fleet_sync& sync_;
   engine_port& port_;
--- a/libs/gateway/src/expert_rebalancer.cc
+++ b/libs/gateway/src/expert_rebalancer.cc
@@ -92,37 +92,6 @@
   stop_.Set();
 }
 
-std::map<std::string, expert_rebalancer::group_view> expert_rebalancer::Groups() const {
-  std::map<std::string, group_view> groups;
-  const auto snapshot = snapshots_.Get();
-  if (!snapshot->catalog)
-    return groups;
-  for (const auto& [service, upstreams] : snapshot->upstreams) {
-    const service_rule* const rule = snapshot->catalog->FindService(service);
-    if (rule == nullptr || !rule->engine || rule->engine->expert_sets == 0)
-      continue;
-    for (const known_upstream& upstream : upstreams) {
-      const auto& membership = upstream.record.group;
-      if (!membership || membership->size <= 1 || upstream.superseded)
-        continue;
-      group_view& view = groups[service + "/" + membership->group];
-      view.snapshot = snapshot;
-      view.profile = *rule->engine;
-      view.ranks.resize(static_cast<std::size_t>(membership->size), nullptr);
-      if (membership->open && membership->rank < membership->size)
-        view.ranks[static_cast<std::size_t>(membership->rank)] = &upstream.record;
-      view.epoch = std::max(view.epoch, membership->epoch);
-    }
-  }
-  std::erase_if(groups, [](const auto& item) {
-    const group_view& view = item.second;
-    return std::any_of(view.ranks.begin(), view.ranks.end(), [&](const upstream_record* rank) {
-      return rank == nullptr || rank->group->epoch != view.epoch;
-    });
-  });
-  return groups;
-}
-
 bool expert_rebalancer::HasExpertServices() const {
   const auto snapshot = snapshots_.Get();
   if (!snapshot->catalog)
@@ -142,7 +111,7 @@
       sync_.TryClaimCoordinatorRole();
     if (!sync_.IsCoordinator())
       continue;
-    for (const auto& [name, view] : Groups()) {
+    for (const auto& [name, group] : FindRankGroups(snapshots_.Get())) {
       group_state& state = groups_[name];
       if (state.fiber_running)
         continue;
@@ -173,7 +142,7 @@
   };
   while (!wait() && sync_.IsCoordinator()) {
     next = Now() + kCountReadPeriod;
-    const auto groups = Groups();
+    const auto groups = FindRankGroups(snapshots_.Get());
     const auto found = groups.find(group);
     if (found == groups.end())
       return;
@@ -189,7 +158,7 @@
 }
 
 void expert_rebalancer::Balance(const std::string& group,
-                                const group_view& view,
+                                const rank_group& view,
                                 group_state& state,
                                 map_rollout& rollout) {
   const rollout_group target{view.ranks, ShapeOf(view.profile, view.ranks.size()),
@@ -283,7 +252,7 @@
   state.popularity_assumed = true;
 }
 
-bool expert_rebalancer::ReadCounts(const group_view& view, group_state& state) {
+bool expert_rebalancer::ReadCounts(const rank_group& view, group_state& state) {
   const auto sets = static_cast<std::size_t>(view.profile.expert_sets);
   const auto experts = static_cast<std::size_t>(view.profile.experts_per_set);
   std::vector<std::vector<double>> window(sets, std::vector<double>(experts, 0));
