Pass on during a stop only what can end in time

Cause: the time for which a stopping gateway accepts requests and the time at which it exits did not depend on how long a request may take. Class: work is accepted without regard to the time that is left for it.

Evidence: all cuts were at the exit and of requests from the last half second before the listener closed; none at the close of the listener and none before.

A request is now passed on only if the time to its deadline fits before the end, checked when it is whole, while it waits for an upstream, and before each attempt. Otherwise it is refused at once with 503, which is true since no upstream has seen it, and without Retry-After, since other entries can serve it. While clients with current look-ups still connect, a request that may be repeated is admitted by the usual duration of its route instead, so that a stop doesn't reject all streams. What still runs half a second before the end of the grace period is aborted: the client gets a 502, or an incomplete stream, and the upstream's connection is closed.

--- a/libs/gateway/include/quincebank/gateway/gateway_service.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <boost/intrusive/list.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -23,7 +24,9 @@
 #include "quincebank/net/http_client.h"
 #include "quincebank/net/http_server.h"
 #include "quincebank/placement/crash_blame.h"
+#include "quincebank/placement/duration_estimate.h"
 #include "quincebank/placement/queue_wait_estimator.h"
+#include "quincebank/placement/stop_schedule.h"
 #include "quincebank/placement/wait_queue.h"
 
 namespace quincebank {
@@ -44,6 +47,16 @@
   fiber_broadcast capacity_changed;
 };
 
+/// \brief Request that is being handled.
+class running_request : public boost::intrusive::list_base_hook<> {
+ public:
+  virtual ~running_request() = default;
+
+  /// \brief Ends the request since the process is about to exit: its client gets an error, or a
+  /// stream that is visibly incomplete.
+  virtual void Abort() = 0;
+};
+
 /// \brief State shared by all requests. Used by the traffic thread only, except for `rules`,
 /// `log`, `snapshots` and `metrics`, which are thread-safe.
 struct gateway_context {
@@ -75,6 +88,10 @@
   std::map<std::string, retry_budget_share, std::less<>> retry_budgets;
   std::map<std::string, service_queue, std::less<>> queues;
   crash_blame crashes;
+  /// How long the answered requests of each route took, by its name.
+  std::map<std::string, duration_estimate, std::less<>> durations;
+  stop_schedule stop;
+  boost::intrusive::list<running_request> running;
   /// Passes a report of this entry on to the others; empty until the service has started.
   std::function<void(const crash_report&)> share_crash;
   std::size_t buffered_bytes = 0;  ///< Total size of responses that are buffered until complete.
@@ -105,8 +122,9 @@
                                    std::unique_ptr<engine_port> engines);
   /// \brief Applies changed limits. Changed addresses only take effect after a restart.
   void Reload(const gateway_settings& updated);
-  /// \brief Withdraws from look-ups, serves clients that still cache the address, and waits for
-  /// running requests. Returns when all have ended or the grace period is over.
+  /// \brief Withdraws from look-ups, serves clients that still cache the address as far as their
+  /// requests can end in time, and waits for running requests. Returns when all have ended or the
+  /// grace period is over; what still runs then is aborted.
   void Shutdown();
 
   /// \brief Whether this entry can serve clients: it has a configuration and is not shutting down.
@@ -126,6 +144,9 @@
   /// without one.
   [[nodiscard]] http_limits ClientHttpLimits() const;
   void ServeMetrics(http_exchange& exchange);
+  /// \brief Blocks until all client connections have ended, at most until `deadline`.
+  void AwaitDrained(time_point deadline) const;
+  void AbortRunning();
 
   const gateway_settings& settings_;
   event_log& log_;
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -77,12 +77,31 @@
 forward_flow::forward_flow(gateway_context& shared, http_exchange& exchange)
     : shared_(shared), exchange_(exchange), started_at_(Now()) {
   shared_.metrics.in_flight.Add(1);
+  shared_.running.push_back(*this);
 }
 
 forward_flow::~forward_flow() {
+  shared_.running.erase(shared_.running.iterator_to(*this));
   shared_.metrics.in_flight.Add(-1);
 }
 
+void forward_flow::Abort() {
+  aborted_ = true;
+  if (cancellation_)
+    cancellation_->Cancel();
+}
+
+bool forward_flow::MayBeSent() const {
+  // The client of a stream that has begun can't be told to turn to another entry.
+  if (aborted_ || head_sent_ || !shared_.stop.stopping())
+    return !aborted_;
+  const auto known = shared_.durations.find(route_->name);
+  remaining_time remaining{TimeLeft(), std::nullopt, route_->MayRetry()};
+  if (known != shared_.durations.end())
+    remaining.expected = known->second.UpperBound();
+  return shared_.stop.Admits(remaining, BootNow());
+}
+
 milliseconds forward_flow::TimeLeft() const {
   return std::chrono::duration_cast<milliseconds>(deadline_ - BootNow());
 }
@@ -106,6 +125,10 @@
     SendOwnResponse({503, kBlockedReason, blocked});
     return;
   }
+  if (!MayBeSent()) {
+    SendOwnResponse({503, kStoppingReason, {}});
+    return;
+  }
   exchange_.WatchPeer([this] {
     client_disconnected_ = true;
     if (cancellation_)
@@ -257,7 +280,7 @@
   if (max_wait.count() == 0 || !queue.requests.TryEnqueue(waiter, queue_request))
     return std::nullopt;
   std::optional<known_upstream> upstream;
-  while (!client_disconnected_ && !upstream && Now() < wait_started + max_wait) {
+  while (!client_disconnected_ && !upstream && MayBeSent() && Now() < wait_started + max_wait) {
     // Polls too, since nothing signals changes that only time brings, such as the end of an
     // ejection.
     queue.capacity_changed.WaitFor(kCapacityPollPeriod);
@@ -302,7 +325,11 @@
       return;
     }
     if (!upstream) {
-      last_result.reason = ToString(obstacle_);
+      last_result.reason = MayBeSent() ? ToString(obstacle_) : kStoppingReason;
+      break;
+    }
+    if (!MayBeSent()) {
+      last_result.reason = kStoppingReason;
       break;
     }
     // Reports on crashes may have arrived while the request waited.
@@ -342,7 +369,8 @@
     verdict_ = Combine(verdict_, last_result.ran);
     possible_runs_ += last_result.ran == verdict::kNotRun ? 0 : 1;
     tried_upstreams_.push_back(upstream->record.id);
-    if (last_result.delivered || client_disconnected_ || !TryStartRetry(last_result))
+    if (last_result.delivered || client_disconnected_ || !MayBeSent() ||
+        !TryStartRetry(last_result))
       break;
   }
   Finish(last_result);
@@ -445,11 +473,12 @@
 
 attempt_result forward_flow::MakeErrorResult(const error& failure) const {
   attempt_result attempt;
-  attempt.reason = failure.message;
+  attempt.reason = aborted_ ? std::string(kStoppingReason) : failure.message;
   attempt.ran = failure.outcome;
   attempt.connection_lost = failure.outcome == verdict::kMayHaveRun &&
-                            failure.code != error_code::kTimeout && !client_disconnected_;
-  if (client_disconnected_ || TimeLeft() <= milliseconds(0))
+                            failure.code != error_code::kTimeout && !client_disconnected_ &&
+                            !aborted_;
+  if (client_disconnected_ || aborted_ || TimeLeft() <= milliseconds(0))
     attempt.outcome = attempt_outcome::kAbandoned;
   else if (failure.outcome == verdict::kNotRun)
     attempt.outcome = attempt_outcome::kUnreachable;
@@ -602,6 +631,7 @@
     if (first_byte_at_)
       shared_.metrics.first_byte_time.Record(*first_byte_at_ - started_at_);
     shared_.metrics.total_time.Record(Now() - started_at_);
+    shared_.durations[route_->name].Add(Elapsed());
     LogRequestEnd("answered", status_, "");
     return;
   }
@@ -622,6 +652,11 @@
     exchange_.Respond(*last_result.error_response);
     return;
   }
+  if (verdict_ == verdict::kNotRun && last_result.reason == kStoppingReason) {
+    // Other entries may serve the request at once.
+    SendOwnResponse({503, kStoppingReason, {}});
+    return;
+  }
   if (verdict_ == verdict::kNotRun) {
     const milliseconds blocked = shared_.BlockedTime(request_.shared_segments);
     SendOwnResponse({503, last_result.reason,
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -18,6 +18,9 @@
 /// Reason for the log if a prompt segment of the request crashes upstreams.
 inline constexpr std::string_view kBlockedReason = "segment-blocked";
 
+/// Reason for the log if the process stops before the request could end.
+inline constexpr std::string_view kStoppingReason = "process-stopping";
+
 /// \brief Result of one attempt to get a response from an upstream.
 struct attempt_result {
   attempt_outcome outcome = attempt_outcome::kFailed;
@@ -31,15 +34,16 @@
 };
 
 /// \brief Handles one client request. Runs in the fiber of its connection.
-class forward_flow {
+class forward_flow final : public running_request {
  public:
   forward_flow(gateway_context& shared, http_exchange& exchange);
-  ~forward_flow();
+  ~forward_flow() override;
   forward_flow(const forward_flow&) = delete;
   forward_flow& operator=(const forward_flow&) = delete;
 
   /// \brief Forwards the request and responds; returns when the exchange is over.
   void Run();
+  void Abort() override;
 
  private:
   /// \brief Response that this entry generates itself.
@@ -105,6 +109,8 @@
   void LogAttempt(const known_upstream& upstream,
                   const attempt_result& attempt,
                   milliseconds duration);
+  /// \brief Whether the request may be sent to an upstream although the process may be stopping.
+  [[nodiscard]] bool MayBeSent() const;
   /// \brief Time until the deadline; negative after it.
   [[nodiscard]] milliseconds TimeLeft() const;
   [[nodiscard]] milliseconds Elapsed() const;
@@ -127,6 +133,7 @@
   boot_time deadline_;
   ref_ptr<call_cancellation> cancellation_;
   bool client_disconnected_ = false;
+  bool aborted_ = false;  ///< The process is about to exit.
   placement_obstacle obstacle_ = placement_obstacle::kNone;
   time_point available_at_{};  ///< With an obstacle: earliest time for an upstream to accept it.
   std::vector<std::string> tried_upstreams_;  ///< Ids; not chosen again.
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -20,8 +20,12 @@
 // Some clients cache a look-up three times as long as its lifetime.
 constexpr int kStaleLookupFactor = 3;
 constexpr milliseconds kDefaultLookupTtl{1'000};
+// Time within which the look-ups of all entries stop naming one that has left.
+constexpr milliseconds kLookupPropagation{1'000};
 // Time reserved for the process to exit after the last request.
 constexpr milliseconds kExitMargin{500};
+// Part of it in which aborted requests tell their clients.
+constexpr milliseconds kAbortTime{250};
 constexpr milliseconds kDrainPollPeriod{20};
 // Upper limit on the entries in one look-up.
 constexpr std::size_t kMaxLookupAddresses = 64;
@@ -220,19 +224,41 @@
 
 void gateway_service::Shutdown() {
   const time_point started = Now();
-  const time_point deadline = started + shared_.rules.Get().stop_grace - kExitMargin;
+  const milliseconds time_to_abort = shared_.rules.Get().stop_grace - kExitMargin;
+  const time_point deadline = started + time_to_abort;
   leaving_ = true;
   log_.Write(event_line("process.leaving").Add("running", client_server_->running()));
   client_server_->AnnounceClose();
   rebalancer_->Stop();
   control_thread_.Spawn([this] { fleet_sync_->Deregister(); });
+  traffic_thread_.RunAndWait([&] {
+    const boot_time now = BootNow();
+    shared_.stop.Begin(now + lookup_ttl() + kLookupPropagation, now + time_to_abort);
+  });
   // Clients that cache the address still connect until their look-ups have expired.
   std::this_thread::sleep_until(
       std::min(started + lookup_ttl() * kStaleLookupFactor + kExitMargin, deadline));
   client_server_->Close();
+  AwaitDrained(deadline);
+  AbortRunning();
+  AwaitDrained(deadline + kAbortTime);
+  log_.Write(event_line("process.stopped").Add("running", client_server_->running()));
+}
+
+void gateway_service::AwaitDrained(time_point deadline) const {
   while (!client_server_->Drained() && Now() < deadline)
     std::this_thread::sleep_for(kDrainPollPeriod);
-  log_.Write(event_line("process.stopped").Add("running", client_server_->running()));
+}
+
+void gateway_service::AbortRunning() {
+  if (client_server_->Drained())
+    return;
+  traffic_thread_.RunAndWait([this] {
+    log_.Write(event_line("process.aborting")
+                   .Add("requests", static_cast<std::uint64_t>(shared_.running.size())));
+    for (running_request& request : shared_.running)
+      request.Abort();
+  });
 }
 
 }  // namespace quincebank
