Skip interim answers of upstreams

Another operator reports a 200 with an empty body after an upstream had stopped in its answer's head. Every prefix of seven heads, closed or reset, was tried: final heads are errors here. But an interim answer (100 Continue, 103) was taken for the final one, with its empty body; a call to the store or to an engine then succeeded with nothing in it, and a request of a client failed although the answer was on its way.

Cause: the client read one head for each call. It now reads on after an interim one, within the limit for answers that are skipped.

Tests: interim_answer.IsNotTakenForTheFinalOne and the case continue_first of cut_head_test failed before. The other cases and cut_answer_test, on the gateway, passed before.

--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -33,7 +33,7 @@
 // Bytes held between reads. A chunk's extension or a trailer is held until it is complete, and the
 // parser itself sets no limit to them.
 constexpr std::size_t kMostBuffered = std::size_t{128} * 1024;
-// Foreign answers that are skipped before a connection is given up.
+// Foreign and interim answers that are skipped before a connection is given up.
 constexpr int kForeignAnswers = 3;
 // Bytes of one such answer that are skipped.
 constexpr std::size_t kMostSkippedBytes = std::size_t{1024} * 1024;
@@ -196,6 +196,11 @@
     const time_point until = std::chrono::steady_clock::now() + call.response_timeout;
     for (int skipped = 0; skipped < kForeignAnswers; ++skipped) {
       BOOST_OUTCOME_TRY(ReadOneHeader(until));
+      if (IsInterim()) {
+        StartParser();
+        headers_ = {};
+        continue;
+      }
       if (!call.belongs || call.belongs(headers_)) {
         KeepIfDone();
         return outcome_success();
@@ -298,6 +303,12 @@
   }
 
  private:
+  /// Whether the header is that of an interim answer, which has no body and precedes the final one.
+  [[nodiscard]] bool IsInterim() const noexcept {
+    constexpr int kSwitchingProtocols = 101;
+    return status() < 200 && status() != kSwitchingProtocols;
+  }
+
   void StartParser() {
     parser_.emplace();
     parser_->body_limit(boost::none);
