Release a pass on the ranks' reports

Cause: orders went over kept connections, and their answers name no order. A rank that leaves an order to arm unanswered and repeats its earlier answer there was taken to be armed, and the pass was released. Afterwards no change succeeded, since the maps differed, and the recovery never compared the maps in use. Class: an answer is believed that cannot be told from an older one.

A pass is released only after each rank reports that it is armed for this version and pass, which no earlier report can say. After an undo, reports that count fewer orders than a rank has accepted are not believed. Different maps are looked for once a second and at each take-over; the group is then held and brought to one map that keeps what each rank holds.

The model of the test let an order to disarm one version also disarm another one.

--- a/libs/expert_control/include/quincebank/expert_control/group_map.h
+++ b/libs/expert_control/include/quincebank/expert_control/group_map.h
@@ -24,4 +24,11 @@
                                                              const rollout_group& group,
                                                              std::uint64_t epoch);
 
+/// \brief Returns a map that keeps what each rank holds, whatever its version, and places the
+/// experts that no rank holds.
+/// \returns An error if a rank does not answer, or if the missing experts do not fit.
+[[nodiscard]] result<std::vector<rank_experts>> CompleteGroupMap(engine_port& port,
+                                                                 const rollout_group& group,
+                                                                 std::uint64_t epoch);
+
 }  // namespace quincebank
--- a/libs/expert_control/include/quincebank/expert_control/map_rollout.h
+++ b/libs/expert_control/include/quincebank/expert_control/map_rollout.h
@@ -32,6 +32,8 @@
   milliseconds most_patience{400};     ///< Longest wait for one answer.
   milliseconds settle_retry{5};        ///< Between repeats of an unanswered order.
   milliseconds settle_limit{15'000};   ///< Unanswered orders may be carried out that late.
+  /// For all ranks to report that they are armed, beside the age of the reports.
+  milliseconds confirm_limit{100};
   /// From the hold to the pass that uses the new map, for the calls to all ranks.
   milliseconds switch_lead{30};
   milliseconds switch_limit{3'000};  ///< Longest wait for that pass.
@@ -58,7 +60,9 @@
 /// \brief Changes the map of one expert group so that no pass ever sees two maps.
 ///
 /// A pass is held at one rank before any rank is armed for it, and released only after every rank
-/// has confirmed that it is armed. An order without an answer is repeated until the rank answers.
+/// reports that it is armed: the answer to an order may be that to an earlier one, while no earlier
+/// report can name the same version and pass. An order without an answer is repeated until the rank
+/// answers.
 ///
 /// Ranks keep all the state, so that any process can take over: `Recover` ends what another one
 /// left unfinished. Orders may be carried out seconds after they were sent, also those of a
@@ -73,9 +77,11 @@
               const rollout_settings& settings = {});
 
   [[nodiscard]] rollout_outcome Run(const rollout_group& target, const map_change& change);
-  /// \brief Finishes or undoes what an earlier rollout has left: armed ranks, held passes and
-  /// versions that are loaded and not in use.
+  /// \brief Finishes or undoes what an earlier rollout has left: armed ranks, held passes, versions
+  /// that are loaded and not in use, and ranks with different maps.
   [[nodiscard]] rollout_outcome Recover(const rollout_group& target);
+  /// \brief Whether the reports of all ranks show that they use different maps.
+  [[nodiscard]] bool MapsDiffer(const rollout_group& target);
 
   /// \brief Highest version that this process has used or seen.
   [[nodiscard]] std::uint64_t last_version() const noexcept { return last_version_; }
@@ -99,6 +105,7 @@
     std::size_t ready = 0;   ///< Ranks that are armed or could be armed for it.
     std::size_t held = 0;    ///< Ranks that hold a pass.
     std::size_t loaded = 0;  ///< Ranks with a version that is not in use.
+    bool one_map = true;     ///< All ranks use the same version.
   };
 
   /// \brief Reads all ranks; nothing unless they form one open group.
@@ -121,6 +128,8 @@
                                        std::uint64_t version);
   /// \brief Waits until the first rank uses a map for which all ranks were armed.
   [[nodiscard]] rollout_outcome WaitSwitched(const group_state& group, std::uint64_t version);
+  /// \brief Waits until each rank reports that it is armed for a change.
+  [[nodiscard]] bool ConfirmArmed(const group_state& group, const armed_map& change);
   [[nodiscard]] unfinished_change FindUnfinished(const group_state& group) const;
   /// \brief Completes a change of which some rank is armed.
   /// \returns Whether no rank refused to take part.
@@ -129,6 +138,8 @@
   [[nodiscard]] rollout_outcome Undo(const rollout_group& target,
                                      group_state& group,
                                      std::uint64_t step);
+  /// \brief Holds a group whose ranks use different maps and brings it to one map.
+  [[nodiscard]] rollout_outcome Unify(const rollout_group& target, group_state& group);
   /// \brief Releases all held passes.
   [[nodiscard]] rollout_outcome Release(group_state& group);
   [[nodiscard]] static std::vector<const upstream_record*> Records(const group_state& group);
--- a/libs/expert_control/src/map_rollout.cc
+++ b/libs/expert_control/src/map_rollout.cc
@@ -38,6 +38,12 @@
   return members;
 }
 
+/// \param change  its step is not compared with that of a rank that does not tell.
+bool IsArmedFor(const rank_report& report, const armed_map& change) noexcept {
+  return report.armed && report.armed->version == change.version &&
+         (report.armed->step == 0 || report.armed->step == change.step);
+}
+
 }  // namespace
 
 std::string_view ToString(order_kind kind) noexcept {
@@ -334,13 +340,46 @@
   const auto armed = Settle(
       group, All(group.size()), {order_kind::kArm, version, step, 0, 0, nullptr},
       [&](const rank_report& report) { return report.armed && report.armed->version == version; });
-  if (!armed || !*armed)
+  if (!armed || !*armed || !ConfirmArmed(group, {version, step}))
     return Recover(target);
   if (Release(group) != rollout_outcome::kUnchanged)
     return Recover(target);
   return WaitSwitched(group, version);
 }
 
+bool map_rollout::ConfirmArmed(const group_state& group, const armed_map& change) {
+  const time_point until = clock_.now() + report_age_ * 2 + settings_.confirm_limit;
+  std::vector<std::size_t> open = All(group.size());
+  while (clock_.may_act()) {
+    std::vector<const upstream_record*> ranks;
+    for (const std::size_t member : open)
+      ranks.push_back(group[member].record);
+    const auto reports = port_.Reports(ranks);
+    std::vector<std::size_t> unconfirmed;
+    for (std::size_t i = 0; i < open.size(); ++i) {
+      const rank_report& before = group[open[i]].report;
+      const bool confirmed = reports[i] && reports[i].value().epoch == before.epoch &&
+                             reports[i].value().incarnation == before.incarnation &&
+                             IsArmedFor(reports[i].value(), change);
+      if (!confirmed)
+        unconfirmed.push_back(open[i]);
+    }
+    open = std::move(unconfirmed);
+    if (open.empty())
+      return true;
+    if (clock_.now() >= until)
+      break;
+    clock_.sleep(settings_.settle_retry);
+  }
+  log_.Write(event_line("expert.arm_unconfirmed")
+                 .Add("group", group.front().report.group)
+                 .Add("version", change.version)
+                 .Add("step", change.step)
+                 .Add("ranks", static_cast<std::uint64_t>(open.size()))
+                 .Add("first", open.empty() ? std::string_view() : group[open.front()].record->id));
+  return false;
+}
+
 /// The pass may take a while to begin; an idle group begins none.
 rollout_outcome map_rollout::WaitSwitched(const group_state& group, std::uint64_t version) {
   // All ranks begin the pass together.
@@ -406,8 +445,12 @@
                    .Add("loaded", static_cast<std::uint64_t>(left.loaded))
                    .Add("version", left.change.version)
                    .Add("step", left.change.step));
-    if (left.armed == 0 && left.held == 0 && left.loaded == 0)
+    if (left.armed == 0 && left.held == 0 && left.loaded == 0 && left.one_map)
       return rollout_outcome::kUnchanged;
+    if (left.armed == 0 && left.held == 0 && !left.one_map) {
+      (void)Unify(target, group);
+      continue;
+    }
     if (left.armed == group.size() && left.same && left.held == 0)
       return rollout_outcome::kSwitched;  // The pass has not begun yet, since the group is idle.
     if (may_finish && left.armed > 0 && left.same && left.ready == group.size()) {
@@ -430,6 +473,7 @@
     left.held += report.held ? 1 : 0;
     const std::uint64_t loaded = report.prepared.value_or(report.map);
     left.loaded += loaded != report.map && loaded != replacement_ ? 1 : 0;
+    left.one_map = left.one_map && report.map == group.front().report.map;
   }
   for (const rank_state& rank : group) {
     left.ready += rank.report.armed || rank.report.prepared == left.change.version ? 1 : 0;
@@ -454,7 +498,47 @@
   const auto armed = Settle(group, All(group.size()), arm, [&](const rank_report& report) {
     return report.armed && report.armed->version == change.version;
   });
-  return armed.value_or(false) && Release(group) == rollout_outcome::kUnchanged;
+  return armed.value_or(false) && ConfirmArmed(group, change) &&
+         Release(group) == rollout_outcome::kUnchanged;
+}
+
+bool map_rollout::MapsDiffer(const rollout_group& target) {
+  const auto reports = port_.Reports(target.ranks);
+  const auto first = std::find_if(reports.begin(), reports.end(),
+                                  [](const auto& report) { return report.has_value(); });
+  return std::any_of(first, reports.end(), [&](const auto& report) {
+    return report && report.value().epoch == first->value().epoch &&
+           report.value().map != first->value().map;
+  });
+}
+
+rollout_outcome map_rollout::Unify(const rollout_group& target, group_state& group) {
+  // Reports of one read may be from before and after the pass that begins with a new map.
+  AwaitFreshReports();
+  const rollout_outcome read = Read(target.ranks, group);
+  if (read != rollout_outcome::kUnchanged || FindUnfinished(group).one_map)
+    return read;
+  const std::uint64_t step = StepAfter(group, settings_.switch_lead);
+  const auto is_held = [&](const rank_report& report) { return report.held == step; };
+  if (!Settle(group, {0}, {order_kind::kHold, 0, step, 0, 0, nullptr}, is_held).value_or(false))
+    return rollout_outcome::kUnknown;
+  group.front().report.held = step;
+  const auto map = CompleteGroupMap(port_, target, group.front().report.epoch);
+  log_.Write(event_line("expert.maps_differ")
+                 .Add("group", group.front().report.group)
+                 .Add("step", step)
+                 .Add("reason", map ? "" : map.error().message));
+  if (!map)
+    return rollout_outcome::kUnknown;
+  const std::uint64_t version = ++last_version_;
+  const auto prepared =
+      Settle(group, All(group.size()), {order_kind::kPrepare, version, 0, 0, 0, &map.value()},
+             [](const rank_report& report) { return !report.armed; });
+  if (!prepared.value_or(false) ||
+      WaitPrepared(group, version, milliseconds(0)) != rollout_outcome::kUnchanged)
+    return rollout_outcome::kUnknown;
+  group.front().report.held = step;
+  return Finish(group, {version, step}) ? rollout_outcome::kSwitched : rollout_outcome::kUnknown;
 }
 
 /// Holds the pass at every rank, so that no earlier coordinator can release it, disarms all, and
@@ -502,21 +586,20 @@
           .value_or(false);
   if (!replaced)
     return rollout_outcome::kUnknown;
-  std::vector<std::optional<std::uint64_t>> held;
-  for (const rank_state& rank : group)
-    held.push_back(rank.report.held);
+  const group_state ordered = group;
   AwaitFreshReports();
   const rollout_outcome read = Read(Records(group), group);
   if (read != rollout_outcome::kUnchanged)
     return read;
-  const bool clear = std::none_of(group.begin(), group.end(),
-                                  [](const rank_state& rank) { return rank.report.armed; });
-  if (!clear)
-    return rollout_outcome::kUnknown;
-  // Holds that an outdated report hides are released as well.
   for (std::size_t i = 0; i < group.size(); ++i) {
+    // A report that counts fewer orders than the rank has accepted is older than they are.
+    const bool outdated =
+        ordered[i].report.orders > 0 && group[i].report.orders < ordered[i].orders;
+    if (outdated || group[i].report.armed)
+      return rollout_outcome::kUnknown;
+    // Holds that an outdated report hides are released as well.
     if (!group[i].report.held)
-      group[i].report.held = held[i];
+      group[i].report.held = ordered[i].report.held;
   }
   return Release(group);
 }
--- a/libs/expert_control/tests/map_rollout_test.cc
+++ b/libs/expert_control/tests/map_rollout_test.cc
@@ -26,6 +26,8 @@
   bool counted = true;        ///< Ranks count the orders and refuse those of another count.
   /// The next coordinator acts while orders of the earlier one are still on their way.
   bool early_takeover = false;
+  /// Share of the orders to arm without an answer at which the rank's earlier answer comes instead.
+  double repeated = 0;
 };
 
 struct crash {};
@@ -107,10 +109,13 @@
           (void)Accept(rank, order);
         else
           late_.push_back({now_ + milliseconds(1'000 + random_.Below(8'000)), rank, order});
-        answers.push_back(order_answer::kUnanswered);
+        const bool repeated = faults_.repeated > 0 && order.kind == order_kind::kArm &&
+                              random_.Unit() < faults_.repeated;
+        answers.push_back(repeated ? ranks_[rank].answered : order_answer::kUnanswered);
         continue;
       }
-      answers.push_back(Accept(rank, order));
+      ranks_[rank].answered = Accept(rank, order);
+      answers.push_back(ranks_[rank].answered);
     }
     const bool whole =
         std::find(answers.begin(), answers.end(), order_answer::kUnanswered) == answers.end();
@@ -131,6 +136,10 @@
   [[nodiscard]] nanoseconds longest_hold() const noexcept { return longest_hold_; }
   [[nodiscard]] std::uint64_t pass() const noexcept { return step_; }
   [[nodiscard]] std::uint64_t map(std::size_t rank) const { return ranks_[rank].map; }
+  void SetMap(std::size_t rank, std::uint64_t version) {
+    ranks_[rank].map = version;
+    ranks_[rank].highest = version;
+  }
 
  private:
   static constexpr milliseconds kTick{5};
@@ -147,6 +156,7 @@
     time_point loaded_at;
     std::optional<armed_map> armed;
     std::optional<std::uint64_t> held;
+    order_answer answered = order_answer::kBegun;  ///< Last answer to an order.
   };
   struct late_order {
     time_point at;
@@ -225,7 +235,8 @@
       case order_kind::kDisarm:
         if (rank.map == order.version)
           return order_answer::kConflict;
-        if (!rank.armed)
+        // An order names one version, and arms of others stay.
+        if (!rank.armed || rank.armed->version != order.version)
           return order_answer::kHolds;
         rank.armed.reset();
         return order_answer::kBegun;
@@ -369,6 +380,15 @@
                     fault_case{"crash_late", 0.2, 0.3, true},
                     fault_case{"freeze", 0, 0, false, true},
                     fault_case{"freeze_late", 0.15, 0.3, false, true},
+                    fault_case{.name = "repeated_answers", .unanswered = 0.3, .repeated = 0.5},
+                    fault_case{.name = "repeated_answers_and_lost",
+                               .unanswered = 0.3,
+                               .carried_out = 0.5,
+                               .repeated = 0.5},
+                    fault_case{.name = "uncounted_repeated_answers",
+                               .unanswered = 0.3,
+                               .counted = false,
+                               .repeated = 0.5},
                     fault_case{"restart", 0, 0, false, false, true},
                     fault_case{"restart_late", 0.2, 0.3, false, false, true},
                     fault_case{"uncounted_late", 0.35, 0.3, false, false, false, false},
@@ -407,5 +427,39 @@
   EXPECT_LE(paused, switched / 20);
 }
 
+struct two_maps_case {
+  const char* name;
+  std::uint64_t other;  ///< Map of one rank; the others have the initial one.
+  bool late_orders = false;
+};
+
+class two_maps_test : public testing::TestWithParam<two_maps_case> {};
+
+// Guards against a group that keeps two maps until it forms anew: the next coordinator has to bring
+// it to one, and no pass may begin meanwhile.
+TEST_P(two_maps_test, AreBroughtToOne) {
+  const fault_case faults{"late", GetParam().late_orders ? 0.2 : 0.0, 0.3};
+  event_log log(10, /*descriptor=*/-1);
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    fake_group group(faults, seed, 1);
+    group.Advance(milliseconds(500));
+    group.SetMap(1, GetParam().other);
+    group.Advance(milliseconds(500));
+    map_rollout rollout(group, group.Clock(), log);
+    ASSERT_TRUE(rollout.MapsDiffer(Target(group))) << "seed " << seed;
+    EXPECT_EQ(rollout.Recover(Target(group)), rollout_outcome::kUnchanged) << "seed " << seed;
+    group.Advance(milliseconds(12'000));
+    ASSERT_FALSE(rollout.MapsDiffer(Target(group))) << "seed " << seed;
+    const std::uint64_t pass = group.pass();
+    group.Advance(milliseconds(1'000));
+    ASSERT_GT(group.pass(), pass) << "held for good, seed " << seed;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(maps,
+                         two_maps_test,
+                         testing::Values(two_maps_case{"newer", 7}, two_maps_case{"late", 7, true}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
 }  // namespace
 }  // namespace quincebank
--- a/libs/gateway/include/quincebank/gateway/expert_rebalancer.h
+++ b/libs/gateway/include/quincebank/gateway/expert_rebalancer.h
@@ -48,6 +48,7 @@
     std::map<std::string, std::vector<std::uint64_t>> last_counts;  ///< By upstream id.
     popularity_window popularity;
     time_point last_change{};         ///< Time of the last rollout.
+    time_point next_map_check{};      ///< When the maps of the ranks are compared again.
     bool popularity_assumed = false;  ///< Only the stored popularity is known, no counts yet.
     bool shifted = false;             ///< The last window showed a shift of the popularity.
     bool shifted_before = false;  ///< The window before it showed one, or followed an assumption.
--- a/libs/gateway/src/expert_rebalancer.cc
+++ b/libs/gateway/src/expert_rebalancer.cc
@@ -14,6 +14,8 @@
 
 // Between scans for groups that no fiber handles yet.
 constexpr milliseconds kGroupScanPeriod{100};
+// Between reads of the reports of one group that show whether its ranks use the same map.
+constexpr milliseconds kMapCheckPeriod{1'000};
 // Between reads of the expert counts of one group, and the shortest pause after a late read.
 constexpr milliseconds kCountReadPeriod{100};
 constexpr milliseconds kMinReadPause{10};
@@ -171,6 +173,13 @@
       state.epoch = 0;
     return;
   }
+  if (Now() >= state.next_map_check) {
+    state.next_map_check = Now() + kMapCheckPeriod;
+    if (rollout.MapsDiffer(target)) {
+      state = MakeState(0);
+      return;
+    }
+  }
   if (state.map.empty() && !ReadMap(target, state))
     return;
   if (!state.popularity.known())
