End a map change before the coordinator role

Cause: SIGTERM ended the coordinator's lease at once. A change that had held a pass was then not allowed to release it, and the hold stayed until another gateway had taken the role over, which takes seconds while writes to the store are lost. Class: a permission is given back before the work that needs it has ended.

A gateway that stops begins no hold any more, keeps the role until its round has ended, for 2 s at most, and then ends it. Its registration is ended at once, as before.

Test: map_rollout.HoldsNoPassWhileItsProcessStops.

--- a/libs/expert_control/include/quincebank/expert_control/map_rollout.h
+++ b/libs/expert_control/include/quincebank/expert_control/map_rollout.h
@@ -19,6 +19,8 @@
   /// Whether this process is the coordinator; asked before each round of orders, since any wait may
   /// have been long enough for another process to take over.
   std::function<bool()> may_act = [] { return true; };
+  /// Whether a pass may still be held; false once the process is about to stop.
+  std::function<bool()> may_hold = [] { return true; };
 };
 
 struct rollout_settings {
--- a/libs/expert_control/src/map_rollout.cc
+++ b/libs/expert_control/src/map_rollout.cc
@@ -257,7 +257,7 @@
   std::vector<std::size_t> pending = All(group.size());
   const time_point until = clock_.now() + settings_.load_limit;
   milliseconds pause = std::max(loading, settings_.poll);
-  while (clock_.now() < until && clock_.may_act()) {
+  while (clock_.now() < until && clock_.may_act() && clock_.may_hold()) {
     clock_.sleep(pause);
     pause = settings_.poll;
     std::vector<const upstream_record*> ranks;
@@ -311,6 +311,8 @@
   const rollout_outcome loaded = WaitPrepared(group, version, change.loading);
   if (loaded != rollout_outcome::kUnchanged)
     return loaded;
+  if (!clock_.may_hold())
+    return rollout_outcome::kUnknown;
   return Switch(target, group, version);
 }
 
--- a/libs/expert_control/tests/map_rollout_test.cc
+++ b/libs/expert_control/tests/map_rollout_test.cc
@@ -461,5 +461,23 @@
                          testing::Values(two_maps_case{"newer", 7}, two_maps_case{"late", 7, true}),
                          [](const auto& info) { return std::string(info.param.name); });
 
+// Guards against a coordinator that holds a pass although its process is about to stop.
+TEST(map_rollout, HoldsNoPassWhileItsProcessStops) {
+  const fault_case faults{"none"};
+  event_log log(10, /*descriptor=*/-1);
+  const std::vector<rank_experts> map{{{0}, {1}, {2}, {3}}};
+  fake_group group(faults, 1, 1);
+  group.Advance(milliseconds(500));
+  rollout_clock clock = group.Clock();
+  clock.may_hold = [] { return false; };
+  map_rollout rollout(group, clock, log);
+  EXPECT_NE(rollout.Run(Target(group), {map, milliseconds(0), group.Revision()}),
+            rollout_outcome::kSwitched);
+  EXPECT_EQ(group.longest_hold(), nanoseconds(0));
+  const std::uint64_t pass = group.pass();
+  group.Advance(milliseconds(1'000));
+  EXPECT_GT(group.pass(), pass);
+}
+
 }  // namespace
 }  // namespace quincebank
--- a/libs/gateway/include/quincebank/gateway/expert_rebalancer.h
+++ b/libs/gateway/include/quincebank/gateway/expert_rebalancer.h
@@ -34,6 +34,9 @@
   /// \brief Makes the fibers end after their current round, so that no further map change begins.
   /// Returns at once.
   void Stop();
+  /// \brief Suspends a fiber of the control thread until all fibers have ended, at most until
+  /// `limit`. Call after `Stop`.
+  void AwaitEnd(time_point limit) const;
   /// \brief Blocks until all fibers have ended, including a map change in progress. Call after
   /// `Stop`, from a thread other than the control thread.
   void Join() const;
--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -50,9 +50,12 @@
   /// \brief Starts the loops in fibers of the control thread.
   /// \returns An error if the socket for announcements can't be bound.
   [[nodiscard]] result<void> Start(fiber_thread& thread);
-  /// \brief Ends the leases of this entry, so that look-ups no longer list it and the coordinator
-  /// role is free. Renewals and claims stop.
+  /// \brief Ends the registration of this entry, so that look-ups no longer list it. Claims of the
+  /// coordinator role stop, but a role that it holds stays until it is resigned.
   void Deregister();
+  /// \brief Ends the coordinator role of this entry, if it holds it, so that another one can take
+  /// over at once.
+  void ResignCoordinator();
   /// \brief Tries to become the coordinator, the one entry that rebalances experts, if the role is
   /// vacant and the entries that come first have had time to claim it.
   void TryClaimCoordinatorRole();
@@ -78,6 +81,7 @@
   void Stop();
 
  private:
+  void EndLease(const std::string& lease);
   /// \brief Watches the store, or follows the readers of the failure domain.
   void WatchLoop();
   /// \brief While this entry is a store reader, announces its revision to the entries of its
--- a/libs/gateway/src/expert_rebalancer.cc
+++ b/libs/gateway/src/expert_rebalancer.cc
@@ -12,6 +12,8 @@
 namespace quincebank {
 namespace {
 
+// Between checks whether all fibers have ended.
+constexpr milliseconds kPoll{2};
 // Between scans for groups that no fiber handles yet.
 constexpr milliseconds kGroupScanPeriod{100};
 // Between reads of the reports of one group that show whether its ranks use the same map.
@@ -84,8 +86,12 @@
       "experts", [this, &thread] { ScanLoop(thread); }, stop_, [this] { --running_fibers_; });
 }
 
+void expert_rebalancer::AwaitEnd(time_point limit) const {
+  while (running_fibers_ > 0 && Now() < limit)
+    boost::this_fiber::sleep_for(kPoll);
+}
+
 void expert_rebalancer::Join() const {
-  constexpr milliseconds kPoll{2};
   while (running_fibers_ > 0)
     std::this_thread::sleep_for(kPoll);
 }
@@ -134,7 +140,7 @@
   map_rollout rollout(
       port_,
       {[] { return Now(); }, [](milliseconds time) { boost::this_fiber::sleep_for(time); },
-       [this] { return sync_.IsCoordinator(); }},
+       [this] { return sync_.IsCoordinator(); }, [this] { return !stop_.IsSet(); }},
       log_);
   // After a rollout, which takes longer than the period, the counts are read without delay.
   time_point next = Now();
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -6,6 +6,7 @@
 #include <boost/json/serialize.hpp>
 #include <charconv>
 #include <thread>
+#include <utility>
 
 #include "fleet_keys.h"
 #include "quincebank/base/clock.h"
@@ -473,7 +474,7 @@
 }
 
 bool fleet_sync::IsCoordinator() const {
-  if (leaving_ || coordinator_lease_.empty() || !coordinator_role_.MayAct(BootNow()))
+  if (coordinator_lease_.empty() || !coordinator_role_.MayAct(BootNow()))
     return false;
   const store_item* const holder = mirror_.Find(kCoordinatorKey);
   if (holder != nullptr)
@@ -595,7 +596,7 @@
 void fleet_sync::CoordinatorLoop() {
   const milliseconds period = settings_.coordinator_lease / kRenewalsPerLease;
   while (!stop_.WaitFor(period)) {
-    if (coordinator_lease_.empty() || leaving_)
+    if (coordinator_lease_.empty())
       continue;
     if (IsCoordinator())
       StoreFleetSize();
@@ -615,13 +616,19 @@
 
 void fleet_sync::Deregister() {
   leaving_ = true;
-  for (const std::string& lease : {coordinator_lease_, registration_lease_}) {
-    if (lease.empty())
-      continue;
-    const auto ended = store_.EndLease(lease);
-    if (!ended)
-      log_.Write(event_line("registration.left_behind").Add("reason", ended.error().message));
-  }
+  EndLease(registration_lease_);
+}
+
+void fleet_sync::ResignCoordinator() {
+  EndLease(std::exchange(coordinator_lease_, {}));
+}
+
+void fleet_sync::EndLease(const std::string& lease) {
+  if (lease.empty())
+    return;
+  const auto ended = store_.EndLease(lease);
+  if (!ended)
+    log_.Write(event_line("registration.left_behind").Add("reason", ended.error().message));
 }
 
 }  // namespace quincebank
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -26,6 +26,8 @@
 constexpr milliseconds kExitMargin{500};
 // Part of it in which aborted requests tell their clients.
 constexpr milliseconds kAbortTime{250};
+// Time for the end of a map change that holds a pass; then another entry has to take it over.
+constexpr milliseconds kRoundEndTime{2'000};
 constexpr milliseconds kDrainPollPeriod{20};
 // Upper limit on the entries in one look-up.
 constexpr std::size_t kMaxLookupAddresses = 64;
@@ -230,7 +232,12 @@
   log_.Write(event_line("process.leaving").Add("running", client_server_->running()));
   client_server_->AnnounceClose();
   rebalancer_->Stop();
-  control_thread_.Spawn([this] { fleet_sync_->Deregister(); });
+  control_thread_.Spawn([this, limit = started + kRoundEndTime] {
+    fleet_sync_->Deregister();
+    // Without the role a change that has held a pass could not release it.
+    rebalancer_->AwaitEnd(limit);
+    fleet_sync_->ResignCoordinator();
+  });
   traffic_thread_.RunAndWait([&] {
     const boot_time now = BootNow();
     shared_.stop.Begin(now + lookup_ttl() + kLookupPropagation, now + time_to_abort);
