--- a/libs/expert_control/tests/map_rollout_test.cc
+++ b/libs/expert_control/tests/map_rollout_test.cc
@@ -139,6 +139,8 @@
   /// Gives one rank another map than the rest, as left by an order that only the others carried
   /// out.
   void LeaveTwoMaps(bool held, bool armed) {
+    for (rank_state& rank : ranks_)
+      rank.map = rank.highest = 5;
     ranks_[1].map = ranks_[1].highest = 7;
     if (held)
       ranks_[2].held = step_ + 2;
@@ -444,8 +446,8 @@
 
 class two_maps_test : public testing::TestWithParam<two_maps_case> {};
 
-// Guards against a group that keeps two maps until it forms anew, or stays held, since a coordinator
-// that takes over does not bring it to one.
+// Guards against a group that keeps two maps until it forms anew, or stays held, since a
+// coordinator that takes over does not bring it to one.
 TEST_P(two_maps_test, AreBroughtToOne) {
   const fault_case faults{"late", GetParam().late_orders ? 0.2 : 0.0, 0.3};
   event_log log(10, /*descriptor=*/-1);
