--- a/libs/expert_control/src/map_rollout.cc
+++ b/libs/expert_control/src/map_rollout.cc
@@ -363,6 +363,7 @@
   std::vector<std::size_t> open = All(group.size());
   while (clock_.may_act()) {
     std::vector<const upstream_record*> ranks;
+    ranks.reserve(open.size());
     for (const std::size_t member : open)
       ranks.push_back(group[member].record);
     const auto reports = port_.Reports(ranks);
