--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -92,7 +92,7 @@
 }
 
 bool forward_flow::MayBeSent() const {
-  // The client of a stream that has begun can't be told to turn to another entry.
+  // Too late for a refusal: the client has a part of the stream.
   if (aborted_ || head_sent_ || !shared_.stop.stopping())
     return !aborted_;
   const auto known = shared_.durations.find(route_->name);
