Give up a silent upstream only for another one that takes over

Callers saw streams end midway, or got a 502, one second after an upstream or its group had become silent, although that upstream went on a little later.

Cause: the timeout of an attempt was short if another attempt was allowed when the wait began. When it ended, the stop, the retry budget that other requests had used meanwhile, or the lack of another upstream denied the retry, and the connection to the upstream was closed already. Class: a decision that cannot be undone relies on a permission that is checked earlier and not reserved.

The timeout of an attempt now asks: a token is taken from the budget if the stop admits another attempt and another upstream outside the silent group has capacity, and only then the attempt ends. Otherwise it waits until the deadline and asks again every 100 ms, and the upstream is ejected as before. Requests that may not be repeated, and those without further attempts, wait as before.

--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -24,6 +24,8 @@
 constexpr milliseconds kMinTimeLeft{10};
 // Upper limit on the time between two searches for an upstream with free capacity.
 constexpr milliseconds kCapacityPollPeriod{15};
+// Time between two decisions whether to wait on for an upstream that is silent.
+constexpr milliseconds kSilencePollPeriod{100};
 // Cost of a request in the fair queue: (prompt tokens + 10 * output tokens) / 500, from 1 to 1000.
 // An engine needs about as much time for one output token as for several prompt tokens.
 constexpr std::int64_t kOutputTokenWeight = 10;
@@ -163,14 +165,15 @@
   return std::nullopt;
 }
 
-placement forward_flow::Place(const fleet_snapshot& snapshot,
-                              std::vector<const known_upstream*>& eligible,
-                              std::span<const known_upstream* const> subset) {
+std::vector<placement_candidate> forward_flow::FindCandidates(
+    const fleet_snapshot& snapshot,
+    std::vector<const known_upstream*>& eligible,
+    std::span<const known_upstream* const> subset) const {
   const time_point now = Now();
   std::vector<placement_candidate> candidates;
   const auto found = snapshot.upstreams.find(service_->name);
   if (found == snapshot.upstreams.end())
-    return {std::nullopt, placement_obstacle::kNoUpstream, false, time_point::max()};
+    return candidates;
   for (const known_upstream& upstream : found->second) {
     const upstream_record& record = upstream.record;
     if (!subset.empty() && std::find(subset.begin(), subset.end(), &upstream) == subset.end())
@@ -202,11 +205,20 @@
     eligible.push_back(&upstream);
     candidates.push_back(candidate);
   }
+  return candidates;
+}
+
+placement forward_flow::Place(const fleet_snapshot& snapshot,
+                              std::vector<const known_upstream*>& eligible,
+                              std::span<const known_upstream* const> subset) {
+  const std::vector<placement_candidate> candidates = FindCandidates(snapshot, eligible, subset);
+  if (candidates.empty())
+    return {std::nullopt, placement_obstacle::kNoUpstream, false, time_point::max()};
   const placement placed = ChooseUpstream(candidates, shared_.random);
   if (placed.chosen) {
     chosen_candidate_ = candidates[*placed.chosen];
     load_age_ = std::chrono::duration_cast<milliseconds>(
-        now - eligible[*placed.chosen]->health->reported_at());
+        Now() - eligible[*placed.chosen]->health->reported_at());
   }
   return placed;
 }
@@ -308,9 +320,51 @@
   return group_liveness_ ? group_liveness_->PassTime(Now()) : nanoseconds(0);
 }
 
-bool forward_flow::RetryAllowed() {
-  return possible_runs_ + 1 < route_->max_attempts && sends_ < kMaxSends &&
-         shared_.RetryBudgetFor(service_->name).tokens() >= 1;
+bool forward_flow::RetryAllowed() const {
+  return possible_runs_ + 1 < route_->max_attempts && sends_ < kMaxSends;
+}
+
+std::optional<milliseconds> forward_flow::OnSilence(const known_upstream& upstream) {
+  const milliseconds left = TimeLeft();
+  if (left <= milliseconds(0))
+    return std::nullopt;
+  if (!route_->MayRetry() || !RetryAllowed())
+    return left;
+  const bool first_time = !silence_noted_;
+  silence_noted_ = true;
+  // The other ranks of the group are silent too.
+  if (first_time && upstream.record.group)
+    stalled_groups_.push_back(upstream.record.group->group);
+  if (TryReserveRetry())
+    return std::nullopt;
+  if (first_time) {
+    upstream.health->OnSilent(Now());
+    shared_.log.Write(event_line("upstream.silent")
+                          .Add("upstream", upstream.record.id)
+                          .Add("request", request_.attempt_id)
+                          .Add("ms", Elapsed()));
+  }
+  return std::min(left, kSilencePollPeriod);
+}
+
+bool forward_flow::TryReserveRetry() {
+  if (!MayBeSent() || TimeLeft() < kMinTimeLeft ||
+      !shared_.QueueFor(service_->name).requests.empty())
+    return false;
+  retry_budget& budget = shared_.RetryBudgetFor(service_->name);
+  if (budget.tokens() < 1)
+    return false;
+  const auto snapshot = shared_.snapshots.Get();
+  std::vector<const known_upstream*> eligible;
+  const placement placed = ChooseUpstream(FindCandidates(*snapshot, eligible, {}), shared_.random);
+  retry_reserved_ = placed.chosen && !placed.is_fallback && budget.TryTakeToken();
+  return retry_reserved_;
+}
+
+void forward_flow::ReturnReservedRetry() {
+  if (retry_reserved_)
+    shared_.RetryBudgetFor(service_->name).ReturnToken();
+  retry_reserved_ = false;
 }
 
 void forward_flow::Forward() {
@@ -352,6 +406,8 @@
       shared_.metrics.retries.Add();
     if (head_sent_)
       shared_.metrics.resumed_streams.Add();
+    tried_upstreams_.push_back(upstream->record.id);
+    silence_noted_ = false;
     last_result = SendAttempt(*upstream);
     upstream->health->OnEnd(last_result.outcome, Now());
     shared_.NotifyCapacity(service_->name);
@@ -368,11 +424,11 @@
       shared_.crashes.OnServed(request_.shared_segments, Now());
     verdict_ = Combine(verdict_, last_result.ran);
     possible_runs_ += last_result.ran == verdict::kNotRun ? 0 : 1;
-    tried_upstreams_.push_back(upstream->record.id);
     if (last_result.delivered || client_disconnected_ || !MayBeSent() ||
         !TryStartRetry(last_result))
       break;
   }
+  ReturnReservedRetry();
   Finish(last_result);
 }
 
@@ -414,6 +470,10 @@
 }
 
 bool forward_flow::TryStartRetry(const attempt_result& attempt) {
+  if (retry_reserved_) {
+    retry_reserved_ = false;
+    return true;
+  }
   if (sends_ >= kMaxSends || TimeLeft() < kMinTimeLeft)
     return false;
   if (attempt.ran != verdict::kNotRun &&
@@ -432,6 +492,7 @@
   call.connect_timeout = std::min(kConnectTimeout, time_left);
   call.response_timeout = FirstByteTimeout(*route_, time_left, RetryAllowed(), GroupPassTime());
   call.idle_timeout = call.response_timeout;
+  call.on_silence = [this, &upstream] { return OnSilence(upstream); };
   call.cancellation = cancellation_;
   call.fresh_connection = !route_->MayRetry();
   const std::size_t entries = std::max<std::size_t>(snapshot_->entries.size(), 1);
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -70,6 +70,13 @@
   /// \brief Queues the request until an upstream has free capacity.
   /// \returns Nothing if the wait is over, is expected to be too long, or the queue is full.
   [[nodiscard]] std::optional<known_upstream> WaitForUpstream();
+  /// \brief Collects the usable upstreams of the service and their loads.
+  /// \param eligible  receives the upstreams, in the order of the result.
+  /// \param subset  upstreams to choose from; all upstreams of the service if empty.
+  [[nodiscard]] std::vector<placement_candidate> FindCandidates(
+      const fleet_snapshot& snapshot,
+      std::vector<const known_upstream*>& eligible,
+      std::span<const known_upstream* const> subset) const;
   /// \brief Applies the placement policy to the usable upstreams of the service.
   /// \param eligible  receives the usable upstreams; indexes in the result refer to it.
   /// \param subset  upstreams to choose from; all upstreams of the service if empty.
@@ -116,8 +123,16 @@
   [[nodiscard]] milliseconds Elapsed() const;
   /// \brief Duration of one pass of the current upstream's group; 0 if unknown.
   [[nodiscard]] nanoseconds GroupPassTime() const;
-  /// \brief Whether limits and retry budget allow another attempt after the current one.
-  [[nodiscard]] bool RetryAllowed();
+  /// \brief Whether the limits of the request allow another attempt after the current one.
+  [[nodiscard]] bool RetryAllowed() const;
+  /// \brief Decides about an attempt at an upstream that is silent: it ends if another upstream
+  /// takes the request over, and waits otherwise.
+  /// \returns How much longer to wait; nothing to end the attempt.
+  [[nodiscard]] std::optional<milliseconds> OnSilence(const known_upstream& upstream);
+  /// \brief Takes a token of the retry budget if another upstream can take the request at once.
+  [[nodiscard]] bool TryReserveRetry();
+  /// \brief Puts back the token of a retry that was reserved and not started.
+  void ReturnReservedRetry();
 
   gateway_context& shared_;
   http_exchange& exchange_;
@@ -137,6 +152,8 @@
   placement_obstacle obstacle_ = placement_obstacle::kNone;
   time_point available_at_{};  ///< With an obstacle: earliest time for an upstream to accept it.
   std::vector<std::string> tried_upstreams_;  ///< Ids; not chosen again.
+  bool retry_reserved_ = false;               ///< A token is taken for the next attempt.
+  bool silence_noted_ = false;                ///< The current attempt has been silent.
   std::vector<std::string> stalled_groups_;   ///< Groups in which an attempt stalled.
   ref_ptr<group_liveness> group_liveness_;    ///< Of the current attempt's group; may be null.
   placement_candidate chosen_candidate_;  ///< State of the last chosen upstream when it was chosen.
--- a/libs/net/include/quincebank/net/http_client.h
+++ b/libs/net/include/quincebank/net/http_client.h
@@ -16,12 +16,19 @@
 
 namespace quincebank {
 
+/// \brief Asked when a call has sent or received nothing for its timeout.
+///
+/// Runs in the event loop and must not suspend.
+/// \returns How much longer to wait; nothing to end the call with the error `kTimeout`.
+using silence_handler = std::function<std::optional<milliseconds>()>;
+
 struct http_call {
   endpoint peer;
   http_request request;
   milliseconds connect_timeout{1'000};
   milliseconds response_timeout{10'000};  ///< From the last byte sent to the answer's header.
   milliseconds idle_timeout{3'000};       ///< Between two reads of the answer's body.
+  silence_handler on_silence;             ///< Empty: these timeouts and deadlines end the call.
   /// Idle connections that have not answered since then are closed instead of used.
   time_point reuse_after{};
   ref_ptr<call_cancellation> cancellation;  ///< Null if the call is never cancelled.
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -18,6 +19,7 @@
 #include "quincebank/net/fiber_thread.h"
 #include "quincebank/net/impl/await.h"
 #include "quincebank/net/impl/keepalive.h"
+#include "silence_watch.h"
 
 namespace quincebank {
 namespace {
@@ -96,6 +98,19 @@
   return seconds(value);
 }
 
+/// Waits for an operation on the connection until a moment, or longer if the call's handler wants
+/// so.
+template <typename Start>
+io_outcome AwaitUntil(beast::tcp_stream& stream,
+                      impl::silence_watch* watch,
+                      time_point until,
+                      Start start) {
+  if (watch != nullptr)
+    return watch->Await(until, std::move(start));
+  stream.expires_at(until);
+  return Await(std::move(start));
+}
+
 error ToError(const boost::system::error_code& ec, std::string what, verdict outcome) {
   const bool timeout = ec == beast::error::timeout;
   return MakeError(timeout ? error_code::kTimeout : error_code::kUnavailable,
@@ -180,11 +195,13 @@
  public:
   beast_stream(std::shared_ptr<Pool> pool,
                const http_call& call,
-               std::unique_ptr<connection> connected)
+               std::unique_ptr<connection> connected,
+               std::shared_ptr<impl::silence_watch> watch)
       : pool_(std::move(pool)),
         peer_(call.peer),
         connection_(std::move(connected)),
         kept_connection_(connection_->answered != time_point{}),
+        watch_(std::move(watch)),
         cancellation_(call.cancellation, *connection_),
         idle_timeout_(call.idle_timeout),
         most_idle_(call.most_idle) {
@@ -215,8 +232,7 @@
 
   result<void> ReadOneHeader(time_point until) {
     const time_point asked = std::chrono::steady_clock::now();
-    const io_outcome read = Await([&](auto handler) {
-      connection_->stream.expires_at(until);
+    const io_outcome read = AwaitUntil(connection_->stream, watch_.get(), until, [&](auto handler) {
       http::async_read_header(connection_->stream, connection_->buffer, *parser_,
                               std::move(handler));
     });
@@ -281,11 +297,12 @@
       bytes.resize(kReadBytes);
       parser_->get().body().data = bytes.data();
       parser_->get().body().size = bytes.size();
-      const io_outcome read = Await([&](auto handler) {
-        connection_->stream.expires_at(std::min(deadline_, asked + idle_timeout_));
-        http::async_read_some(connection_->stream, connection_->buffer, *parser_,
-                              std::move(handler));
-      });
+      const time_point until = std::min(deadline_, asked + idle_timeout_);
+      const io_outcome read =
+          AwaitUntil(connection_->stream, watch_.get(), until, [&](auto handler) {
+            http::async_read_some(connection_->stream, connection_->buffer, *parser_,
+                                  std::move(handler));
+          });
       pool_->CountBytes(read.bytes);
       bytes.resize(bytes.size() - parser_->get().body().size);
       if (read.ec && read.ec != http::error::need_buffer) {
@@ -338,7 +355,8 @@
   endpoint peer_;
   std::unique_ptr<connection> connection_;
   const bool kept_connection_;
-  cancellation_scope cancellation_;  // After `connection_`, which it refers to.
+  std::shared_ptr<impl::silence_watch> watch_;  ///< Null if the call has no handler of silences.
+  cancellation_scope cancellation_;             // After `connection_`, which it refers to.
   milliseconds idle_timeout_;
   time_point deadline_ = time_point::max();
   std::size_t most_idle_;
@@ -371,15 +389,19 @@
   message.body() = call.request.body;
   message.prepare_payload();
   cancellation_scope writing(call.cancellation, *connected);
-  const io_outcome written = Await([&](auto handler) {
-    connected->stream.expires_after(call.response_timeout);
+  std::shared_ptr<quincebank::impl::silence_watch> watch;
+  if (call.on_silence)
+    watch = std::make_shared<quincebank::impl::silence_watch>(connected->stream, call.on_silence);
+  const time_point until = std::chrono::steady_clock::now() + call.response_timeout;
+  const io_outcome written = AwaitUntil(connected->stream, watch.get(), until, [&](auto handler) {
     http::async_write(connected->stream, message, std::move(handler));
   });
   writing.Release();
   impl_->CountBytes(written.bytes);
   if (written.ec)
     return ToError(written.ec, "send to " + ToString(call.peer), verdict::kMayHaveRun);
-  auto stream = std::make_unique<beast_stream<impl>>(impl_, call, std::move(connected));
+  auto stream =
+      std::make_unique<beast_stream<impl>>(impl_, call, std::move(connected), std::move(watch));
   BOOST_OUTCOME_TRY(stream->ReadHeader(call));
   return std::unique_ptr<http_stream>(std::move(stream));
 }
--- a/libs/placement/include/quincebank/placement/upstream_health.h
+++ b/libs/placement/include/quincebank/placement/upstream_health.h
@@ -42,6 +42,9 @@
   /// \brief When the engine last reported its load.
   [[nodiscard]] time_point reported_at() const noexcept { return reported_at_; }
 
+  /// \brief An attempt has received nothing for its timeout and goes on. Ejects the upstream.
+  void OnSilent(time_point now);
+
   /// \brief Ejects the upstream because another rank of its group is down.
   void OnGroupStalled(time_point now);
 
--- a/libs/placement/src/upstream_health.cc
+++ b/libs/placement/src/upstream_health.cc
@@ -47,6 +47,10 @@
   probing_ = true;
 }
 
+void upstream_health::OnSilent(time_point now) {
+  Eject(kStalledEjection, now);
+}
+
 void upstream_health::OnGroupStalled(time_point now) {
   ejected_until_ = std::max(ejected_until_, now + kStalledEjection);
 }
