Reserve the upstream that takes over from a silent one

Callers of a stream could still be cut off: the token of the retry budget was reserved, but the upstream was chosen again after the connection to the silent one had been closed, and may have been full by then, or may have had room only in its queue.

Now the upstream is chosen, needs a free slot and counts the request as in flight before the silent one is given up, and the next attempt goes to it without a further check.

- A silent upstream is ejected without probing.
A probe admits one request at a time until one is served, and requests that wait on a silent upstream stay in flight.
- The body of a refusal is not waited for beyond the timeout.
- Skipping the answer to another request asks for more time as well.
- An upstream that sends bytes but no event no longer causes a search for another one with each read.
- A handler of silences that throws ends the call, not the process.

--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -17,15 +17,8 @@
 
 // Connection timeout; within a region a round trip takes milliseconds.
 constexpr milliseconds kConnectTimeout{300};
-// Upper limit on the attempts of one request, including those that no upstream ran: each may be
-// rejected for a different reason.
-constexpr int kMaxSends = 4;
-// With less time left, a new attempt can't succeed and would only load an upstream.
-constexpr milliseconds kMinTimeLeft{10};
 // Upper limit on the time between two searches for an upstream with free capacity.
 constexpr milliseconds kCapacityPollPeriod{15};
-// Time between two decisions whether to wait on for an upstream that is silent.
-constexpr milliseconds kSilencePollPeriod{100};
 // Cost of a request in the fair queue: (prompt tokens + 10 * output tokens) / 500, from 1 to 1000.
 // An engine needs about as much time for one output token as for several prompt tokens.
 constexpr std::int64_t kOutputTokenWeight = 10;
@@ -174,6 +167,8 @@
   const auto found = snapshot.upstreams.find(service_->name);
   if (found == snapshot.upstreams.end())
     return candidates;
+  candidates.reserve(found->second.size());
+  eligible.reserve(found->second.size());
   for (const known_upstream& upstream : found->second) {
     const upstream_record& record = upstream.record;
     if (!subset.empty() && std::find(subset.begin(), subset.end(), &upstream) == subset.end())
@@ -320,51 +315,30 @@
   return group_liveness_ ? group_liveness_->PassTime(Now()) : nanoseconds(0);
 }
 
-bool forward_flow::RetryAllowed() const {
-  return possible_runs_ + 1 < route_->max_attempts && sends_ < kMaxSends;
-}
-
-std::optional<milliseconds> forward_flow::OnSilence(const known_upstream& upstream) {
-  const milliseconds left = TimeLeft();
-  if (left <= milliseconds(0))
-    return std::nullopt;
-  if (!route_->MayRetry() || !RetryAllowed())
-    return left;
-  const bool first_time = !silence_noted_;
-  silence_noted_ = true;
-  // The other ranks of the group are silent too.
-  if (first_time && upstream.record.group)
-    stalled_groups_.push_back(upstream.record.group->group);
-  if (TryReserveRetry())
+std::optional<known_upstream> forward_flow::AcquireUpstream(std::string& obstacle) {
+  if (successor_) {
+    const auto successor = std::exchange(successor_, std::nullopt);
+    chosen_candidate_ = successor->candidate;
+    return successor->upstream;
+  }
+  auto upstream = WaitForUpstream();
+  if (client_disconnected_)
     return std::nullopt;
-  if (first_time) {
-    upstream.health->OnSilent(Now());
-    shared_.log.Write(event_line("upstream.silent")
-                          .Add("upstream", upstream.record.id)
-                          .Add("request", request_.attempt_id)
-                          .Add("ms", Elapsed()));
+  if (!upstream)
+    obstacle = MayBeSent() ? ToString(obstacle_) : kStoppingReason;
+  else if (!MayBeSent())
+    obstacle = kStoppingReason;
+  // Reports on crashes may have arrived while the request waited.
+  else if (shared_.BlockedTime(request_.shared_segments).count() > 0)
+    obstacle = kBlockedReason;
+  // The host may have been suspended while the request waited.
+  else if (TimeLeft() < kMinTimeLeft)
+    obstacle = "no-time-left";
+  else {
+    upstream->health->OnSend(upstream->limit, Now());
+    return upstream;
   }
-  return std::min(left, kSilencePollPeriod);
-}
-
-bool forward_flow::TryReserveRetry() {
-  if (!MayBeSent() || TimeLeft() < kMinTimeLeft ||
-      !shared_.QueueFor(service_->name).requests.empty())
-    return false;
-  retry_budget& budget = shared_.RetryBudgetFor(service_->name);
-  if (budget.tokens() < 1)
-    return false;
-  const auto snapshot = shared_.snapshots.Get();
-  std::vector<const known_upstream*> eligible;
-  const placement placed = ChooseUpstream(FindCandidates(*snapshot, eligible, {}), shared_.random);
-  retry_reserved_ = placed.chosen && !placed.is_fallback && budget.TryTakeToken();
-  return retry_reserved_;
-}
-
-void forward_flow::ReturnReservedRetry() {
-  if (retry_reserved_)
-    shared_.RetryBudgetFor(service_->name).ReturnToken();
-  retry_reserved_ = false;
+  return std::nullopt;
 }
 
 void forward_flow::Forward() {
@@ -372,32 +346,15 @@
   last_result.ran = verdict::kNotRun;
   last_result.outcome = attempt_outcome::kFull;
   for (;;) {
-    const auto upstream = WaitForUpstream();
-    if (client_disconnected_) {
+    const auto upstream = AcquireUpstream(last_result.reason);
+    if (!upstream && client_disconnected_) {
       shared_.metrics.abandoned.Add();
       LogRequestEnd("client-left", 0, "before-send");
       return;
     }
-    if (!upstream) {
-      last_result.reason = MayBeSent() ? ToString(obstacle_) : kStoppingReason;
+    if (!upstream)
       break;
-    }
-    if (!MayBeSent()) {
-      last_result.reason = kStoppingReason;
-      break;
-    }
-    // Reports on crashes may have arrived while the request waited.
-    if (shared_.BlockedTime(request_.shared_segments).count() > 0) {
-      last_result.reason = kBlockedReason;
-      break;
-    }
-    // The host may have been suspended while the request waited.
-    if (TimeLeft() < kMinTimeLeft) {
-      last_result.reason = "no-time-left";
-      break;
-    }
     const time_point sent_at = Now();
-    upstream->health->OnSend(upstream->limit, sent_at);
     group_liveness_ = upstream->liveness;
     if (group_liveness_)
       group_liveness_->OnSend(sent_at);
@@ -407,7 +364,8 @@
     if (head_sent_)
       shared_.metrics.resumed_streams.Add();
     tried_upstreams_.push_back(upstream->record.id);
-    silence_noted_ = false;
+    is_silent_ = false;
+    answer_needed_ = true;
     last_result = SendAttempt(*upstream);
     upstream->health->OnEnd(last_result.outcome, Now());
     shared_.NotifyCapacity(service_->name);
@@ -428,7 +386,7 @@
         !TryStartRetry(last_result))
       break;
   }
-  ReturnReservedRetry();
+  ReleaseSuccessor();
   Finish(last_result);
 }
 
@@ -470,10 +428,8 @@
 }
 
 bool forward_flow::TryStartRetry(const attempt_result& attempt) {
-  if (retry_reserved_) {
-    retry_reserved_ = false;
+  if (successor_)
     return true;
-  }
   if (sends_ >= kMaxSends || TimeLeft() < kMinTimeLeft)
     return false;
   if (attempt.ran != verdict::kNotRun &&
@@ -559,6 +515,7 @@
     return attempt;
   }
   if (info.wrong_instance || info.not_run) {
+    answer_needed_ = false;
     const auto body = stream.ReadSome();  // Frees the connection for the next request.
     attempt.ran = verdict::kNotRun;
     attempt.outcome = info.wrong_instance             ? attempt_outcome::kReplaced
@@ -619,6 +576,7 @@
     if (complete_events.empty())
       continue;
     last_event_at = Now();
+    is_silent_ = false;
     timeout = StreamIdleTimeout(*route_, TimeLeft(), RetryAllowed());
     if (!head_sent_) {
       head_sent_ = true;
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -33,6 +33,18 @@
   std::optional<http_response> error_response;
 };
 
+/// Upper limit on the attempts of one request, including those that no upstream ran: each may be
+/// rejected for a different reason.
+inline constexpr int kMaxSends = 4;
+/// With less time left, a new attempt can't succeed and would only load an upstream.
+inline constexpr milliseconds kMinTimeLeft{10};
+
+/// \brief Upstream that counts a request as in flight which is not sent yet.
+struct reserved_upstream {
+  known_upstream upstream;
+  placement_candidate candidate;  ///< Its state when it was chosen.
+};
+
 /// \brief Handles one client request. Runs in the fiber of its connection.
 class forward_flow final : public running_request {
  public:
@@ -56,6 +68,9 @@
   /// \brief Determines route, workspace, service, priority and deadline.
   /// \returns The error response if the request can't be forwarded.
   [[nodiscard]] std::optional<gateway_response> ResolveRoute();
+  /// \brief Returns the upstream of the next attempt, which is counted as in flight there.
+  /// \param obstacle  receives the reason if there is none.
+  [[nodiscard]] std::optional<known_upstream> AcquireUpstream(std::string& obstacle);
   /// \brief Sends the request to one upstream after another until one has answered or no further
   /// attempt is allowed.
   void Forward();
@@ -129,10 +144,11 @@
   /// takes the request over, and waits otherwise.
   /// \returns How much longer to wait; nothing to end the attempt.
   [[nodiscard]] std::optional<milliseconds> OnSilence(const known_upstream& upstream);
-  /// \brief Takes a token of the retry budget if another upstream can take the request at once.
-  [[nodiscard]] bool TryReserveRetry();
-  /// \brief Puts back the token of a retry that was reserved and not started.
-  void ReturnReservedRetry();
+  /// \brief Reserves an upstream with a free slot, and a token of the retry budget, for the next
+  /// attempt. Sets `successor_`.
+  void TryReserveSuccessor();
+  /// \brief Gives back what was reserved for an attempt that is not made.
+  void ReleaseSuccessor();
 
   gateway_context& shared_;
   http_exchange& exchange_;
@@ -152,10 +168,13 @@
   placement_obstacle obstacle_ = placement_obstacle::kNone;
   time_point available_at_{};  ///< With an obstacle: earliest time for an upstream to accept it.
   std::vector<std::string> tried_upstreams_;  ///< Ids; not chosen again.
-  bool retry_reserved_ = false;               ///< A token is taken for the next attempt.
-  bool silence_noted_ = false;                ///< The current attempt has been silent.
-  std::vector<std::string> stalled_groups_;   ///< Groups in which an attempt stalled.
-  ref_ptr<group_liveness> group_liveness_;    ///< Of the current attempt's group; may be null.
+  /// Upstream of the next attempt, which takes the request over from a silent one.
+  std::optional<reserved_upstream> successor_;
+  time_point next_successor_search_{};
+  bool is_silent_ = false;                   ///< The current attempt has exceeded its timeout.
+  bool answer_needed_ = true;                ///< The rest of the current answer is passed on.
+  std::vector<std::string> stalled_groups_;  ///< Groups in which an attempt stalled.
+  ref_ptr<group_liveness> group_liveness_;   ///< Of the current attempt's group; may be null.
   placement_candidate chosen_candidate_;  ///< State of the last chosen upstream when it was chosen.
   milliseconds load_age_{0};              ///< Age of its reported load at that time.
   int queried_engines_ = 0;               ///< Number of load queries sent, over all attempts.
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -256,12 +256,12 @@
     while (!parser_->is_done()) {
       parser_->get().body().data = scratch.data();
       parser_->get().body().size = scratch.size();
-      const io_outcome read = Await([&](auto handler) {
-        connection_->stream.expires_at(
-            std::min(until, std::chrono::steady_clock::now() + idle_timeout_));
-        http::async_read_some(connection_->stream, connection_->buffer, *parser_,
-                              std::move(handler));
-      });
+      const time_point limit = std::min(until, std::chrono::steady_clock::now() + idle_timeout_);
+      const io_outcome read =
+          AwaitUntil(connection_->stream, watch_.get(), limit, [&](auto handler) {
+            http::async_read_some(connection_->stream, connection_->buffer, *parser_,
+                                  std::move(handler));
+          });
       skipped += read.bytes;
       const bool failed = read.ec && read.ec != http::error::need_buffer;
       if (!failed && skipped <= kMostSkippedBytes)
--- a/libs/net/src/silence_watch.h
+++ b/libs/net/src/silence_watch.h
@@ -4,8 +4,10 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <memory>
+#include <optional>
 #include <utility>
 
+#include "quincebank/net/fiber_thread.h"
 #include "quincebank/net/http_client.h"
 #include "quincebank/net/impl/await.h"
 
@@ -52,7 +54,9 @@
   }
 
   void OnSilence() {
-    const auto more = on_silence_();
+    // The event loop has no handler of exceptions; a handler that fails gives no more time.
+    std::optional<milliseconds> more;
+    RunGuarded("silence", [&] { more = on_silence_(); });
     if (more) {
       Arm(std::chrono::steady_clock::now() + *more);
       return;
--- a/libs/placement/include/quincebank/placement/upstream_health.h
+++ b/libs/placement/include/quincebank/placement/upstream_health.h
@@ -42,7 +42,8 @@
   /// \brief When the engine last reported its load.
   [[nodiscard]] time_point reported_at() const noexcept { return reported_at_; }
 
-  /// \brief An attempt has received nothing for its timeout and goes on. Ejects the upstream.
+  /// \brief An attempt has received nothing for its timeout and goes on. Ejects the upstream
+  /// without probing: whether the attempt has failed is not known yet.
   void OnSilent(time_point now);
 
   /// \brief Ejects the upstream because another rank of its group is down.
--- a/libs/placement/src/upstream_health.cc
+++ b/libs/placement/src/upstream_health.cc
@@ -48,7 +48,7 @@
 }
 
 void upstream_health::OnSilent(time_point now) {
-  Eject(kStalledEjection, now);
+  ejected_until_ = std::max(ejected_until_, now + kStalledEjection);
 }
 
 void upstream_health::OnGroupStalled(time_point now) {
