Count the end of a stop from its signal

A gateway that is being stopped admits a request if its deadline lies before the end of the stop. That end was counted from the moment at which the traffic thread took note of the stop, but the requests are aborted at a time counted from the signal. On a busy host a request whose deadline just fitted could be aborted before it, by as much as the thread was late.

Both now use the same moment.

--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -226,8 +226,7 @@
 
 void gateway_service::Shutdown() {
   const time_point started = Now();
-  const milliseconds time_to_abort = shared_.rules.Get().stop_grace - kExitMargin;
-  const time_point deadline = started + time_to_abort;
+  const time_point deadline = started + shared_.rules.Get().stop_grace - kExitMargin;
   leaving_ = true;
   log_.Write(event_line("process.leaving").Add("running", client_server_->running()));
   client_server_->AnnounceClose();
@@ -240,7 +239,7 @@
   });
   traffic_thread_.RunAndWait([&] {
     const boot_time now = BootNow();
-    shared_.stop.Begin(now + lookup_ttl() + kLookupPropagation, now + time_to_abort);
+    shared_.stop.Begin(now + lookup_ttl() + kLookupPropagation, now + (deadline - Now()));
   });
   // Clients that cache the address still connect until their look-ups have expired.
   std::this_thread::sleep_until(
