Log the requests that the exit of a gateway cuts off

Requests that are still running when the process exits get a request.end with the outcome `cut` and the reason `process-stopping`.

--- a/libs/gateway/include/quincebank/gateway/gateway_service.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_service.h
@@ -55,6 +55,8 @@
   /// \brief Ends the request since the process is about to exit: its client gets an error, or a
   /// stream that is visibly incomplete.
   virtual void Abort() = 0;
+  /// \brief Logs the request unless its end is logged: the exit of the process cuts it off.
+  virtual void LogUnfinished() = 0;
 };
 
 /// \brief State shared by all requests. Used by the traffic thread only, except for `rules`,
@@ -147,6 +149,9 @@
   /// \brief Blocks until all client connections have ended, at most until `deadline`.
   void AwaitDrained(time_point deadline) const;
   void AbortRunning();
+  /// \brief Logs the requests that the exit of the process cuts off, such as answers to clients
+  /// that read slowly.
+  void LogUnfinished();
 
   const gateway_settings& settings_;
   event_log& log_;
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -56,6 +56,7 @@
   /// \brief Forwards the request and responds; returns when the exchange is over.
   void Run();
   void Abort() override;
+  void LogUnfinished() override;
 
  private:
   /// \brief Response that this entry generates itself.
@@ -182,6 +183,7 @@
   int possible_runs_ = 0;                 ///< Number of attempts that may have run.
   verdict verdict_ = verdict::kNotRun;    ///< Of all attempts together.
   bool head_sent_ = false;
+  bool end_logged_ = false;
   int status_ = 0;  ///< HTTP status sent to the client.
   std::optional<std::uint64_t> last_event_id_;
   std::optional<time_point> first_byte_at_;
--- a/libs/gateway/src/forward_report.cc
+++ b/libs/gateway/src/forward_report.cc
@@ -55,7 +55,13 @@
   exchange_.Respond(std::move(response));
 }
 
+void forward_flow::LogUnfinished() {
+  if (!end_logged_)
+    LogRequestEnd("cut", status_, kStoppingReason);
+}
+
 void forward_flow::LogRequestEnd(std::string_view outcome, int status, std::string_view reason) {
+  end_logged_ = true;
   event_line line("request.end");
   line.Add("request", request_.attempt_id)
       .Add("outcome", outcome)
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -248,6 +248,7 @@
   AwaitDrained(deadline);
   AbortRunning();
   AwaitDrained(deadline + kAbortTime);
+  LogUnfinished();
   log_.Write(event_line("process.stopped").Add("running", client_server_->running()));
 }
 
@@ -256,6 +257,15 @@
     std::this_thread::sleep_for(kDrainPollPeriod);
 }
 
+void gateway_service::LogUnfinished() {
+  if (client_server_->Drained())
+    return;
+  traffic_thread_.RunAndWait([this] {
+    for (running_request& request : shared_.running)
+      request.LogUnfinished();
+  });
+}
+
 void gateway_service::AbortRunning() {
   if (client_server_->Drained())
     return;
