Wait for arrived requests too when an entry or agent stops

Callers of a quincebank-entry or quincebank-agent that is being stopped would see their connection close without an answer if their request arrived when the time for kept addresses or held answers ended.

Cause: Shutdown waited until no request was being read or answered. Connections that had been accepted, and whose requests the thread was about to read, were not counted. The process ended and closed them.

Shutdown now waits for http_server::Drained(): no connection is left and none can come. This adds no endless wait: Close() ends idle connections, and those that are left are bounded by the limits for reading and writing as before.

--- a/libs/agent/src/agent_node.cc
+++ b/libs/agent/src/agent_node.cc
@@ -134,7 +134,7 @@
   std::this_thread::sleep_for(settings_.shutdown_linger);
   server_->AnnounceClose();
   server_->Close();
-  while (server_->running() > 0)
+  while (!server_->Drained())
     std::this_thread::sleep_for(kShutdownTick);
   kLog.Info("all attempts have ended");
 }
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -263,7 +263,7 @@
   std::this_thread::sleep_for(settings_.lookup_ttl);
   server_->AnnounceClose();
   server_->Close();
-  while (server_->running() > 0)
+  while (!server_->Drained())
     std::this_thread::sleep_for(kShutdownTick);
   kLog.Info("all requests have ended");
 }
--- a/libs/testing/include/quincebank/testing/deployment.h
+++ b/libs/testing/include/quincebank/testing/deployment.h
@@ -26,6 +26,8 @@
   int queue_limit = 64;
   int warm_requests = 8;
   int lookup_ttl_ms = 300;
+  int traffic_threads = 2;       ///< Of an entry.
+  int shutdown_linger_ms = 200;  ///< Of the agents.
   bool relays = false;  ///< Entries reach each agent through a relay named `relay-` and its name.
   /// Two regions of two failure domains each: hosts are dealt to `qc-east-a`, `qc-west-a`,
   /// `qc-east-b` and `qc-west-b` in turn. Nodes reach each other and the platform, which is in
--- a/libs/testing/src/deployment.cc
+++ b/libs/testing/src/deployment.cc
@@ -89,7 +89,8 @@
   }
   for (int i = 0; i < plan_.entries; ++i) {
     AddNode(QUINCEBANK_ENTRY_PROGRAM, "entry-" + std::to_string(i), i,
-            R"("lookup_ttl_ms": )" + std::to_string(plan_.lookup_ttl_ms));
+            R"("lookup_ttl_ms": )" + std::to_string(plan_.lookup_ttl_ms) +
+                R"(, "traffic_threads": )" + std::to_string(plan_.traffic_threads));
   }
   for (int i = 0; i < plan_.drafts; ++i)
     AddUpstream("drafts", i, plan_.engine_options);
@@ -146,7 +147,8 @@
   arguments.insert(arguments.end(), options.begin(), options.end());
   AddProcess(name, index, std::move(arguments));
   AddNode(QUINCEBANK_AGENT_PROGRAM, "agent-" + name, index,
-          R"("upstream": ")" + name + R"(", "shutdown_linger_ms": 200)");
+          R"("upstream": ")" + name + R"(", "shutdown_linger_ms": )" +
+              std::to_string(plan_.shutdown_linger_ms));
   if (plan_.relays && !plan_.two_regions)
     AddRelay("agent-" + name, index);
 }
@@ -160,7 +162,8 @@
   for (int i = 0; i < plan_.ranks; ++i) {
     const std::string name = "rank-" + std::to_string(i);
     AddNode(QUINCEBANK_AGENT_PROGRAM, "agent-" + name, i,
-            R"("upstream": ")" + name + R"(", "shutdown_linger_ms": 200)");
+            R"("upstream": ")" + name + R"(", "shutdown_linger_ms": )" +
+                std::to_string(plan_.shutdown_linger_ms));
   }
 }
 
