Go on with a silent agent's attempt when nothing takes it over

Callers of repeatable routes of an entry got a 502 three seconds after the connection to an agent had fallen silent before the first byte of the answer, although the agent and its upstream went on with the request.

When a copy was lost before its first byte, keyed_request chose a new attempt, and ended the request if that was then denied: by the retry budget, by the number of attempts, or because there was no other upstream.

Evidence: silence_process_test lets relays to the agents fall silent for existing connections.

The request now asks the agent about the lost attempt when a new one is denied, and fetches its answer, as it does after a part of an answer. Each lost attempt is returned to once, so the machine ends as before. If the agent is gone, the refusal, by reading, comes after the questions to it (eight at most), not at once.

--- a/libs/idempotency/include/quincebank/idempotency/keyed_request.h
+++ b/libs/idempotency/include/quincebank/idempotency/keyed_request.h
@@ -108,6 +108,8 @@
   [[nodiscard]] request_action OnBlocked(bool by_us);
   [[nodiscard]] request_action OnUncertain(std::string reason);
   [[nodiscard]] request_action NewAttempt(std::string reason);
+  /// \brief Goes on with an attempt whose connection was lost, since no other one takes over.
+  [[nodiscard]] request_action GoOn();
   [[nodiscard]] request_action Gone();
   [[nodiscard]] request_action Used(std::string_view reason);
   [[nodiscard]] request_action Finish(error_code code, std::string message);
@@ -129,6 +131,7 @@
   bool own_ = false;       ///< `attempt_` was created by this request.
   bool resent_ = false;
   bool restarted_ = false;  ///< The agent of `attempt_` rejected it as another incarnation.
+  bool lost_ = false;       ///< Its agent may go on with `attempt_`, and was not asked about it.
   bool grace_over_ = false;
   bool foreign_ = false;                ///< Another request's claim may still run the order.
   bool claim_known_ = false;            ///< The store has told whether the key was claimed before.
--- a/libs/idempotency/src/keyed_request.cc
+++ b/libs/idempotency/src/keyed_request.cc
@@ -72,6 +72,8 @@
                                        wall_time wall) {
   if (Late(step, action_kind::kChoose))
     return {};
+  if (!target && lost_)
+    return Guard(GoOn(), now);
   if (!target)
     return RefuseKeyed(MakeError(error_code::kOverloaded, std::move(reason)));
   earlier_ = Combine(earlier_, copies_);
@@ -81,6 +83,7 @@
   own_ = true;
   resent_ = false;
   restarted_ = false;
+  lost_ = false;
   grace_over_ = false;
   releasable_ = false;
   delivered_ = 0;
@@ -246,7 +249,8 @@
       break;
   }
   copies_ = verdict::kMayHaveRun;
-  if (MayRestart())
+  lost_ = MayRestart();
+  if (lost_)
     return NewAttempt("the connection to the agent was lost");
   return Act(action_kind::kAskState);
 }
@@ -376,13 +380,18 @@
   if (own_ && !restarted_)
     tried_.push_back(target_.agent);
   if (attempts_ >= spec_.max_attempts)
-    return Finish(error_code::kUnavailable, std::move(reason));
+    return lost_ ? GoOn() : Finish(error_code::kUnavailable, std::move(reason));
   // The first attempt that is sent is not a retry, even if it takes over another request's claim.
   if (attempts_ == 0)
     return Choose();
   return AskRetry(next_step::kNewAttempt, std::move(reason));
 }
 
+request_action keyed_request::GoOn() {
+  lost_ = false;
+  return Act(action_kind::kAskState);
+}
+
 request_action keyed_request::AskRetry(next_step then, std::string reason) {
   then_ = then;
   reason_ = std::move(reason);
@@ -396,6 +405,8 @@
     resent_ = true;
     return Guard(Act(granted ? action_kind::kSend : action_kind::kBlock), now);
   }
+  if (!granted && lost_)
+    return Guard(GoOn(), now);
   if (!granted)
     return Finish(error_code::kOverloaded, reason_ + "; the retry budget is used up");
   return Guard(Choose(), now);
