Keep the rate limit that an upstream states

Cause: the header was not decoded. Class: what an upstream says of its capacity is not part of placement.

The limit is decoded from every authentic answer and kept for that start of the upstream until an answer comes without it. Each gateway paces an equal share of it (stated_limit), by the fleet size that the store notes. Gateways begin at different moments of their interval; otherwise all that learn of a limit together would send together. Below 0.5 a second, 0 included, 0.5 are sent by all gateways together, since the end of a limit shows only in an answer. An unreadable limit is logged and changes nothing. The chooser treats an upstream without room as rate-limited, so requests go elsewhere, or are rejected at once with Retry-After if no upstream has room in time.

--- a/libs/gateway/include/quincebank/gateway/exchange_codec.h
+++ b/libs/gateway/include/quincebank/gateway/exchange_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -45,6 +46,11 @@
   /// Id of the upstream whose failure caused the rejection; may be empty.
   std::string faulty_upstream;
   bool leaving = false;  ///< The upstream is shutting down.
+  /// Requests per second that the upstream takes from all entries together, at least 0; nothing if
+  /// it states no limit.
+  std::optional<double> rate_limit;
+  /// Length of a stated limit that is no such number; 0 if it can be read.
+  std::size_t unreadable_limit_bytes = 0;
   /// Time for which an upstream that rejected the request asks for no others.
   std::optional<milliseconds> retry_after;
 };
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -465,29 +465,6 @@
   return HandleResponse(*stream.value());
 }
 
-void forward_flow::ApplyUpstreamState(const known_upstream& upstream,
-                                      const http_stream& stream) const {
-  const upstream_response_info info =
-      shared_.codec.DecodeResponse(stream.status(), stream.headers());
-  // The answer of another instance, or one without an id, is no evidence about this upstream.
-  if (info.wrong_instance || info.attempt_id.empty())
-    return;
-  if (info.leaving && !upstream.health->leaving()) {
-    upstream.health->OnLeaving();
-    shared_.log.Write(event_line("upstream.announced_leaving")
-                          .Add("upstream", upstream.record.id)
-                          .Add("request", request_.attempt_id)
-                          .Add("status", stream.status()));
-  }
-  if (!info.retry_after || info.retry_after->count() == 0)
-    return;
-  upstream.health->OnPause(Now() + *info.retry_after);
-  shared_.log.Write(event_line("upstream.paused")
-                        .Add("upstream", upstream.record.id)
-                        .Add("request", request_.attempt_id)
-                        .Add("for_ms", *info.retry_after));
-}
-
 attempt_result forward_flow::MakeErrorResult(const error& failure) const {
   attempt_result attempt;
   attempt.reason = aborted_ ? std::string(kStoppingReason) : failure.message;
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -105,7 +105,10 @@
                      placement_candidate& candidate) const;
   /// \brief Makes one attempt at an upstream and relays its response.
   [[nodiscard]] attempt_result SendAttempt(const known_upstream& upstream);
-  /// \brief Records whether the upstream is leaving or asks for a pause.
+  /// \brief Records the rate limit that the upstream states, or that it states none any more.
+  void ApplyStatedLimit(const known_upstream& upstream, const upstream_response_info& info) const;
+  /// \brief Records what the upstream states about itself: a rate limit, that it is leaving, or a
+  /// pause.
   void ApplyUpstreamState(const known_upstream& upstream, const http_stream& stream) const;
   /// \brief Evaluates the response header and relays the body to the client.
   [[nodiscard]] attempt_result HandleResponse(http_stream& stream);
--- a/libs/placement/include/quincebank/placement/upstream_health.h
+++ b/libs/placement/include/quincebank/placement/upstream_health.h
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <cstdint>
 #include <optional>
+#include <utility>
 
 #include "quincebank/base/ref_counted.h"
 #include "quincebank/base/time.h"
 #include "quincebank/placement/send_window.h"
+#include "quincebank/placement/stated_limit.h"
 
 namespace quincebank {
 
@@ -56,13 +58,26 @@
   void OnPause(time_point until) noexcept { paused_until_ = std::max(paused_until_, until); }
   [[nodiscard]] time_point paused_until() const noexcept { return paused_until_; }
 
-  /// \brief Whether the rate limit allows a request now.
+  /// \brief The upstream states a limit on the requests of all entries; see `stated_limit`.
+  bool OnStatedLimit(double per_second,
+                     std::size_t entries,
+                     double phase,
+                     time_point now) noexcept {
+    return stated_limit_.OnStated(per_second, entries, phase, now);
+  }
+  bool OnStatedLimitWithdrawn() noexcept { return stated_limit_.OnWithdrawn(); }
+  /// \brief The upstream states a limit that can't be read.
+  /// \returns Whether this is the first time.
+  bool OnUnreadableLimit() noexcept { return !std::exchange(unreadable_limit_, true); }
+
+  /// \brief Whether the rate limits allow a request now.
   [[nodiscard]] bool Allows(const send_limit& limit, time_point now) const noexcept {
-    return window_.Allows(limit, now);
+    return now >= AllowedFrom(limit);
   }
-  /// \brief When the rate limit allows the next request; see `send_window::AllowedFrom`.
+  /// \brief When the rate limits allow the next request, that of cold upstreams and the stated one;
+  /// see `send_window::AllowedFrom`.
   [[nodiscard]] time_point AllowedFrom(const send_limit& limit) const noexcept {
-    return window_.AllowedFrom(limit);
+    return std::max(window_.AllowedFrom(limit), stated_limit_.AllowedFrom());
   }
   /// \brief Attempts of this entry that have not ended.
   [[nodiscard]] int in_flight() const noexcept { return in_flight_; }
@@ -81,6 +96,8 @@
   void Eject(milliseconds initial, time_point now);
 
   send_window window_;
+  stated_limit stated_limit_;
+  bool unreadable_limit_ = false;
   int in_flight_ = 0;
   int other_requests_ = 0;
   time_point reported_at_{};  ///< When `other_requests_` was reported.
