--- a/libs/expert_control/include/quincebank/expert_control/load_messages.h
+++ b/libs/expert_control/include/quincebank/expert_control/load_messages.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "quincebank/base/error.h"
 #include "quincebank/base/time.h"
+#include "quincebank/placement/upstream_observations.h"
 
 namespace quincebank {
 
@@ -23,6 +25,8 @@
   int running = 0;
   int waiting = 0;
   std::uint64_t step = 0;  ///< Last pass that was begun; 0 if the engine forms no passes.
+  /// What entries report of the engine; nothing if they report nothing.
+  std::optional<observation_summary> observations;
 
   [[nodiscard]] bool operator==(const engine_load&) const = default;
 };
@@ -33,7 +37,13 @@
 [[nodiscard]] result<load_subscription> DecodeSubscription(std::string_view payload);
 
 [[nodiscard]] std::string Encode(const engine_load& load);
+/// \brief Accepts messages with and without the later additions: two more numbers, and the
+/// observations at the end.
 [[nodiscard]] result<engine_load> DecodeLoad(std::string_view payload);
+
+/// \brief Agents of older versions ignore it, since it has more members than a subscription.
+[[nodiscard]] std::string Encode(const upstream_observation& observation);
+[[nodiscard]] result<upstream_observation> DecodeObservation(std::string_view payload);
 /// @}
 
 }  // namespace quincebank
--- a/libs/expert_control/src/load_messages.cc
+++ b/libs/expert_control/src/load_messages.cc
@@ -1,5 +1,6 @@
 #include "quincebank/expert_control/load_messages.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
@@ -11,6 +12,12 @@
 
 namespace json = boost::json;
 
+result<std::int64_t> ReadNumber(const json::value& number) {
+  if (!number.is_int64() || number.get_int64() < 0)
+    return MakeError(error_code::kInvalidArgument, "expected a number from 0");
+  return number.get_int64();
+}
+
 /// A name followed by `Numbers` numbers that are not negative.
 template <std::size_t Numbers>
 struct named_numbers {
@@ -27,14 +34,47 @@
   named_numbers<Numbers> read;
   read.name = array->front().get_string();
   for (std::size_t i = 0; i < Numbers; ++i) {
-    const json::value& number = (*array)[i + 1];
-    if (!number.is_int64() || number.get_int64() < 0)
-      return MakeError(error_code::kInvalidArgument, "expected a number from 0");
-    read.numbers[i] = number.get_int64();
+    BOOST_OUTCOME_TRY(read.numbers[i], ReadNumber((*array)[i + 1]));
   }
   return read;
 }
 
+// Members of a load without additions, and with two further numbers.
+constexpr std::size_t kLoadMembers = 4;
+constexpr std::size_t kExtendedLoadMembers = 6;
+
+// Incarnation, entries of each kind, pause, limit, time since a service.
+constexpr std::size_t kSummaryMembers = kReportedKinds + 4;
+// Summaries count at most the entries of one table.
+constexpr std::int64_t kMaxCount = 1'000;
+
+json::array ToArray(const observation_summary& summary) {
+  json::array array{static_cast<std::int64_t>(summary.incarnation)};
+  for (const int entries : summary.entries)
+    array.push_back(entries);
+  array.push_back(summary.pause_left.count());
+  array.push_back(summary.limit);
+  array.push_back(summary.since_served.count());
+  return array;
+}
+
+result<observation_summary> ReadSummary(const json::array& array) {
+  if (array.size() != kSummaryMembers)
+    return MakeError(error_code::kInvalidArgument, "expected a summary of observations");
+  std::array<std::int64_t, kSummaryMembers> numbers{};
+  for (std::size_t i = 0; i < kSummaryMembers; ++i) {
+    BOOST_OUTCOME_TRY(numbers[i], ReadNumber(array[i]));
+  }
+  observation_summary summary;
+  summary.incarnation = static_cast<std::uint64_t>(numbers[0]);
+  for (std::size_t kind = 0; kind < kReportedKinds; ++kind)
+    summary.entries[kind] = static_cast<int>(std::min(numbers[kind + 1], kMaxCount));
+  summary.pause_left = milliseconds(numbers[kReportedKinds + 1]);
+  summary.limit = numbers[kReportedKinds + 2];
+  summary.since_served = milliseconds(numbers[kReportedKinds + 3]);
+  return summary;
+}
+
 }  // namespace
 
 std::string Encode(const load_subscription& subscription) {
@@ -47,14 +87,49 @@
 }
 
 std::string Encode(const engine_load& load) {
-  return json::serialize(json::array{load.upstream, load.running, load.waiting, load.step});
+  json::array message{load.upstream, load.running, load.waiting, load.step};
+  if (load.observations)
+    message.push_back(ToArray(*load.observations));
+  return json::serialize(message);
 }
 
 result<engine_load> DecodeLoad(std::string_view payload) {
-  BOOST_OUTCOME_TRY(auto read, Read<3>(payload));
-  return engine_load{std::move(read.name), static_cast<int>(read.numbers[0]),
-                     static_cast<int>(read.numbers[1]),
-                     static_cast<std::uint64_t>(read.numbers[2])};
+  BOOST_OUTCOME_TRY(const json::value document, ParseJson(payload));
+  const json::array* const array = document.if_array();
+  if (array == nullptr || array->empty() || !array->front().is_string())
+    return MakeError(error_code::kInvalidArgument, "expected a name and numbers");
+  engine_load load;
+  load.upstream = array->front().get_string();
+  const json::array* const observations = array->back().if_array();
+  const std::size_t members = array->size() - (observations != nullptr ? 1 : 0);
+  if (members != kLoadMembers && members != kExtendedLoadMembers)
+    return MakeError(error_code::kInvalidArgument, "expected a load");
+  std::array<std::int64_t, kExtendedLoadMembers> numbers{};
+  for (std::size_t i = 1; i < members; ++i) {
+    BOOST_OUTCOME_TRY(numbers[i], ReadNumber((*array)[i]));
+  }
+  load.running = static_cast<int>(numbers[1]);
+  load.waiting = static_cast<int>(numbers[2]);
+  load.step = static_cast<std::uint64_t>(numbers[3]);
+  if (observations == nullptr)
+    return load;
+  BOOST_OUTCOME_TRY(load.observations, ReadSummary(*observations));
+  return load;
+}
+
+std::string Encode(const upstream_observation& observation) {
+  return json::serialize(json::array{observation.upstream, static_cast<int>(observation.kind),
+                                     static_cast<std::int64_t>(observation.incarnation),
+                                     observation.value, observation.age.count()});
+}
+
+result<upstream_observation> DecodeObservation(std::string_view payload) {
+  BOOST_OUTCOME_TRY(auto read, Read<4>(payload));
+  if (read.numbers[0] >= static_cast<std::int64_t>(kObservationKinds))
+    return MakeError(error_code::kInvalidArgument, "unknown kind of observation");
+  return upstream_observation{std::move(read.name), static_cast<std::uint64_t>(read.numbers[1]),
+                              static_cast<observation_kind>(read.numbers[0]), read.numbers[2],
+                              milliseconds(read.numbers[3])};
 }
 
 }  // namespace quincebank
--- a/libs/gateway/include/quincebank/gateway/gateway_metrics.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_metrics.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <string>
 
+#include "quincebank/placement/observation_exchange.h"
 #include "quincebank/telemetry/metrics.h"
 
 namespace quincebank {
@@ -35,6 +38,17 @@
                            {}});
   counter& lookups =
       registry.AddCounter({"quincebank_lookups_total", "Look-ups of entry addresses.", {}});
+  /// Observations sent to agents, by `observation_kind`.
+  std::array<counter*, kObservationKinds> observations_sent =
+      AddCounters<observation_kind, kObservationKinds>(
+          "quincebank_observations_sent_total",
+          "Observations of upstreams sent to their agents.",
+          "kind");
+  /// Reports of other entries, by `report_decision`.
+  std::array<counter*, kReportDecisions> reports = AddCounters<report_decision, kReportDecisions>(
+      "quincebank_upstream_reports_total",
+      "Loads with observations of other entries, by whether they are accepted or why not.",
+      "decision");
   gauge& config_version = registry.AddGauge(
       {"quincebank_config_version", "Version of the configuration in force.", {}});
   gauge& in_flight =
@@ -43,6 +57,20 @@
       {"quincebank_first_byte_seconds", "Time to the first byte of an answer's body.", {}});
   latency_histogram& total_time =
       registry.AddHistogram({"quincebank_request_seconds", "Time to the end of an answer.", {}});
+
+ private:
+  /// \brief Adds a counter for each value of an enum.
+  template <typename Enum, std::size_t Values>
+  std::array<counter*, Values> AddCounters(const std::string& name,
+                                           const std::string& help,
+                                           const std::string& label) {
+    std::array<counter*, Values> counters{};
+    for (std::size_t i = 0; i < Values; ++i) {
+      counters[i] = &registry.AddCounter(
+          {name, help, {{label, std::string(ToString(static_cast<Enum>(i)))}}});
+    }
+    return counters;
+  }
 };
 
 }  // namespace quincebank
--- a/libs/gateway/include/quincebank/gateway/gateway_service.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_service.h
@@ -168,6 +168,7 @@
   std::unique_ptr<fleet_sync> fleet_sync_;
   std::unique_ptr<engine_port> engines_;
   std::unique_ptr<expert_rebalancer> rebalancer_;
+  std::unique_ptr<observation_sharing> observation_sharing_;
   std::unique_ptr<load_watch> load_watch_;
   std::unique_ptr<http_server> client_server_;
   std::vector<std::unique_ptr<http_server>> internal_servers_;
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -187,10 +187,12 @@
       AddEngineLoad(upstream, *other_requests, candidate);
     candidate.failure_share = upstream.health->failure_share();
     candidate.superseded = upstream.superseded;
-    candidate.ejected = upstream.health->IsEjected(now) || (record.group && !record.group->open) ||
-                        (upstream.liveness && upstream.liveness->IsStalled(now)) ||
-                        IsInStalledGroup(record);
-    candidate.ejected_until = upstream.health->ejected_until();
+    candidate.ejected =
+        upstream.health->IsEjected(now) || upstream.health->observations().IsAvoided(now) ||
+        (record.group && !record.group->open) ||
+        (upstream.liveness && upstream.liveness->IsStalled(now)) || IsInStalledGroup(record);
+    candidate.ejected_until =
+        std::max(upstream.health->ejected_until(), upstream.health->observations().avoided_until());
     candidate.probing = upstream.health->probing();
     candidate.available_at =
         upstream.may_send ? upstream.health->AllowedFrom(upstream.limit) : time_point::max();
@@ -366,8 +368,10 @@
     tried_upstreams_.push_back(upstream->record.id);
     is_silent_ = false;
     answer_needed_ = true;
+    BeginObservation(*upstream);
     last_result = SendAttempt(*upstream);
     upstream->health->OnEnd(last_result.outcome, Now());
+    ObserveOutcome(last_result);
     shared_.NotifyCapacity(service_->name);
     if (group_liveness_)
       group_liveness_->OnEnd();
@@ -446,8 +450,8 @@
   call.request = shared_.codec.EncodeForUpstream(
       exchange_.request(), {upstream.record.id, time_left, workspace_, last_event_id_});
   call.connect_timeout = std::min(kConnectTimeout, time_left);
-  call.response_timeout = FirstByteTimeout(*route_, time_left, RetryAllowed(), GroupPassTime());
-  call.idle_timeout = call.response_timeout;
+  call.idle_timeout = FirstByteTimeout(*route_, time_left, RetryAllowed(), GroupPassTime());
+  call.response_timeout = BeginSilenceWatch(call.idle_timeout);
   call.on_silence = [this, &upstream] { return OnSilence(upstream); };
   call.cancellation = cancellation_;
   call.fresh_connection = !route_->MayRetry();
@@ -527,8 +531,10 @@
   // time, or an endless event.
   time_point last_event_at = Now();
   milliseconds timeout = FirstByteTimeout(*route_, TimeLeft(), RetryAllowed(), GroupPassTime());
+  if (!reported_silent_)
+    (void)BeginSilenceWatch(timeout);
   for (;;) {
-    stream.SetDeadline(std::min(last_event_at + timeout, Now() + TimeLeft()));
+    stream.SetDeadline(std::min(last_event_at + timeout - rest_of_silence_, Now() + TimeLeft()));
     const auto chunk = stream.ReadSome();
     if (!chunk)
       return MakeErrorResult(chunk.error());
@@ -554,6 +560,7 @@
       continue;
     last_event_at = Now();
     is_silent_ = false;
+    ObserveProgress();
     timeout = StreamIdleTimeout(*route_, TimeLeft(), RetryAllowed());
     if (!head_sent_) {
       head_sent_ = true;
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -154,6 +154,21 @@
   /// \brief Gives back what was reserved for an attempt that is not made.
   void ReleaseSuccessor();
 
+  /// \brief An attempt begins, whose results the other entries may learn.
+  void BeginObservation(const known_upstream& upstream);
+  /// \brief Begins to wait for the first data of an attempt.
+  /// \param timeout  after which the attempt counts as silent.
+  /// \returns Time until `OnSilence` is to be called: the timeout, or earlier if silence is then
+  /// reported.
+  [[nodiscard]] milliseconds BeginSilenceWatch(milliseconds timeout);
+  /// \brief Reports an attempt as silent that has not reached its timeout yet.
+  /// \returns Time until the timeout; nothing if it is reached.
+  [[nodiscard]] std::optional<milliseconds> ReportSilence();
+  /// \brief The current attempt has received data.
+  void ObserveProgress();
+  /// \brief The current attempt has ended.
+  void ObserveOutcome(const attempt_result& attempt);
+
   gateway_context& shared_;
   http_exchange& exchange_;
   const time_point started_at_;
@@ -175,6 +190,10 @@
   /// Upstream of the next attempt, which takes the request over from a silent one.
   std::optional<reserved_upstream> successor_;
   time_point next_successor_search_{};
+  ref_ptr<upstream_health> attempt_health_;  ///< Of the current attempt's upstream.
+  bool shares_observations_ = false;         ///< An agent beside that upstream takes observations.
+  bool reported_silent_ = false;             ///< The current attempt is reported as silent.
+  milliseconds rest_of_silence_{0};          ///< From that report to the timeout of the attempt.
   bool is_silent_ = false;                   ///< The current attempt has exceeded its timeout.
   bool answer_needed_ = true;                ///< The rest of the current answer is passed on.
   std::vector<std::string> stalled_groups_;  ///< Groups in which an attempt stalled.
--- a/libs/gateway/src/forward_takeover.cc
+++ b/libs/gateway/src/forward_takeover.cc
@@ -22,6 +22,8 @@
   const milliseconds left = TimeLeft();
   if (left <= milliseconds(0) || !answer_needed_)
     return std::nullopt;
+  if (const auto rest = ReportSilence())
+    return std::min(left, *rest);
   if (!route_->MayRetry() || !RetryAllowed())
     return left;
   const time_point now = Now();
@@ -37,6 +39,7 @@
     return std::nullopt;
   if (began) {
     upstream.health->OnSilent(now);
+    upstream.health->observations().OnTimeout(now);
     shared_.log.Write(event_line("upstream.silent")
                           .Add("upstream", upstream.record.id)
                           .Add("request", request_.attempt_id)
--- a/libs/gateway/src/forward_upstream_state.cc
+++ b/libs/gateway/src/forward_upstream_state.cc
@@ -1,9 +1,8 @@
 // What an upstream states about itself in its answers.
 
-#include <algorithm>
-
 #include "forward_flow.h"
 #include "quincebank/base/clock.h"
+#include "quincebank/gateway/observation_sharing.h"
 
 namespace quincebank {
 
@@ -15,6 +14,8 @@
   if (info.wrong_instance || info.attempt_id.empty())
     return;
   ApplyStatedLimit(upstream, info);
+  if (info.leaving || (info.retry_after && info.retry_after->count() > 0))
+    upstream.health->observations().OnStatement(Now());
   if (info.leaving && !upstream.health->leaving()) {
     upstream.health->OnLeaving();
     shared_.log.Write(event_line("upstream.announced_leaving")
@@ -42,16 +43,15 @@
     }
     return;
   }
+  upstream.health->observations().OnStatedLimit(info.rate_limit, Now());
   if (!info.rate_limit) {
     if (upstream.health->OnStatedLimitWithdrawn())
       shared_.log.Write(event_line("upstream.unlimited").Add("upstream", upstream.record.id));
     return;
   }
   const std::size_t entries = snapshot_->expected_entries;
-  const auto rank = static_cast<std::size_t>(
-      std::count_if(snapshot_->entries.begin(), snapshot_->entries.end(),
-                    [&](const entry_record& entry) { return entry.name < shared_.settings.name; }));
-  const double phase = LimitPhase(upstream.record.id, rank, entries, shared_.random.Unit());
+  const double phase =
+      LimitPhaseOf(*snapshot_, shared_.settings.name, upstream.record.id, shared_.random.Unit());
   if (upstream.health->OnStatedLimit(*info.rate_limit, entries, phase, Now())) {
     shared_.log.Write(event_line("upstream.limited")
                           .Add("upstream", upstream.record.id)
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -134,9 +134,12 @@
                                                  std::move(engines), log_);
   rebalancer_ =
       std::make_unique<expert_rebalancer>(*fleet_sync_, *engines_, log_, shared_.snapshots);
+  observation_sharing_ =
+      std::make_unique<observation_sharing>(settings_.name, log_, shared_.metrics, incarnation_);
   load_watch_ = std::make_unique<load_watch>(
       shared_.snapshots, settings_.agent_port, log_,
-      [this](const std::string& service) { shared_.NotifyCapacity(service); });
+      [this](const std::string& service) { shared_.NotifyCapacity(service); },
+      observation_sharing_.get());
   BOOST_OUTCOME_TRY(load_watch_->Start(traffic_thread_, settings_.peers));
   shared_.engine_loads = load_watch_.get();
   BOOST_OUTCOME_TRY(client_server_,
--- a/libs/gateway/src/load_watch.cc
+++ b/libs/gateway/src/load_watch.cc
@@ -18,6 +18,8 @@
 // Added to the interval for each engine, so that an entry receives at most 250 reports per second.
 constexpr milliseconds kReportPeriodPerEngine{4};
 constexpr milliseconds kStopPollPeriod{2};
+// Interval of checks for observations that are due; a fifth of the interval of their renewals.
+constexpr milliseconds kObservationPeriod{100};
 // Timeout of a load query: several round trips within a region, and a small part of any latency
 // objective.
 constexpr milliseconds kQueryTimeout{15};
@@ -31,8 +33,13 @@
 load_watch::load_watch(const fleet_snapshot_holder& snapshots,
                        std::uint16_t agent_port,
                        event_log& log,
-                       std::function<void(const std::string&)> on_load)
-    : snapshots_(snapshots), agent_port_(agent_port), log_(log), on_load_(std::move(on_load)) {}
+                       std::function<void(const std::string&)> on_load,
+                       observation_sharing* sharing)
+    : snapshots_(snapshots),
+      agent_port_(agent_port),
+      log_(log),
+      on_load_(std::move(on_load)),
+      sharing_(sharing) {}
 
 load_watch::~load_watch() {
   stop_.Set();
@@ -46,8 +53,8 @@
   if (agent_port_ == 0)
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   BOOST_OUTCOME_TRY(socket_, datagram_socket::Bind(thread, address));
-  constexpr std::array<void (load_watch::*)(), 2> kLoops{&load_watch::SubscribeLoop,
-                                                         &load_watch::ReceiveLoop};
+  constexpr std::array<void (load_watch::*)(), 3> kLoops{
+      &load_watch::SubscribeLoop, &load_watch::ReceiveLoop, &load_watch::ObservationLoop};
   for (const auto loop : kLoops) {
     ++running_loops_;
     thread.SpawnLoop(
@@ -81,6 +88,16 @@
   } while (!stop_.WaitFor(kRenewalPeriod));
 }
 
+void load_watch::ObservationLoop() {
+  while (sharing_ != nullptr && !stop_.IsSet()) {
+    (void)observation_event_.WaitFor(kObservationPeriod);
+    const auto send = [this](const upstream_record& upstream, std::string_view payload) {
+      return socket_->Send({upstream.address.address, agent_port_}, payload);
+    };
+    sharing_->SendDue(*snapshots_.Get(), send, Now());
+  }
+}
+
 void load_watch::ReceiveLoop() {
   for (;;) {
     const auto received = socket_->Receive();
@@ -132,6 +149,8 @@
       found->liveness->OnPass(load.step, now);
       found->liveness->OnBatchSize(load.running);
     }
+    if (sharing_ != nullptr)
+      sharing_->OnReport(*snapshot, upstreams, *found, load.observations, now);
     load_received_.NotifyAll();
     on_load_(service);
     return;
--- a/libs/placement/include/quincebank/placement/upstream_health.h
+++ b/libs/placement/include/quincebank/placement/upstream_health.h
@@ -7,6 +7,7 @@
 
 #include "quincebank/base/ref_counted.h"
 #include "quincebank/base/time.h"
+#include "quincebank/placement/observation_exchange.h"
 #include "quincebank/placement/send_window.h"
 #include "quincebank/placement/stated_limit.h"
 
@@ -70,6 +71,19 @@
   /// \returns Whether this is the first time.
   bool OnUnreadableLimit() noexcept { return !std::exchange(unreadable_limit_, true); }
 
+  /// \brief Other entries report a stated limit, which this one follows until it ends.
+  bool OnReportedLimit(double per_second,
+                       std::size_t entries,
+                       double phase,
+                       time_point now) noexcept {
+    return reported_limit_.OnStated(per_second, entries, phase, now);
+  }
+  bool OnReportedLimitEnd() noexcept { return reported_limit_.OnWithdrawn(); }
+
+  /// \brief What this entry shares with the others about the upstream.
+  [[nodiscard]] observation_exchange& observations() noexcept { return observations_; }
+  [[nodiscard]] const observation_exchange& observations() const noexcept { return observations_; }
+
   /// \brief Whether the rate limits allow a request now.
   [[nodiscard]] bool Allows(const send_limit& limit, time_point now) const noexcept {
     return now >= AllowedFrom(limit);
@@ -77,7 +91,8 @@
   /// \brief When the rate limits allow the next request, that of cold upstreams and the stated one;
   /// see `send_window::AllowedFrom`.
   [[nodiscard]] time_point AllowedFrom(const send_limit& limit) const noexcept {
-    return std::max(window_.AllowedFrom(limit), stated_limit_.AllowedFrom());
+    return std::max(
+        {window_.AllowedFrom(limit), stated_limit_.AllowedFrom(), reported_limit_.AllowedFrom()});
   }
   /// \brief Attempts of this entry that have not ended.
   [[nodiscard]] int in_flight() const noexcept { return in_flight_; }
@@ -97,6 +112,8 @@
 
   send_window window_;
   stated_limit stated_limit_;
+  stated_limit reported_limit_;  ///< As other entries report it.
+  observation_exchange observations_;
   bool unreadable_limit_ = false;
   int in_flight_ = 0;
   int other_requests_ = 0;
--- a/libs/placement/src/upstream_health.cc
+++ b/libs/placement/src/upstream_health.cc
@@ -25,6 +25,7 @@
   ++in_flight_;
   window_.OnSend(limit, now);
   stated_limit_.OnSend(now);
+  reported_limit_.OnSend(now);
 }
 
 void upstream_health::OnLoad(int requests, time_point now) noexcept {
--- a/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
+++ b/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <boost/json/object.hpp>
 #include <map>
@@ -10,6 +11,7 @@
 #include <vector>
 
 #include "quincebank/base/error.h"
+#include "quincebank/base/event_log.h"
 #include "quincebank/expert_control/count_window.h"
 #include "quincebank/expert_control/engine_port.h"
 #include "quincebank/expert_control/load_messages.h"
@@ -18,6 +20,7 @@
 #include "quincebank/net/fiber_thread.h"
 #include "quincebank/net/http_client.h"
 #include "quincebank/net/http_server.h"
+#include "quincebank/placement/upstream_observations.h"
 #include "quincebank/rank_agent/expected_arrivals.h"
 #include "quincebank/rpc/rpc.h"
 
@@ -44,7 +47,8 @@
 /// that an agent that hangs cannot delay one.
 class rank_agent {
  public:
-  explicit rank_agent(const rank_agent_settings& settings);
+  /// \param log  for counts of observations; may be null.
+  explicit rank_agent(const rank_agent_settings& settings, event_log* log = nullptr);
   ~rank_agent();
   rank_agent(const rank_agent&) = delete;
   rank_agent& operator=(const rank_agent&) = delete;
@@ -89,6 +93,18 @@
   /// \brief Sends the load to the entries that queried it, each one with the expected arrivals
   /// caused by the replies before it.
   void Reply(const std::string& upstream, const std::vector<endpoint>& senders);
+  /// \brief Stores an observation of a subscribed entry, and has it passed on at once if it may
+  /// change what the others do.
+  void Observe(const endpoint& sender, const upstream_observation& observed, time_point now);
+  /// \brief Sends observations that have changed to all subscribers without reading the engine,
+  /// which may hang.
+  void AnnounceLoop();
+  void CountReception(std::size_t reception);
+  /// \brief Returns the last load together with what entries report, for an engine that cannot be
+  /// read; nothing if they report nothing. Without a load, entries would take the engine as idle.
+  [[nodiscard]] std::optional<engine_load> ObservedLoad(const std::string& upstream);
+  /// \brief Logs how many observations were received, by what became of them, if that has changed.
+  void LogReceptions();
   /// \returns Nothing if the engine cannot be read.
   [[nodiscard]] std::optional<engine_load> ReadLoad(const std::string& upstream);
   /// \brief Sends the load of one engine to the subscribers that are due.
@@ -111,6 +127,15 @@
   std::map<std::string, std::vector<endpoint>> pending_queries_;  ///< Senders, by engine.
   fiber_event query_event_;
   expected_arrivals expected_;
+  upstream_observations observations_;
+  std::optional<engine_load> last_load_;  ///< As last read.
+  fiber_event announce_event_;
+  /// Observations by what became of them; the last two are from others than subscribers, and
+  /// datagrams that cannot be read.
+  std::array<std::uint64_t, kObservationReceptions + 2> receptions_{};
+  bool receptions_changed_ = false;
+  time_point receptions_logged_at_{};
+  event_log* const log_;  ///< May be null.
   stop_signal stop_;
   std::atomic<int> running_loops_{0};  ///< Loops that have not returned.
 };
--- a/libs/rank_agent/src/rank_agent.cc
+++ b/libs/rank_agent/src/rank_agent.cc
@@ -25,6 +25,15 @@
 constexpr milliseconds kStopPollInterval{2};
 // Queries per engine that wait for one report; further ones are dropped.
 constexpr std::size_t kMaxPendingQueries = 64;
+// More than twice the entries of the largest fleet; further senders get no loads.
+constexpr std::size_t kMaxSubscribers = 1'024;
+// Least interval between two announcements of changed observations: a flood of observations must
+// not make the agent send more than a few times its usual loads.
+constexpr milliseconds kAnnouncePeriod{100};
+constexpr milliseconds kReceptionLogPeriod{10'000};
+// Positions in `receptions_` after those of `observation_reception`.
+constexpr std::size_t kNotSubscribed = kObservationReceptions;
+constexpr std::size_t kUnreadable = kObservationReceptions + 1;
 
 /// Returns a random number to start the marks of this process with. Its low bits leave room for all
 /// reads of one process, and the marks fit into the integers of a JSON message.
@@ -62,8 +71,8 @@
   return settings;
 }
 
-rank_agent::rank_agent(const rank_agent_settings& settings)
-    : settings_(settings), thread_("agent"), counts_(FirstMark()) {
+rank_agent::rank_agent(const rank_agent_settings& settings, event_log* log)
+    : settings_(settings), thread_("agent"), counts_(FirstMark()), log_(log) {
   http_ = std::make_unique<http_client>(thread_);
 }
 
@@ -102,8 +111,9 @@
   BOOST_OUTCOME_TRY(server_, http_server::Listen({&thread_}, settings_.address,
                                                  [this](http_exchange& e) { rpc_.Serve(e); }));
   BOOST_OUTCOME_TRY(socket_, datagram_socket::Bind(thread_, server_->address()));
-  constexpr std::array<void (rank_agent::*)(), 3> kLoops{
-      &rank_agent::ReceiveLoop, &rank_agent::PushLoop, &rank_agent::ReplyLoop};
+  constexpr std::array<void (rank_agent::*)(), 4> kLoops{
+      &rank_agent::ReceiveLoop, &rank_agent::PushLoop, &rank_agent::ReplyLoop,
+      &rank_agent::AnnounceLoop};
   for (const auto loop : kLoops) {
     ++running_loops_;
     thread_.SpawnLoop(
@@ -117,9 +127,17 @@
     const auto received = socket_->Receive();
     if (!received)
       return;
+    const time_point now = Now();
     const auto subscription = DecodeSubscription(received.value().payload);
-    if (!subscription)
-      continue;  // The socket is open to any sender, and entries repeat lost subscriptions.
+    if (!subscription) {
+      // The socket is open to any sender, and entries repeat lost messages.
+      const auto observed = DecodeObservation(received.value().payload);
+      if (observed)
+        Observe(received.value().sender, observed.value(), now);
+      else
+        CountReception(kUnreadable);
+      continue;
+    }
     if (subscription.value().period.count() == 0) {
       std::vector<endpoint>& senders = pending_queries_[subscription.value().upstream];
       if (senders.size() < kMaxPendingQueries)
@@ -127,7 +145,8 @@
       query_event_.Set();
       continue;
     }
-    const time_point now = Now();
+    if (subscribers_.size() >= kMaxSubscribers && !subscribers_.contains(received.value().sender))
+      continue;
     subscriber& entry = subscribers_[received.value().sender];
     entry.upstream = subscription.value().upstream;
     entry.period = subscription.value().period;
@@ -149,6 +168,7 @@
     }
     for (const auto& [upstream, receivers] : due)
       Push(upstream, receivers);
+    LogReceptions();
   }
 }
 
@@ -183,11 +203,19 @@
   const auto report = std::move(engine_->Reports(ranks).front());
   if (!report)
     return std::nullopt;
-  return engine_load{upstream, report.value().running, report.value().waiting, report.value().step};
+  const time_point now = Now();
+  observations_.OnEngine(upstream, report.value().incarnation);
+  last_load_ =
+      engine_load{upstream, report.value().running, report.value().waiting, report.value().step};
+  auto load = last_load_;
+  load->observations = observations_.Summary(upstream, now);
+  return load;
 }
 
 void rank_agent::Push(const std::string& upstream, const std::vector<endpoint>& receivers) {
-  const auto load = ReadLoad(upstream);
+  auto load = ReadLoad(upstream);
+  if (!load)
+    load = ObservedLoad(upstream);
   if (!load)
     return;  // Entries discard outdated loads.
   const std::string payload = Encode(*load);
@@ -195,6 +223,71 @@
     (void)socket_->Send(receiver, payload);
 }
 
+std::optional<engine_load> rank_agent::ObservedLoad(const std::string& upstream) {
+  const auto summary = observations_.Summary(upstream, Now());
+  if (!summary || !last_load_ || last_load_->upstream != upstream)
+    return std::nullopt;
+  auto load = last_load_;
+  load->observations = summary;
+  return load;
+}
+
+void rank_agent::CountReception(std::size_t reception) {
+  ++receptions_.at(reception);
+  receptions_changed_ = true;
+}
+
+void rank_agent::Observe(const endpoint& sender,
+                         const upstream_observation& observed,
+                         time_point now) {
+  // Entries that may not send to the engine have nothing to report, and a forged datagram has to
+  // name the address of an entry that may.
+  const auto known = subscribers_.find(sender);
+  if (known == subscribers_.end() || known->second.upstream != observed.upstream) {
+    CountReception(kNotSubscribed);
+    return;
+  }
+  const auto before = observations_.Summary(observed.upstream, now);
+  const auto reception = observations_.OnObservation(sender, observed, now);
+  CountReception(static_cast<std::size_t>(reception));
+  const auto after = observations_.Summary(observed.upstream, now);
+  if (reception == observation_reception::kAccepted &&
+      (before.has_value() != after.has_value() || (before && before->entries != after->entries)))
+    announce_event_.Set();
+}
+
+void rank_agent::AnnounceLoop() {
+  while (!stop_.IsSet()) {
+    if (!announce_event_.WaitFor(kAnnouncePeriod))
+      continue;
+    auto load = last_load_;
+    if (!load)
+      continue;
+    load->observations = observations_.Summary(load->upstream, Now());
+    const std::string payload = Encode(*load);
+    for (const auto& [receiver, entry] : subscribers_) {
+      if (entry.upstream == load->upstream)
+        (void)socket_->Send(receiver, payload);
+    }
+    (void)stop_.WaitFor(kAnnouncePeriod);
+  }
+}
+
+void rank_agent::LogReceptions() {
+  const time_point now = Now();
+  if (log_ == nullptr || !receptions_changed_ || now - receptions_logged_at_ < kReceptionLogPeriod)
+    return;
+  receptions_changed_ = false;
+  receptions_logged_at_ = now;
+  event_line line("observations.received");
+  for (std::size_t i = 0; i < kObservationReceptions; ++i)
+    line.Add(ToString(static_cast<observation_reception>(i)), receptions_[i]);
+  line.Add("not_subscribed", receptions_[kNotSubscribed])
+      .Add("unreadable", receptions_[kUnreadable])
+      .Add("entries", static_cast<std::uint64_t>(observations_.size()));
+  log_->Write(std::move(line));
+}
+
 result<json::value> rank_agent::Report(const rank_request& request) {
   const std::array<const upstream_record*, 1> ranks{&request.rank};
   BOOST_OUTCOME_TRY(const rank_report report, engine_->Reports(ranks).front());
--- a/programs/rank_agent/main.cc
+++ b/programs/rank_agent/main.cc
@@ -19,7 +19,7 @@
 
 int Run(const rank_agent_settings& settings) {
   event_log log(settings.log_lines);
-  rank_agent agent(settings);
+  rank_agent agent(settings, &log);
   log.Write(event_line("process.start")
                 .Add("name", settings.name)
                 .Add("version", QUINCEBANK_VERSION)
