--- a/libs/expert_control/src/load_messages.cc
+++ b/libs/expert_control/src/load_messages.cc
@@ -43,8 +43,8 @@
 constexpr std::size_t kLoadMembers = 4;
 constexpr std::size_t kExtendedLoadMembers = 6;
 
-// Incarnation, entries of each kind, pause, limit, time since a service.
-constexpr std::size_t kSummaryMembers = kReportedKinds + 4;
+// Incarnation, entries of each kind, pause, limit.
+constexpr std::size_t kSummaryMembers = kReportedKinds + 3;
 // Summaries count at most the entries of one table.
 constexpr std::int64_t kMaxCount = 1'000;
 
@@ -54,7 +54,6 @@
     array.push_back(entries);
   array.push_back(summary.pause_left.count());
   array.push_back(summary.limit);
-  array.push_back(summary.since_served.count());
   return array;
 }
 
@@ -71,7 +70,6 @@
     summary.entries[kind] = static_cast<int>(std::min(numbers[kind + 1], kMaxCount));
   summary.pause_left = milliseconds(numbers[kReportedKinds + 1]);
   summary.limit = numbers[kReportedKinds + 2];
-  summary.since_served = milliseconds(numbers[kReportedKinds + 3]);
   return summary;
 }
 
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -193,6 +193,7 @@
   ref_ptr<upstream_health> attempt_health_;  ///< Of the current attempt's upstream.
   bool shares_observations_ = false;         ///< An agent beside that upstream takes observations.
   bool reported_silent_ = false;             ///< The current attempt is reported as silent.
+  time_point silence_began_at_{};            ///< Start or last data of the current attempt.
   milliseconds rest_of_silence_{0};          ///< From that report to the timeout of the attempt.
   bool is_silent_ = false;                   ///< The current attempt has exceeded its timeout.
   bool answer_needed_ = true;                ///< The rest of the current answer is passed on.
--- a/libs/gateway/src/forward_observations.cc
+++ b/libs/gateway/src/forward_observations.cc
@@ -10,6 +10,7 @@
 
 milliseconds forward_flow::BeginSilenceWatch(milliseconds timeout) {
   rest_of_silence_ = milliseconds(0);
+  silence_began_at_ = Now();
   if (!shares_observations_)
     return timeout;
   const milliseconds report_time = SilenceReportTime(*route_, GroupPassTime());
@@ -23,7 +24,7 @@
   if (rest_of_silence_ <= milliseconds(0))
     return std::nullopt;
   reported_silent_ = true;
-  attempt_health_->observations().OnSilentAttempt(Now());
+  attempt_health_->observations().OnSilentAttempt(silence_began_at_, Now());
   shared_.engine_loads->SendObservations();
   return std::exchange(rest_of_silence_, milliseconds(0));
 }
@@ -38,9 +39,10 @@
 
 void forward_flow::ObserveProgress() {
   rest_of_silence_ = milliseconds(0);
+  silence_began_at_ = Now();
   if (std::exchange(reported_silent_, false))
-    attempt_health_->observations().OnSilentAttemptEnd(Now());
-  attempt_health_->observations().OnServed(Now());
+    attempt_health_->observations().OnSilentAttemptEnd(silence_began_at_);
+  attempt_health_->observations().OnServed(silence_began_at_);
 }
 
 void forward_flow::ObserveOutcome(const attempt_result& attempt) {
@@ -52,7 +54,7 @@
   if (attempt.outcome == attempt_outcome::kServed)
     observations.OnServed(now);
   else if (attempt.outcome == attempt_outcome::kStalled && !attempt.group_stalled)
-    observations.OnTimeout(now);
+    observations.OnTimeout(silence_began_at_, now);
   else if ((attempt.outcome == attempt_outcome::kFailed ||
             attempt.outcome == attempt_outcome::kUnreachable) &&
            attempt_health_->IsEjected(now))
--- a/libs/gateway/src/forward_takeover.cc
+++ b/libs/gateway/src/forward_takeover.cc
@@ -39,7 +39,7 @@
     return std::nullopt;
   if (began) {
     upstream.health->OnSilent(now);
-    upstream.health->observations().OnTimeout(now);
+    upstream.health->observations().OnTimeout(silence_began_at_, now);
     shared_.log.Write(event_line("upstream.silent")
                           .Add("upstream", upstream.record.id)
                           .Add("request", request_.attempt_id)
--- a/libs/gateway/src/observation_sharing.cc
+++ b/libs/gateway/src/observation_sharing.cc
@@ -98,9 +98,7 @@
   if (summary) {
     for (std::size_t kind = 0; kind < kReportedKinds; ++kind)
       line.Add(ToString(static_cast<observation_kind>(kind)), summary->entries[kind]);
-    line.Add("pause_ms", summary->pause_left)
-        .Add("since_served_ms", summary->since_served)
-        .Add("incarnation", summary->incarnation);
+    line.Add("pause_ms", summary->pause_left).Add("incarnation", summary->incarnation);
   }
   line.Add("registered_incarnation", upstream.record.incarnation)
       .Add("upstreams", service.total)
--- a/libs/placement/include/quincebank/placement/observation_exchange.h
+++ b/libs/placement/include/quincebank/placement/observation_exchange.h
@@ -19,12 +19,11 @@
   kOtherIncarnation,  ///< The reports are about another start of the upstream.
   kTooFewEntries,     ///< Only one entry reports silence or failures.
   kServedHere,        ///< This entry's own requests were served within the last second.
-  kServedElsewhere,   ///< Another entry's requests were served within the last second.
   kOwnProbe,          ///< This entry has ejected the upstream itself and probes it now.
   kTooFewLeft,        ///< Fewer than half of the upstreams of the service would be left.
 };
 
-inline constexpr std::size_t kReportDecisions = 8;
+inline constexpr std::size_t kReportDecisions = 7;
 
 [[nodiscard]] std::string_view ToString(report_decision decision) noexcept;
 
@@ -51,16 +50,18 @@
 /// the others it accepts. Decides without I/O. Not thread-safe.
 ///
 /// Load condition: an engine hangs, or is reachable for some entries only. Silence and failures
-/// need two entries, and no service within the last second here or elsewhere. What is accepted ends
+/// need two entries, and no service within the last second here. What is accepted ends
 /// after a second unless it is reported again.
 class observation_exchange {
  public:
   /// \brief An attempt gets no data for the time from which on it is reported.
-  void OnSilentAttempt(time_point now) noexcept;
+  /// \param began_at  when it was sent, or has last got data.
+  void OnSilentAttempt(time_point began_at, time_point now) noexcept;
   /// \brief A silent attempt has got data or has ended.
   void OnSilentAttemptEnd(time_point now) noexcept;
   /// \brief An attempt has exceeded the timeout that ejects the upstream here.
-  void OnTimeout(time_point now) noexcept;
+  /// \param began_at  when it was sent, or has last got data.
+  void OnTimeout(time_point began_at, time_point now) noexcept;
   /// \brief An attempt has failed, and the upstream is ejected here for it.
   void OnFailure(time_point now) noexcept;
   /// \brief A request gets data or is served.
@@ -94,10 +95,13 @@
   [[nodiscard]] std::optional<due_observation> Observe(observation_kind kind,
                                                        const own_statements& own,
                                                        time_point now) const noexcept;
+  /// \brief Milliseconds from the start of the latest silence.
+  [[nodiscard]] std::int64_t Silence(time_point until) const noexcept;
   [[nodiscard]] bool ServedRecently(time_point now) const noexcept;
 
   int silent_attempts_ = 0;
   std::optional<time_point> silent_at_;  ///< Last time a request was seen silent.
+  time_point silence_began_at_{};        ///< Latest start of a silence.
   time_point silent_until_{};            ///< When that is no longer reported.
   std::optional<time_point> failed_at_;  ///< Last failure for which it is ejected.
   std::optional<time_point> served_at_;
--- a/libs/placement/include/quincebank/placement/upstream_observations.h
+++ b/libs/placement/include/quincebank/placement/upstream_observations.h
@@ -16,12 +16,13 @@
 /// \brief What an entry (instance of the load balancer) has observed at an upstream. The numbers
 /// are part of the datagrams.
 enum class observation_kind : std::uint8_t {
-  kSilent,       ///< Requests get no data.
+  kSilent,       ///< Requests get no data; value: milliseconds of silence when observed.
   kFailing,      ///< Attempts fail, or there is no connection.
   kLeaving,      ///< The upstream has stated that it is shutting down.
   kPaused,       ///< The upstream asks for no requests; value: milliseconds left.
   kStatedLimit,  ///< The upstream states a limit; value: requests in 1,000 s.
-  kServed,       ///< A request was served; refutes older observations that it is silent or failing.
+  kServed,       ///< A request was served; refutes silence that began, and failures that were seen,
+                 ///< before it.
 };
 
 inline constexpr std::size_t kObservationKinds = 6;
@@ -47,7 +48,6 @@
   std::array<int, kReportedKinds> entries{};  ///< Number of entries that report each kind.
   milliseconds pause_left{0};                 ///< Of the newest pause.
   std::int64_t limit = 0;                     ///< Newest stated limit, in requests in 1,000 s.
-  milliseconds since_served{0};               ///< Since a reported service; at most a minute.
 
   [[nodiscard]] int Count(observation_kind kind) const noexcept {
     return entries.at(static_cast<std::size_t>(kind));
@@ -100,13 +100,14 @@
   struct observation {
     time_point received_at;
     time_point observed_at;
+    time_point began_at;
     std::int64_t value = 0;
   };
   using observations = std::array<std::optional<observation>, kReportedKinds>;
 
   /// \brief Discards lapsed and refuted observations.
   void Expire(time_point now);
-  [[nodiscard]] bool IsRefuted(observation_kind kind, time_point observed_at) const noexcept;
+  [[nodiscard]] bool IsRefuted(observation_kind kind, time_point began_at) const noexcept;
 
   std::string upstream_;
   std::uint64_t incarnation_ = 0;  ///< 0 until the engine was read.
--- a/libs/placement/src/observation_exchange.cc
+++ b/libs/placement/src/observation_exchange.cc
@@ -31,6 +31,7 @@
 // Each answer repeats a stated limit.
 constexpr milliseconds kMaxLimitAge{1'000};
 constexpr std::int64_t kMaxPauseMillis = 30'000;
+constexpr std::int64_t kMaxSilenceMillis = 60'000;
 constexpr double kLimitUnit = 1'000;
 constexpr double kMaxLimit = 1e6;
 
@@ -42,13 +43,14 @@
 
 std::string_view ToString(report_decision decision) noexcept {
   constexpr std::array<std::string_view, kReportDecisions> kNames{
-      "nothing_reported", "accepted",         "other_incarnation", "too_few_entries",
-      "served_here",      "served_elsewhere", "own_probe",         "too_few_left"};
+      "nothing_reported", "accepted",  "other_incarnation", "too_few_entries",
+      "served_here",      "own_probe", "too_few_left"};
   return kNames.at(static_cast<std::size_t>(decision));
 }
 
-void observation_exchange::OnSilentAttempt(time_point now) noexcept {
+void observation_exchange::OnSilentAttempt(time_point began_at, time_point now) noexcept {
   ++silent_attempts_;
+  silence_began_at_ = std::max(silence_began_at_, began_at);
   silent_at_ = now;
 }
 
@@ -60,7 +62,8 @@
   silent_until_ = std::max(silent_until_, now + kSilentAttemptEvidence);
 }
 
-void observation_exchange::OnTimeout(time_point now) noexcept {
+void observation_exchange::OnTimeout(time_point began_at, time_point now) noexcept {
+  silence_began_at_ = std::max(silence_began_at_, began_at);
   silent_at_ = now;
   silent_until_ = now + kMaxEvidenceAge;
 }
@@ -102,8 +105,6 @@
     return report_decision::kTooFewEntries;
   if (ServedRecently(now))
     return report_decision::kServedHere;
-  if (summary.since_served < kServedTime)
-    return report_decision::kServedElsewhere;
   const time_point evidence =
       std::max(silent_at_.value_or(time_point{}), failed_at_.value_or(time_point{}));
   const bool has_evidence = silent_at_ || failed_at_;
@@ -149,18 +150,22 @@
   return now < limit_until_ ? std::optional<double>(accepted_limit_) : std::nullopt;
 }
 
+std::int64_t observation_exchange::Silence(time_point until) const noexcept {
+  return std::clamp<std::int64_t>(Since(silence_began_at_, until).count(), 0, kMaxSilenceMillis);
+}
+
 std::optional<due_observation> observation_exchange::Observe(observation_kind kind,
                                                              const own_statements& own,
                                                              time_point now) const noexcept {
   switch (kind) {
     case observation_kind::kSilent:
-      if (ServedRecently(now) || !silent_at_)
+      if (!silent_at_ || (served_at_ && silence_began_at_ <= *served_at_))
         return std::nullopt;
       if (silent_attempts_ > 0)
-        return due_observation{kind, 0, milliseconds(0)};
+        return due_observation{kind, Silence(now), milliseconds(0)};
       if (now >= silent_until_)
         return std::nullopt;
-      return due_observation{kind, 0, Since(*silent_at_, now)};
+      return due_observation{kind, Silence(*silent_at_), Since(*silent_at_, now)};
     case observation_kind::kFailing:
       if (!failed_at_ || now - *failed_at_ >= kMaxEvidenceAge)
         return std::nullopt;
--- a/libs/placement/src/upstream_observations.cc
+++ b/libs/placement/src/upstream_observations.cc
@@ -10,8 +10,6 @@
 constexpr milliseconds kMinRenewalInterval{400};
 // Difference of two ages of one observation that delays in the network explain.
 constexpr milliseconds kAgeTolerance{100};
-// Longest time since a service that is reported.
-constexpr milliseconds kMaxSinceServed{60'000};
 
 struct kind_bounds {
   std::string_view name;
@@ -23,7 +21,7 @@
 // A pause of more than 30 s or a limit beyond a million requests per second is no plausible
 // statement.
 constexpr std::array<kind_bounds, kObservationKinds> kBounds{{
-    {"silent", 0, milliseconds(10'000)},
+    {"silent", 60'000, milliseconds(10'000)},
     {"failing", 0, milliseconds(10'000)},
     {"leaving", 0, milliseconds(60'000)},
     {"paused", 30'000, milliseconds(60'000)},
@@ -53,10 +51,9 @@
   served_at_.reset();
 }
 
-bool upstream_observations::IsRefuted(observation_kind kind,
-                                      time_point observed_at) const noexcept {
+bool upstream_observations::IsRefuted(observation_kind kind, time_point began_at) const noexcept {
   const bool refutable = kind == observation_kind::kSilent || kind == observation_kind::kFailing;
-  return refutable && served_at_ && observed_at <= *served_at_;
+  return refutable && served_at_ && began_at <= *served_at_;
 }
 
 observation_reception upstream_observations::OnObservation(const endpoint& sender,
@@ -76,7 +73,11 @@
     served_at_ = std::max(served_at_.value_or(observed_at), observed_at);
     return observation_reception::kAccepted;
   }
-  if (IsRefuted(observed.kind, observed_at))
+  // A request that was sent before another one was served may just be slow.
+  const time_point began_at = observed.kind == observation_kind::kSilent
+                                  ? observed_at - milliseconds(observed.value)
+                                  : observed_at;
+  if (IsRefuted(observed.kind, began_at))
     return observation_reception::kRefuted;
   const auto found = entries_.find(sender);
   if (found == entries_.end() && entries_.size() >= kMaxEntries)
@@ -87,7 +88,7 @@
     if (observed_at + kAgeTolerance < found->second[kind]->observed_at)
       return observation_reception::kOutdated;
   }
-  entries_[sender][kind] = observation{now, observed_at, observed.value};
+  entries_[sender][kind] = observation{now, observed_at, began_at, observed.value};
   return observation_reception::kAccepted;
 }
 
@@ -97,7 +98,7 @@
     for (std::size_t kind = 0; kind < kReportedKinds; ++kind) {
       auto& held = entry->second[kind];
       if (held && (now - held->received_at > kLifetime ||
-                   IsRefuted(static_cast<observation_kind>(kind), held->observed_at)))
+                   IsRefuted(static_cast<observation_kind>(kind), held->began_at)))
         held.reset();
       any = any || held;
     }
@@ -112,10 +113,6 @@
     return std::nullopt;
   observation_summary summary;
   summary.incarnation = incarnation_;
-  summary.since_served = kMaxSinceServed;
-  if (served_at_)
-    summary.since_served =
-        std::min(std::chrono::duration_cast<milliseconds>(now - *served_at_), kMaxSinceServed);
   constexpr auto kPause = static_cast<std::size_t>(observation_kind::kPaused);
   constexpr auto kLimit = static_cast<std::size_t>(observation_kind::kStatedLimit);
   time_point pause_observed_at{};
