--- a/libs/gateway/include/quincebank/gateway/observation_sharing.h
+++ b/libs/gateway/include/quincebank/gateway/observation_sharing.h
@@ -53,14 +53,17 @@
   /// Upstream that this entry avoids because of others.
   struct avoidance {
     time_point since;
+    // Inputs of the last decision.
     report_decision last = report_decision::kAccepted;
+    std::optional<observation_summary> summary;
+    service_upstreams service;
   };
 
-  void LogDecision(std::string_view event,
-                   const known_upstream& upstream,
-                   report_decision decision,
-                   const std::optional<observation_summary>& summary,
-                   const service_upstreams& service);
+  /// \brief Logs that an avoidance begins or ends, with the inputs of the last decision.
+  void LogAvoidance(std::string_view event,
+                    const known_upstream& upstream,
+                    const avoidance& avoided,
+                    time_point now);
   /// \brief Follows or ends the stated limit that others report.
   void ApplyLimit(const fleet_snapshot& snapshot, const known_upstream& upstream, time_point now);
 
--- a/libs/gateway/src/observation_sharing.cc
+++ b/libs/gateway/src/observation_sharing.cc
@@ -62,11 +62,13 @@
   if (decision != report_decision::kNothingReported)
     metrics_.reports.at(static_cast<std::size_t>(decision))->Add();
   ApplyLimit(snapshot, upstream, now);
+  const avoidance current{known != avoided_.end() ? known->second.since : now, decision, summary,
+                          service};
   if (known != avoided_.end()) {
-    known->second.last = decision;
+    known->second = current;
   } else if (decision == report_decision::kAccepted) {
-    avoided_.emplace(upstream.record.id, avoidance{now, decision});
-    LogDecision("upstream.avoided", upstream, decision, summary, service);
+    avoided_.emplace(upstream.record.id, current);
+    LogAvoidance("upstream.avoided", upstream, current, now);
   }
 }
 
@@ -88,21 +90,28 @@
   }
 }
 
-void observation_sharing::LogDecision(std::string_view event,
-                                      const known_upstream& upstream,
-                                      report_decision decision,
-                                      const std::optional<observation_summary>& summary,
-                                      const service_upstreams& service) {
+void observation_sharing::LogAvoidance(std::string_view event,
+                                       const known_upstream& upstream,
+                                       const avoidance& avoided,
+                                       time_point now) {
+  const observation_exchange& own = upstream.health->observations();
   event_line line(event);
-  line.Add("upstream", upstream.record.id).Add("decision", ToString(decision));
-  if (summary) {
+  line.Add("upstream", upstream.record.id)
+      .Add("decision", ToString(avoided.last))
+      .Add("ms", now - avoided.since);
+  if (avoided.summary) {
     for (std::size_t kind = 0; kind < kReportedKinds; ++kind)
-      line.Add(ToString(static_cast<observation_kind>(kind)), summary->entries[kind]);
-    line.Add("pause_ms", summary->pause_left).Add("incarnation", summary->incarnation);
+      line.Add(ToString(static_cast<observation_kind>(kind)), avoided.summary->entries[kind]);
+    line.Add("pause_ms", avoided.summary->pause_left)
+        .Add("incarnation", avoided.summary->incarnation);
   }
+  if (const auto served = own.SinceServed(now))
+    line.Add("served_ms", *served);
+  if (const auto evidence = own.SinceEvidence(now))
+    line.Add("own_evidence_ms", *evidence);
   line.Add("registered_incarnation", upstream.record.incarnation)
-      .Add("upstreams", service.total)
-      .Add("usable_others", service.usable_others);
+      .Add("upstreams", avoided.service.total)
+      .Add("usable_others", avoided.service.usable_others);
   log_.Write(std::move(line));
 }
 
@@ -116,10 +125,7 @@
       ApplyLimit(snapshot, upstream, now);
       const auto known = avoided_.find(upstream.record.id);
       if (known != avoided_.end() && !upstream.health->observations().IsAvoided(now)) {
-        log_.Write(event_line("upstream.avoided_end")
-                       .Add("upstream", upstream.record.id)
-                       .Add("decision", ToString(known->second.last))
-                       .Add("ms", now - known->second.since));
+        LogAvoidance("upstream.avoided_end", upstream, known->second, now);
         avoided_.erase(known);
       }
       const own_statements own{upstream.health->leaving(), upstream.health->paused_until()};
--- a/libs/placement/include/quincebank/placement/observation_exchange.h
+++ b/libs/placement/include/quincebank/placement/observation_exchange.h
@@ -81,6 +81,10 @@
   /// \brief Until when the upstream is used only if there is no other one.
   [[nodiscard]] time_point avoided_until() const noexcept { return avoided_until_; }
   [[nodiscard]] bool IsAvoided(time_point now) const noexcept { return now < avoided_until_; }
+  /// \brief Time since an own request was served, and since the last own evidence of silence or
+  /// failures; nothing if there was none.
+  [[nodiscard]] std::optional<milliseconds> SinceServed(time_point now) const noexcept;
+  [[nodiscard]] std::optional<milliseconds> SinceEvidence(time_point now) const noexcept;
   /// \brief Limit in requests per second that other entries report and this one follows.
   [[nodiscard]] std::optional<double> AcceptedLimit(time_point now) const noexcept;
 
--- a/libs/placement/src/observation_exchange.cc
+++ b/libs/placement/src/observation_exchange.cc
@@ -105,13 +105,10 @@
     return report_decision::kTooFewEntries;
   if (ServedRecently(now))
     return report_decision::kServedHere;
-  const time_point evidence =
-      std::max(silent_at_.value_or(time_point{}), failed_at_.value_or(time_point{}));
-  const bool has_evidence = silent_at_ || failed_at_;
+  const auto evidence_age = SinceEvidence(now);
   const auto probe_age =
       std::min(kMinProbeAge + kProbeAgePerEntry * (entries - kMinEntries), kMaxProbeAge);
-  if (has_evidence && silent_attempts_ == 0 && now - evidence >= probe_age &&
-      now - evidence < kMaxEvidenceAge)
+  if (evidence_age && *evidence_age >= probe_age && *evidence_age < kMaxEvidenceAge)
     return report_decision::kOwnProbe;
   if (service.usable_others * 2 < service.total)
     return report_decision::kTooFewLeft;
@@ -146,6 +143,18 @@
   return decision;
 }
 
+std::optional<milliseconds> observation_exchange::SinceServed(time_point now) const noexcept {
+  return served_at_ ? std::optional<milliseconds>(Since(*served_at_, now)) : std::nullopt;
+}
+
+std::optional<milliseconds> observation_exchange::SinceEvidence(time_point now) const noexcept {
+  if (silent_attempts_ > 0)
+    return milliseconds(0);
+  if (!silent_at_ && !failed_at_)
+    return std::nullopt;
+  return Since(std::max(silent_at_.value_or(time_point{}), failed_at_.value_or(time_point{})), now);
+}
+
 std::optional<double> observation_exchange::AcceptedLimit(time_point now) const noexcept {
   return now < limit_until_ ? std::optional<double>(accepted_limit_) : std::nullopt;
 }
