--- a/libs/gateway/tests/load_watch_test.cc
+++ b/libs/gateway/tests/load_watch_test.cc
@@ -95,7 +95,7 @@
 // Guards against an engine that others find silent and this entry goes on using, and against one
 // that is avoided after an agent of an older version, or one that knows no reports, has answered.
 TEST_F(load_watch_test, AvoidsAnEngineWhileOthersReportIt) {
-  const auto [subscription, entry] = NextSubscription();
+  const endpoint entry = NextSubscription().second;
   const auto avoided = [this] {
     bool result = false;
     thread_.RunAndWait([&] { result = upstream_.health->observations().IsAvoided(Now()); });
