Wait for groups that form, and confirm engines by their agents after a start

Cause: after a loss of power gateways sent requests to engines that had ended (421) and to groups that were still forming (503), used up clients' attempts and the retry budget, and rejected clients with a delay that was no estimate of the opening.

Change: engines of closed groups are not chosen; an engine is used once its agent has reported its load and states the same incarnation; requests wait for a group while they can be in time, others are rejected at once and return spread over a third of their remaining time; requests wait for the first configuration.

--- a/libs/expert_control/include/quincebank/expert_control/load_messages.h
+++ b/libs/expert_control/include/quincebank/expert_control/load_messages.h
@@ -23,6 +23,8 @@
   int running = 0;
   int waiting = 0;
   std::uint64_t step = 0;  ///< Last pass that was begun; 0 if the engine forms no passes.
+  /// Of the engine that has answered; 0 if unknown. Agents read whichever engine is beside them.
+  std::uint64_t incarnation = 0;
 
   [[nodiscard]] bool operator==(const engine_load&) const = default;
 };
@@ -33,6 +35,7 @@
 [[nodiscard]] result<load_subscription> DecodeSubscription(std::string_view payload);
 
 [[nodiscard]] std::string Encode(const engine_load& load);
+/// \brief Accepts messages without the incarnation, which earlier versions send.
 [[nodiscard]] result<engine_load> DecodeLoad(std::string_view payload);
 /// @}
 
--- a/libs/expert_control/src/load_messages.cc
+++ b/libs/expert_control/src/load_messages.cc
@@ -47,14 +47,21 @@
 }
 
 std::string Encode(const engine_load& load) {
-  return json::serialize(json::array{load.upstream, load.running, load.waiting, load.step});
+  return json::serialize(
+      json::array{load.upstream, load.running, load.waiting, load.step, load.incarnation});
 }
 
 result<engine_load> DecodeLoad(std::string_view payload) {
-  BOOST_OUTCOME_TRY(auto read, Read<3>(payload));
-  return engine_load{std::move(read.name), static_cast<int>(read.numbers[0]),
-                     static_cast<int>(read.numbers[1]),
-                     static_cast<std::uint64_t>(read.numbers[2])};
+  auto read = Read<4>(payload);
+  if (!read) {
+    BOOST_OUTCOME_TRY(const auto earlier, Read<3>(payload));
+    read = named_numbers<4>{earlier.name,
+                            {earlier.numbers[0], earlier.numbers[1], earlier.numbers[2], 0}};
+  }
+  const auto& numbers = read.value().numbers;
+  return engine_load{read.value().name, static_cast<int>(numbers[0]), static_cast<int>(numbers[1]),
+                     static_cast<std::uint64_t>(numbers[2]),
+                     static_cast<std::uint64_t>(numbers[3])};
 }
 
 }  // namespace quincebank
--- a/libs/gateway/include/quincebank/gateway/fleet_snapshot.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_snapshot.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -23,7 +24,10 @@
   send_limit limit;  ///< This entry's share of the request rate that a cold upstream can serve.
   bool superseded = false;  ///< A newer registration replaces it; used only if there is no other
                             ///< upstream.
-  bool may_send = true;     ///< Whether this entry is among those that may send to it.
+  /// When its registration was first seen to say that its group does not accept requests; nothing
+  /// if the group does.
+  std::optional<time_point> group_closed_since;
+  bool may_send = true;  ///< Whether this entry is among those that may send to it.
 };
 
 /// \brief Immutable view of the configuration, upstreams and entries, read by the traffic threads.
--- a/libs/gateway/include/quincebank/gateway/gateway_service.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_service.h
@@ -25,6 +25,7 @@
 #include "quincebank/net/http_server.h"
 #include "quincebank/placement/crash_blame.h"
 #include "quincebank/placement/duration_estimate.h"
+#include "quincebank/placement/max_wait.h"
 #include "quincebank/placement/queue_wait_estimator.h"
 #include "quincebank/placement/stop_schedule.h"
 #include "quincebank/placement/wait_queue.h"
@@ -43,6 +44,8 @@
 
   wait_queue requests;
   queue_wait_estimator wait_estimator;
+  /// Why the last search found no capacity, for requests behind the one that searches.
+  capacity_outlook outlook;
   /// An upstream may have capacity, or another request is first.
   fiber_broadcast capacity_changed;
 };
--- a/libs/gateway/src/fleet_sync_records.cc
+++ b/libs/gateway/src/fleet_sync_records.cc
@@ -10,6 +10,32 @@
 
 namespace quincebank {
 
+namespace {
+
+/// Sets the closing time of each group to that of its last rank, since the group forms after it has
+/// registered; to `now` while ranks are missing.
+void AlignGroupClosings(fleet_snapshot& snapshot, time_point now) {
+  for (auto& [service, upstreams] : snapshot.upstreams) {
+    std::map<std::pair<std::string, std::uint64_t>, std::pair<int, time_point>> closed;
+    for (const known_upstream& upstream : upstreams) {
+      if (!upstream.group_closed_since || upstream.superseded)
+        continue;
+      auto& [ranks, since] = closed[{upstream.record.group->group, upstream.record.group->epoch}];
+      ++ranks;
+      since = std::max(since, *upstream.group_closed_since);
+    }
+    for (known_upstream& upstream : upstreams) {
+      if (!upstream.group_closed_since || upstream.superseded)
+        continue;
+      const auto& [ranks, since] =
+          closed[{upstream.record.group->group, upstream.record.group->epoch}];
+      upstream.group_closed_since = ranks < upstream.record.group->size ? now : since;
+    }
+  }
+}
+
+}  // namespace
+
 result<entry_record> ParseEntryRecord(std::string_view text) {
   BOOST_OUTCOME_TRY(const boost::json::value document, ParseJson(text));
   std::vector<error> errors;
@@ -130,9 +156,15 @@
                  .Add("revision", item->revision));
   ref_ptr<upstream_health> health =
       same_incarnation ? known->second.health : ref_ptr<upstream_health>(new upstream_health);
+  std::optional<time_point> group_closed_since;
+  if (record.group && !record.group->open) {
+    group_closed_since = same_incarnation ? known->second.group_closed_since : std::nullopt;
+    group_closed_since = group_closed_since.value_or(Now());
+  }
   ref_ptr<group_liveness> liveness = LivenessOf(record);
-  upstreams_.insert_or_assign(
-      key, known_upstream{std::move(record), std::move(health), std::move(liveness)});
+  known_upstream listed{std::move(record), std::move(health), std::move(liveness)};
+  listed.group_closed_since = group_closed_since;
+  upstreams_.insert_or_assign(key, std::move(listed));
 }
 
 ref_ptr<group_liveness> fleet_sync::LivenessOf(const upstream_record& record) {
@@ -192,6 +224,7 @@
   snapshot->expected_entries = std::max(snapshot->entries.size(), StoredFleetSize());
   ApplyColdLimitShares(*snapshot);
   MarkSuperseded(*snapshot);
+  AlignGroupClosings(*snapshot, Now());
   snapshots_.Set(std::move(snapshot));
 }
 
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -10,6 +10,7 @@
 #include "quincebank/base/digest.h"
 #include "quincebank/placement/attempt_timeouts.h"
 #include "quincebank/placement/engine_limit.h"
+#include "quincebank/placement/group_formation.h"
 #include "quincebank/placement/max_wait.h"
 
 namespace quincebank {
@@ -40,11 +41,6 @@
 
 constexpr int kMinServerErrorStatus = 500;
 
-std::string_view ToString(placement_obstacle obstacle) noexcept {
-  constexpr std::array<std::string_view, 4> kNames{"none", "no-upstream", "full", "rate-limited"};
-  return kNames.at(static_cast<std::size_t>(obstacle));
-}
-
 /// Counts the buffered bytes of one response towards the total of the process.
 class buffer_accounting {
  public:
@@ -134,6 +130,7 @@
 }
 
 std::optional<forward_flow::gateway_response> forward_flow::ResolveRoute() {
+  AwaitCatalog();
   if (!catalog_)
     return gateway_response{503, "no-configuration",
                             StartupRetryAfter(std::chrono::duration_cast<milliseconds>(
@@ -186,7 +183,8 @@
     if (const auto other_requests = upstream.health->other_requests(now))
       AddEngineLoad(upstream, *other_requests, candidate);
     candidate.failure_share = upstream.health->failure_share();
-    candidate.superseded = upstream.superseded;
+    candidate.superseded = upstream.superseded || upstream.health->IsReplaced(now);
+    candidate.unconfirmed = IsUnconfirmed(upstream);
     candidate.ejected = upstream.health->IsEjected(now) || (record.group && !record.group->open) ||
                         (upstream.liveness && upstream.liveness->IsStalled(now)) ||
                         IsInStalledGroup(record);
@@ -196,6 +194,10 @@
         upstream.may_send ? upstream.health->AllowedFrom(upstream.limit) : time_point::max();
     candidate.available_at = std::max(candidate.available_at, upstream.health->paused_until());
     candidate.rate_limited = candidate.available_at > now;
+    if (const auto opens_at = ExpectedGroupOpening(upstream.group_closed_since, now)) {
+      candidate.forming = true;
+      candidate.available_at = std::max(candidate.available_at, *opens_at);
+    }
     candidate.same_domain = record.failure_domain == shared_.settings.failure_domain;
     eligible.push_back(&upstream);
     candidates.push_back(candidate);
@@ -208,7 +210,7 @@
                               std::span<const known_upstream* const> subset) {
   const std::vector<placement_candidate> candidates = FindCandidates(snapshot, eligible, subset);
   if (candidates.empty())
-    return {std::nullopt, placement_obstacle::kNoUpstream, false, time_point::max()};
+    return {.obstacle = placement_obstacle::kNoUpstream, .available_at = time_point::max()};
   const placement placed = ChooseUpstream(candidates, shared_.random);
   if (placed.chosen) {
     chosen_candidate_ = candidates[*placed.chosen];
@@ -241,6 +243,8 @@
   available_at_ = placed.available_at;
   if (!placed.chosen)
     return std::nullopt;
+  if (IsAwaitingRestart(placed, false))
+    return std::nullopt;
   if (!placed.query_loads || shared_.engine_loads == nullptr)
     return *eligible[*placed.chosen];
   std::vector<const known_upstream*> queried{eligible[*placed.chosen]};
@@ -252,6 +256,8 @@
   // Other requests may have been sent during the query, so the choice is made again.
   eligible.clear();
   const placement after_query = Place(*snapshot_, eligible, queried);
+  if (IsAwaitingRestart(after_query, true))
+    return std::nullopt;
   if (after_query.chosen)
     return *eligible[*after_query.chosen];
   obstacle_ = placement_obstacle::kFull;
@@ -271,17 +277,18 @@
   service_queue& queue = shared_.QueueFor(service_->name);
   const wait_queue_request queue_request = MakeQueueRequest();
   const time_point wait_started = Now();
-  obstacle_ = placement_obstacle::kFull;
-  available_at_ = wait_started;
+  obstacle_ = queue.outlook.obstacle;
+  available_at_ = queue.outlook.available_at;
   if (queue.requests.empty()) {
     auto upstream = SelectUpstream();
     if (upstream) {
       queue.requests.Charge(queue_request);
       return upstream;
     }
+    queue.outlook = {obstacle_, available_at_, {}};
     queue.wait_estimator.OnQueueStart(wait_started);
   }
-  const milliseconds max_wait = RemainingWait(
+  milliseconds max_wait = RemainingWait(
       wait_started, queue.wait_estimator.EstimateWait(queue.requests.size(), wait_started));
   wait_queue::waiter waiter;
   if (max_wait.count() == 0 || !queue.requests.TryEnqueue(waiter, queue_request))
@@ -291,11 +298,20 @@
     // Polls too, since nothing signals changes that only time brings, such as the end of an
     // ejection.
     queue.capacity_changed.WaitFor(kCapacityPollPeriod);
-    if (!queue.requests.IsFirst(waiter))
+    if (!queue.requests.IsFirst(waiter)) {
+      obstacle_ = queue.outlook.obstacle;
+      available_at_ = queue.outlook.available_at;
+      max_wait = std::max(max_wait, RemainingWait(Now(), milliseconds(0)));
       continue;
+    }
     upstream = SelectUpstream();
-    if (!upstream && RemainingWait(Now(), milliseconds(0)).count() == 0)
+    if (upstream)
+      break;
+    queue.outlook = {obstacle_, available_at_, {}};
+    const milliseconds remaining = RemainingWait(Now(), milliseconds(0));
+    if (remaining.count() == 0)
       break;
+    max_wait = std::max(max_wait, remaining);
   }
   if (upstream) {
     queue.requests.Dequeue(waiter);
@@ -653,6 +669,11 @@
     SendOwnResponse({503, kStoppingReason, {}});
     return;
   }
+  if (verdict_ == verdict::kNotRun &&
+      last_result.reason == ToString(placement_obstacle::kForming)) {
+    SendOwnResponse(MakeFormingResponse());
+    return;
+  }
   if (verdict_ == verdict::kNotRun) {
     const milliseconds blocked = shared_.BlockedTime(request_.shared_segments);
     SendOwnResponse({503, last_result.reason,
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -64,6 +64,8 @@
     int status = 503;
     std::string_view reason;
     milliseconds retry_after{0};
+    /// Range of a random delay that is added to `retry_after`; 0 varies `retry_after` itself.
+    milliseconds retry_spread{0};
   };
 
   /// \brief Determines route, workspace, service, priority and deadline.
@@ -83,6 +85,16 @@
   [[nodiscard]] milliseconds RemainingWait(time_point now, milliseconds queue_wait) const;
   /// \brief Returns what determines the request's place in the queue: workspace, priority and cost.
   [[nodiscard]] wait_queue_request MakeQueueRequest() const;
+  /// \brief Waits for the first configuration if there is none yet.
+  void AwaitCatalog();
+  /// \brief Whether the chosen upstream has probably ended and its successor has not registered
+  /// yet, as after a loss of power. Sets `obstacle_` and `available_at_` if so. \param
+  /// loads_queried  whether the agents of the sampled engines have just been asked.
+  [[nodiscard]] bool IsAwaitingRestart(const placement& placed, bool loads_queried);
+  /// \brief Returns the rejection of a request whose upstreams are starting.
+  [[nodiscard]] gateway_response MakeFormingResponse();
+  /// \brief Whether no load of an engine that has an agent has been reported yet.
+  [[nodiscard]] bool IsUnconfirmed(const known_upstream& upstream) const;
   /// \brief Queues the request until an upstream has free capacity.
   /// \returns Nothing if the wait is over, is expected to be too long, or the queue is full.
   [[nodiscard]] std::optional<known_upstream> WaitForUpstream();
--- a/libs/gateway/src/forward_report.cc
+++ b/libs/gateway/src/forward_report.cc
@@ -16,6 +16,10 @@
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
+milliseconds Scale(milliseconds duration, double factor) {
+  return milliseconds(static_cast<std::int64_t>(factor * static_cast<double>(duration.count())));
+}
+
 std::string FormatSeconds(milliseconds duration) {
   std::array<char, 24> text{};
   constexpr double kMillisPerSecond = 1'000;
@@ -31,8 +35,10 @@
   if (own_response.retry_after.count() > 0) {
     // Clients that were rejected at the same time must not all retry at the same time.
     const double jitter = 0.75 + shared_.random.Unit() / 2;
-    const milliseconds wait(
-        static_cast<std::int64_t>(jitter * static_cast<double>(own_response.retry_after.count())));
+    const bool spread = own_response.retry_spread.count() > 0;
+    const milliseconds wait =
+        spread ? own_response.retry_after + Scale(own_response.retry_spread, shared_.random.Unit())
+               : Scale(own_response.retry_after, jitter);
     response.headers.Set("Retry-After", FormatSeconds(wait));
   }
   shared_.codec.TagOwnResponse(response, request_.attempt_id);
--- a/libs/gateway/src/load_watch.cc
+++ b/libs/gateway/src/load_watch.cc
@@ -127,6 +127,12 @@
         [&](const known_upstream& upstream) { return upstream.record.id == load.upstream; });
     if (found == upstreams.end())
       continue;
+    if (load.incarnation != 0 && found->record.incarnation != 0 &&
+        load.incarnation != found->record.incarnation) {
+      if (load.incarnation > found->record.incarnation)
+        found->health->OnReplaced(now);
+      return;
+    }
     found->health->OnLoad(load.running + load.waiting, now);
     if (found->liveness) {
       found->liveness->OnPass(load.step, now);
--- a/libs/placement/include/quincebank/placement/choose_upstream.h
+++ b/libs/placement/include/quincebank/placement/choose_upstream.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string_view>
 
 #include "quincebank/base/random.h"
 #include "quincebank/base/time.h"
@@ -23,9 +24,14 @@
   time_point ejected_until{};   ///< End of the last ejection.
   bool probing = false;         ///< Back from an ejection; takes one request at a time.
   bool superseded = false;      ///< A newer registration has the same address.
-  bool rate_limited = false;    ///< A request would exceed this entry's share of the cold limit.
-  time_point available_at{};    ///< When the next request may be sent, if rate-limited.
-  bool same_domain = false;     ///< In the same failure domain as this entry.
+  /// Its agent has not reported a load yet, so it may be another instance, or full. Used only if no
+  /// other upstream has reported.
+  bool unconfirmed = false;
+  bool forming = false;       ///< Its group is not open yet, but expected to open.
+  bool rate_limited = false;  ///< A request would exceed this entry's share of the cold limit.
+  /// When the next request may be sent, if rate-limited or forming.
+  time_point available_at{};
+  bool same_domain = false;  ///< In the same failure domain as this entry.
 };
 
 /// \brief Why no upstream was chosen.
@@ -34,8 +40,13 @@
   kNoUpstream,   ///< No upstream may be used.
   kFull,         ///< All upstreams are at their limits.
   kRateLimited,  ///< Every upstream below its limit is rate-limited while cold.
+  /// The groups of all upstreams are forming, or none of the upstreams is confirmed after a start.
+  kForming,
 };
 
+/// \brief Returns the reason as it appears in logs.
+[[nodiscard]] std::string_view ToString(placement_obstacle obstacle) noexcept;
+
 /// Maximum of engines, besides the chosen one, whose current loads are queried.
 inline constexpr std::size_t kMaxAlternatives = 3;
 
@@ -45,6 +56,10 @@
   placement_obstacle obstacle = placement_obstacle::kNone;
   /// The chosen one is ejected, being probed or superseded; no other one was usable.
   bool is_fallback = false;
+  bool is_unconfirmed = false;  ///< None of the usable upstreams is confirmed.
+  /// Some upstreams have been replaced or belong to a group that is forming, so those that are not
+  /// confirmed have probably ended too.
+  bool is_restarting = false;
   /// If none is chosen: no upstream can take the request earlier.
   time_point available_at{};
   /// Whether the current loads of the chosen engine and the alternatives should be queried before
@@ -68,6 +83,11 @@
 /// two choices): all entries see the same loads, some hundred milliseconds old, and would otherwise
 /// send to the same engine.
 ///
+/// After a loss of power all entries start at once, know no loads, and hold registrations of
+/// upstreams that have ended. An upstream is therefore confirmed by the first load that its agent
+/// reports; if none is, the loads of a random sample are queried. A group that is forming refuses
+/// requests, so its upstreams are not chosen.
+///
 /// If the chosen engine is busy, `query_loads` is set. Between two load reports a busy engine can
 /// get requests from several entries that do not know of each other; the last of them would wait
 /// for a whole answer although other engines have free slots.
--- a/libs/placement/include/quincebank/placement/max_wait.h
+++ b/libs/placement/include/quincebank/placement/max_wait.h
@@ -15,6 +15,10 @@
 
 /// \brief Returns how long a request may wait for an upstream with capacity.
 ///
+/// A request waits for a group that is forming only while it can be in time. Requests that are late
+/// would take the slots from new ones at the moment at which the group opens; clients that are
+/// rejected return spread over a longer time.
+///
 /// A request is rejected immediately if waiting is pointless, so that the client retries when there
 /// may be capacity, instead of being rejected later. There are three cases: no upstream may be used
 /// (its failure domain is evacuated, or all have left); all upstreams are cold, and their next
--- a/libs/placement/include/quincebank/placement/upstream_health.h
+++ b/libs/placement/include/quincebank/placement/upstream_health.h
@@ -41,6 +41,8 @@
   /// \brief Requests of other entries, as last reported; nothing if there is no recent report.
   [[nodiscard]] std::optional<int> other_requests(time_point now) const noexcept;
 
+  /// \brief Whether the engine has ever reported its load.
+  [[nodiscard]] bool has_reported() const noexcept { return reported_at_ != time_point{}; }
   /// \brief When the engine last reported its load.
   [[nodiscard]] time_point reported_at() const noexcept { return reported_at_; }
 
@@ -51,6 +53,11 @@
   /// \brief Ejects the upstream because another rank of its group is down.
   void OnGroupStalled(time_point now);
 
+  /// \brief A newer instance has answered at the upstream's address.
+  void OnReplaced(time_point now) noexcept;
+  /// \brief Whether another instance has lately answered at the upstream's address.
+  [[nodiscard]] bool IsReplaced(time_point now) const noexcept { return now < replaced_until_; }
+
   /// \brief The upstream has stated that it is shutting down. Holds until it ends.
   void OnLeaving() noexcept { leaving_ = true; }
   [[nodiscard]] bool leaving() const noexcept { return leaving_; }
@@ -105,6 +112,7 @@
   double failure_share_ = 0;
   time_point ejected_until_{};
   bool probing_ = false;
+  time_point replaced_until_{};
   bool leaving_ = false;
   time_point paused_until_{};
 };
--- a/libs/placement/src/choose_upstream.cc
+++ b/libs/placement/src/choose_upstream.cc
@@ -76,6 +76,12 @@
 
 }  // namespace
 
+std::string_view ToString(placement_obstacle obstacle) noexcept {
+  constexpr std::array<std::string_view, 5> kNames{"none", "no-upstream", "full", "rate-limited",
+                                                   "forming"};
+  return kNames.at(static_cast<std::size_t>(obstacle));
+}
+
 placement ChooseUpstream(std::span<const placement_candidate> candidates,
                          random_source& random) noexcept {
   placement best;
@@ -89,15 +95,23 @@
   std::optional<std::size_t> fallback;
   std::optional<std::size_t> superseded;
   bool any_rate_limited = false;
+  bool any_forming = false;
+  bool any_confirmed = false;
   std::array<std::size_t, kSampleSize> sampled{};
   bool all_reported = true;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const placement_candidate& candidate = candidates[i];
+    best.is_restarting = best.is_restarting || candidate.superseded || candidate.forming;
     if (candidate.superseded) {
       if (!candidate.rate_limited && candidate.in_flight < candidate.limit)
         superseded = i;
       continue;
     }
+    if (candidate.forming) {
+      any_forming = any_forming || candidate.available_at != time_point::max();
+      available_at = std::min(available_at, candidate.available_at);
+      continue;
+    }
     if (candidate.in_flight + candidate.reported.value_or(0) >= candidate.limit) {
       any_full = true;
       continue;
@@ -113,6 +127,15 @@
         fallback = i;
       continue;
     }
+    if (candidate.unconfirmed && any_confirmed)
+      continue;
+    if (!candidate.unconfirmed && !any_confirmed) {
+      // Forgets the unconfirmed upstreams before this one.
+      any_confirmed = true;
+      best.chosen.reset();
+      usable = 0;
+      all_reported = true;
+    }
     ++usable;
     all_reported = all_reported && candidate.reported.has_value();
     Sample(sampled, usable, i, random);
@@ -125,12 +148,14 @@
     best.chosen = i;
     best_cost = cost;
   }
-  if (all_reported && usable > 0) {
+  best.is_unconfirmed = best.chosen && !any_confirmed;
+  if ((all_reported || best.is_unconfirmed) && usable > 0) {
     const auto count = std::min<std::size_t>(usable, kSampleSize);
     ChooseByReportedLoads(candidates, std::span(sampled).first(count), usable > kSampleSize, random,
                           best);
+    best.query_loads = best.query_loads || best.is_unconfirmed;
   }
-  if (!best.chosen && !fallback && !any_full && !any_rate_limited)
+  if (!best.chosen && !fallback && !any_full && !any_rate_limited && !any_forming)
     fallback = superseded;
   if (!best.chosen && fallback) {
     best.chosen = fallback;
@@ -138,7 +163,9 @@
   }
   if (best.chosen)
     best.obstacle = placement_obstacle::kNone;
-  else if (!any_full)
+  else if (!any_full && any_forming)
+    best.obstacle = placement_obstacle::kForming;
+  if (!best.chosen && !any_full)
     best.available_at = available_at;
   return best;
 }
--- a/libs/placement/src/max_wait.cc
+++ b/libs/placement/src/max_wait.cc
@@ -17,10 +17,12 @@
                      const capacity_outlook& outlook,
                      milliseconds time_left,
                      time_point now) noexcept {
+  const bool forming = outlook.obstacle == placement_obstacle::kForming;
   const milliseconds max_wait =
       std::max(std::min(route.latency_objective / kMaxWaitDivisor, time_left), milliseconds(0));
   if (outlook.obstacle == placement_obstacle::kNoUpstream ||
-      outlook.available_at >= now + max_wait || outlook.queue_wait > max_wait * kEstimateMargin)
+      outlook.available_at >= now + max_wait ||
+      (!forming && outlook.queue_wait > max_wait * kEstimateMargin))
     return milliseconds(0);
   return max_wait;
 }
--- a/libs/placement/src/upstream_health.cc
+++ b/libs/placement/src/upstream_health.cc
@@ -52,6 +52,10 @@
   ejected_until_ = std::max(ejected_until_, now + kStalledEjection);
 }
 
+void upstream_health::OnReplaced(time_point now) noexcept {
+  replaced_until_ = now + kMaxEjection;
+}
+
 void upstream_health::OnGroupStalled(time_point now) {
   ejected_until_ = std::max(ejected_until_, now + kStalledEjection);
 }
@@ -76,6 +80,7 @@
       Eject(kUnreachableEjection, now);
       break;
     case attempt_outcome::kReplaced:
+      OnReplaced(now);
       ejected_until_ = now + kMaxEjection;
       break;
     case attempt_outcome::kStalled:
--- a/libs/placement/tests/placement_test.cc
+++ b/libs/placement/tests/placement_test.cc
@@ -55,6 +55,15 @@
   c.in_flight = 1;
 };
 const auto kSuperseded = [](placement_candidate& c) { c.superseded = true; };
+const auto kForming = [](placement_candidate& c) {
+  c.forming = true;
+  c.available_at = kStart;
+};
+const auto kFormingElsewhere = [](placement_candidate& c) {
+  c.forming = true;
+  c.available_at = time_point::max();
+};
+const auto kUnconfirmed = [](placement_candidate& c) { c.unconfirmed = true; };
 const auto kSameDomain = [](placement_candidate& c) { c.same_domain = true; };
 
 INSTANTIATE_TEST_SUITE_P(
@@ -103,6 +112,28 @@
                     0,
                     placement_obstacle::kNone,
                     true},
+        // A group that is forming refuses requests, and its old registrations have ended.
+        choice_case{"forming", {Candidate(kForming)}, std::nullopt, placement_obstacle::kForming},
+        choice_case{"forming_or_superseded",
+                    {Candidate(kForming), Candidate(kSuperseded)},
+                    std::nullopt,
+                    placement_obstacle::kForming},
+        choice_case{"forming_or_open",
+                    {Candidate(kForming), Candidate(kBusy)},
+                    1,
+                    placement_obstacle::kNone},
+        choice_case{"forming_for_other_entries",
+                    {Candidate(kFormingElsewhere), Candidate(kCold)},
+                    std::nullopt,
+                    placement_obstacle::kRateLimited},
+        choice_case{"unconfirmed_or_busy",
+                    {Candidate(kUnconfirmed), Candidate(kBusy)},
+                    1,
+                    placement_obstacle::kNone},
+        choice_case{"unconfirmed_or_full",
+                    {Candidate(kFull), Candidate(kUnconfirmed)},
+                    1,
+                    placement_obstacle::kNone},
         choice_case{"probing",
                     {Candidate(kProbing), Candidate(kBusy)},
                     1,
