--- a/libs/expert_control/include/quincebank/expert_control/load_messages.h
+++ b/libs/expert_control/include/quincebank/expert_control/load_messages.h
@@ -25,8 +25,14 @@
   int running = 0;
   int waiting = 0;
   std::uint64_t step = 0;  ///< Last pass that was begun; 0 if the engine forms no passes.
-  /// What entries report of the engine; nothing if they report nothing.
-  std::optional<observation_summary> observations;
+  /// \name Nothing, or 0, if the agent or engine does not state it.
+  /// @{
+  std::int64_t kv_used = 0;  ///< Tokens in the engine's memory.
+  int pace = 0;              ///< Speed in per mille of the configured one.
+  /// Of the engine that has answered: agents read whichever engine is beside them.
+  std::uint64_t incarnation = 0;
+  std::optional<observation_summary> observations;  ///< What entries report of the engine.
+  /// @}
 
   [[nodiscard]] bool operator==(const engine_load&) const = default;
 };
@@ -36,9 +42,9 @@
 [[nodiscard]] std::string Encode(const load_subscription& subscription);
 [[nodiscard]] result<load_subscription> DecodeSubscription(std::string_view payload);
 
+/// \brief Leaves out what is unknown, so that entries of earlier versions can read the load.
 [[nodiscard]] std::string Encode(const engine_load& load);
-/// \brief Accepts messages with and without the later additions: two more numbers, and the
-/// observations at the end.
+/// \brief Accepts messages without the later additions.
 [[nodiscard]] result<engine_load> DecodeLoad(std::string_view payload);
 
 /// \brief Agents of older versions ignore it, since it has more members than a subscription.
--- a/libs/expert_control/src/load_messages.cc
+++ b/libs/expert_control/src/load_messages.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
+#include <limits>
 
 #include "quincebank/base/json_reader.h"
 
@@ -39,9 +40,14 @@
   return read;
 }
 
-// Members of a load without additions, and with two further numbers.
+// Members of a load without additions, with `kv_used` and `pace`, and with the incarnation too.
 constexpr std::size_t kLoadMembers = 4;
-constexpr std::size_t kExtendedLoadMembers = 6;
+constexpr std::size_t kLoadMembersWithPace = 6;
+constexpr std::size_t kMaxLoadMembers = 7;
+
+int ToInt(std::int64_t number) {
+  return static_cast<int>(std::min<std::int64_t>(number, std::numeric_limits<int>::max()));
+}
 
 // Incarnation, entries of each kind, pause, limit.
 constexpr std::size_t kSummaryMembers = kReportedKinds + 3;
@@ -86,6 +92,12 @@
 
 std::string Encode(const engine_load& load) {
   json::array message{load.upstream, load.running, load.waiting, load.step};
+  if (load.kv_used != 0 || load.pace != 0 || load.incarnation != 0) {
+    message.emplace_back(load.kv_used);
+    message.emplace_back(load.pace);
+  }
+  if (load.incarnation != 0)
+    message.emplace_back(load.incarnation);
   if (load.observations)
     message.push_back(ToArray(*load.observations));
   return json::serialize(message);
@@ -100,15 +112,18 @@
   load.upstream = array->front().get_string();
   const json::array* const observations = array->back().if_array();
   const std::size_t members = array->size() - (observations != nullptr ? 1 : 0);
-  if (members != kLoadMembers && members != kExtendedLoadMembers)
+  if (members != kLoadMembers && members != kLoadMembersWithPace && members != kMaxLoadMembers)
     return MakeError(error_code::kInvalidArgument, "expected a load");
-  std::array<std::int64_t, kExtendedLoadMembers> numbers{};
+  std::array<std::int64_t, kMaxLoadMembers> numbers{};
   for (std::size_t i = 1; i < members; ++i) {
     BOOST_OUTCOME_TRY(numbers[i], ReadNumber((*array)[i]));
   }
-  load.running = static_cast<int>(numbers[1]);
-  load.waiting = static_cast<int>(numbers[2]);
+  load.running = ToInt(numbers[1]);
+  load.waiting = ToInt(numbers[2]);
   load.step = static_cast<std::uint64_t>(numbers[3]);
+  load.kv_used = numbers[4];
+  load.pace = ToInt(numbers[5]);
+  load.incarnation = static_cast<std::uint64_t>(numbers[6]);
   if (observations == nullptr)
     return load;
   BOOST_OUTCOME_TRY(load.observations, ReadSummary(*observations));
--- a/libs/expert_control/tests/load_messages_test.cc
+++ b/libs/expert_control/tests/load_messages_test.cc
@@ -16,12 +16,17 @@
 TEST(load_messages, AcceptLoadsWithAndWithoutAdditions) {
   engine_load load{"i-1", 7, 2, 81'234};
   EXPECT_EQ(Encode(load), R"(["i-1",7,2,81234])");
+  load.kv_used = 500;
+  load.pace = 1'000;
   EXPECT_EQ(DecodeLoad(R"(["i-1",7,2,81234,500,1000])").value(), load);
+  EXPECT_EQ(DecodeLoad(Encode(load)).value(), load);
   load.observations =
       observation_summary{1'765'055'446'000, {2, 0, 1, 0, 3}, milliseconds(40), 2'500};
   EXPECT_EQ(DecodeLoad(Encode(load)).value(), load);
   EXPECT_EQ(DecodeLoad(R"(["i-1",7,2,81234,500,1000,[1765055446000,2,0,1,0,3,40,2500]])").value(),
             load);
+  load.incarnation = 1'765'055'446'000;
+  EXPECT_EQ(DecodeLoad(Encode(load)).value(), load);
 }
 
 TEST(load_messages, KeepObservations) {
--- a/libs/rank_agent/src/rank_agent.cc
+++ b/libs/rank_agent/src/rank_agent.cc
@@ -213,9 +213,13 @@
   if (!report)
     return std::nullopt;
   const time_point now = Now();
-  observations_.OnEngine(upstream, report.value().incarnation);
-  last_load_ =
-      engine_load{upstream, report.value().running, report.value().waiting, report.value().step};
+  const rank_report& read = report.value();
+  observations_.OnEngine(upstream, read.incarnation);
+  last_load_ = engine_load{.upstream = upstream,
+                           .running = read.running,
+                           .waiting = read.waiting,
+                           .step = read.step,
+                           .incarnation = read.incarnation};
   read_at_ = now;
   auto load = last_load_;
   load->observations = observations_.Summary(upstream, now);
