Placement by predicted cost: estimate, outstanding work and policies

Cause: placement counts requests, although prompts, answers and engine speeds differ widely. A slow rank with as many requests as the others delays its whole group.

Change: `work_estimate` predicts output tokens from the length hint and learns its correction; `outstanding_work` keeps what each upstream has left to do; `routing.policy` selects `count` (default, unchanged), `tokens` or `predicted_finish`. Engines may report `kv_used` and `pace`, which pass through `rank_report` and `engine_load`; loads without them stay readable and are encoded as before. `predicted_finish` also lowers slots and limit of an engine that is slower than its group.

--- a/libs/expert_control/include/quincebank/expert_control/engine_port.h
+++ b/libs/expert_control/include/quincebank/expert_control/engine_port.h
@@ -37,6 +37,8 @@
   std::uint64_t orders = 0;           ///< Orders accepted since the start.
   int running = 0;                    ///< Requests in its batch, from all entries.
   int waiting = 0;                    ///< Requests in its queue.
+  std::int64_t kv_used = 0;           ///< Tokens in its memory; 0 if it does not tell.
+  int pace = 0;                       ///< Its speed, 1000 as configured; 0 if it does not tell.
   milliseconds age{0};                ///< Longest time since the state was so.
 
   [[nodiscard]] bool operator==(const rank_report&) const = default;
--- a/libs/expert_control/include/quincebank/expert_control/load_messages.h
+++ b/libs/expert_control/include/quincebank/expert_control/load_messages.h
@@ -22,7 +22,9 @@
   std::string upstream;
   int running = 0;
   int waiting = 0;
-  std::uint64_t step = 0;  ///< Last pass that was begun; 0 if the engine forms no passes.
+  std::uint64_t step = 0;    ///< Last pass that was begun; 0 if the engine forms no passes.
+  std::int64_t kv_used = 0;  ///< Tokens in its memory; 0 if the engine does not tell.
+  int pace = 0;  ///< Speed in per mille of the configured one; 0 if the engine does not tell.
 
   [[nodiscard]] bool operator==(const engine_load&) const = default;
 };
@@ -32,7 +34,10 @@
 [[nodiscard]] std::string Encode(const load_subscription& subscription);
 [[nodiscard]] result<load_subscription> DecodeSubscription(std::string_view payload);
 
+/// \brief Leaves `kv_used` and `pace` out if both are unknown, so that entries of earlier versions,
+/// which accept no further numbers, can read the load.
 [[nodiscard]] std::string Encode(const engine_load& load);
+/// \brief Accepts a load with and without `kv_used` and `pace`. Whatever follows them is ignored.
 [[nodiscard]] result<engine_load> DecodeLoad(std::string_view payload);
 /// @}
 
--- a/libs/expert_control/src/rank_messages.cc
+++ b/libs/expert_control/src/rank_messages.cc
@@ -59,6 +59,10 @@
         json::object{{"version", report.armed->version}, {"step", report.armed->step}};
   if (report.held)
     object["held"] = *report.held;
+  if (report.kv_used != 0)
+    object["kv_used"] = report.kv_used;
+  if (report.pace != 0)
+    object["pace"] = report.pace;
   return object;
 }
 
@@ -81,6 +85,8 @@
   });
   if (reader.Has("held"))
     report.held = Number(reader, "held");
+  report.kv_used = reader.Int("kv_used", {}, 0);
+  report.pace = static_cast<int>(reader.Int("pace", {0, 1'000'000}, 0));
   if (!errors.empty())
     return JoinErrors(errors);
   return report;
--- a/libs/expert_control/tests/rank_messages_test.cc
+++ b/libs/expert_control/tests/rank_messages_test.cc
@@ -20,6 +20,8 @@
   report.armed = armed_map{5, 820};
   report.held = 820;
   report.orders = 9;
+  report.kv_used = 9'100;
+  report.pace = 850;
   return report;
 }
 
--- a/libs/gateway/include/quincebank/gateway/exchange_codec.h
+++ b/libs/gateway/include/quincebank/gateway/exchange_codec.h
@@ -23,6 +23,8 @@
   std::optional<std::uint64_t> resume_after;
   std::int64_t prompt_tokens = 0;
   std::int64_t max_output_tokens = 0;  ///< 0 if the client states no limit.
+  /// The client's estimate, right at the median and often far off; 0 if it states none.
+  std::int64_t expected_output_tokens = 0;
   /// Ids of the prompt segments that other requests may share, in order. Without the last one,
   /// which belongs to the request or its session.
   std::vector<std::string> shared_segments;
--- a/libs/gateway/include/quincebank/gateway/gateway_service.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_service.h
@@ -28,6 +28,7 @@
 #include "quincebank/placement/queue_wait_estimator.h"
 #include "quincebank/placement/stop_schedule.h"
 #include "quincebank/placement/wait_queue.h"
+#include "quincebank/placement/work_estimate.h"
 
 namespace quincebank {
 
@@ -92,6 +93,7 @@
   crash_blame crashes;
   /// How long the answered requests of each route took, by its name.
   std::map<std::string, duration_estimate, std::less<>> durations;
+  work_estimate estimate;  ///< Costs of requests; used by placement policies other than `kCount`.
   stop_schedule stop;
   boost::intrusive::list<running_request> running;
   /// Passes a report of this entry on to the others; empty until the service has started.
--- a/libs/gateway/include/quincebank/gateway/gateway_settings.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_settings.h
@@ -8,6 +8,7 @@
 #include "quincebank/base/error.h"
 #include "quincebank/base/time.h"
 #include "quincebank/net/endpoint.h"
+#include "quincebank/placement/placement_policy.h"
 
 namespace quincebank {
 
@@ -63,6 +64,8 @@
   endpoint store;  ///< Address of the shared store.
 
   gateway_rules rules;
+  /// How upstreams are compared. Takes effect with a restart.
+  placement_policy policy = placement_policy::kCount;
 
   milliseconds store_timeout{600};   ///< For each call; the wait of a watch is added.
   milliseconds engine_timeout{400};  ///< For each call to an engine.
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -185,6 +185,7 @@
     candidate.limit = candidate.slots + static_cast<int>(candidate.slots * kQueueShare);
     if (const auto other_requests = upstream.health->other_requests(now))
       AddEngineLoad(upstream, *other_requests, candidate);
+    AddWork(upstream, candidate);
     candidate.failure_share = upstream.health->failure_share();
     candidate.superseded = upstream.superseded;
     candidate.ejected = upstream.health->IsEjected(now) || (record.group && !record.group->open) ||
@@ -209,7 +210,7 @@
   const std::vector<placement_candidate> candidates = FindCandidates(snapshot, eligible, subset);
   if (candidates.empty())
     return {std::nullopt, placement_obstacle::kNoUpstream, false, time_point::max()};
-  const placement placed = ChooseUpstream(candidates, shared_.random);
+  const placement placed = ChooseUpstream(candidates, shared_.random, placed_request_);
   if (placed.chosen) {
     chosen_candidate_ = candidates[*placed.chosen];
     load_age_ = std::chrono::duration_cast<milliseconds>(
@@ -346,6 +347,7 @@
   last_result.ran = verdict::kNotRun;
   last_result.outcome = attempt_outcome::kFull;
   for (;;) {
+    PredictWork();
     const auto upstream = AcquireUpstream(last_result.reason);
     if (!upstream && client_disconnected_) {
       shared_.metrics.abandoned.Add();
@@ -366,7 +368,9 @@
     tried_upstreams_.push_back(upstream->record.id);
     is_silent_ = false;
     answer_needed_ = true;
+    StartWork(*upstream);
     last_result = SendAttempt(*upstream);
+    EndWork(last_result, Now() - sent_at);
     upstream->health->OnEnd(last_result.outcome, Now());
     shared_.NotifyCapacity(service_->name);
     if (group_liveness_)
@@ -544,6 +548,7 @@
         return;
       if (id)
         last_event_id_ = id;
+      CountEvent();
       complete_events += event;
     });
     if (splitter.overflowed()) {
@@ -628,6 +633,7 @@
       shared_.metrics.first_byte_time.Record(*first_byte_at_ - started_at_);
     shared_.metrics.total_time.Record(Now() - started_at_);
     shared_.durations[route_->name].Add(Elapsed());
+    LearnWork();
     LogRequestEnd("answered", status_, "");
     return;
   }
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -103,6 +103,25 @@
   void AddEngineLoad(const known_upstream& upstream,
                      int other_requests,
                      placement_candidate& candidate) const;
+  /// \brief Whether the placement policy needs the cost of the request.
+  [[nodiscard]] bool UsesCost() const noexcept {
+    return placed_request_.policy != placement_policy::kCount;
+  }
+  /// \brief Predicts what is left of the request for the next attempt.
+  void PredictWork();
+  /// \brief Adds the outstanding work and the speed of an upstream, and adapts its limit to the
+  /// speed.
+  void AddWork(const known_upstream& upstream, placement_candidate& candidate) const;
+  /// \brief The next attempt is sent: its work is outstanding at the upstream.
+  void StartWork(const known_upstream& upstream);
+  /// \brief An event of the current attempt was passed on.
+  void CountEvent();
+  /// \brief The current attempt has ended.
+  void EndWork(const attempt_result& attempt, nanoseconds duration);
+  /// \brief The request was answered completely: learns its output.
+  void LearnWork();
+  /// \brief Adds the inputs and the result of the placement policy to the log line of an attempt.
+  void AddCost(event_line& line) const;
   /// \brief Makes one attempt at an upstream and relays its response.
   [[nodiscard]] attempt_result SendAttempt(const known_upstream& upstream);
   /// \brief Records the rate limit that the upstream states, or that it states none any more.
@@ -180,6 +199,11 @@
   std::vector<std::string> stalled_groups_;  ///< Groups in which an attempt stalled.
   ref_ptr<group_liveness> group_liveness_;   ///< Of the current attempt's group; may be null.
   placement_candidate chosen_candidate_;  ///< State of the last chosen upstream when it was chosen.
+  placement_request placed_request_;      ///< Policy and predicted cost of the next attempt.
+  mean_work mean_work_;                   ///< Of the service, when the cost was predicted.
+  ref_ptr<upstream_health> work_health_;  ///< Holds the work of the current attempt; may be null.
+  assigned_work assigned_work_;           ///< Of the current attempt.
+  int passed_events_ = 0;                 ///< Events of all attempts.
   milliseconds load_age_{0};              ///< Age of its reported load at that time.
   int queried_engines_ = 0;               ///< Number of load queries sent, over all attempts.
   int sends_ = 0;                         ///< Number of attempts.
--- a/libs/gateway/src/forward_report.cc
+++ b/libs/gateway/src/forward_report.cc
@@ -98,6 +98,7 @@
       .Add("asked", queried_engines_);
   if (chosen_candidate_.reported)
     line.Add("told_ms", load_age_);
+  AddCost(line);
   if (!attempt.reason.empty())
     line.Add("reason", attempt.reason);
   if (last_event_id_)
--- a/libs/gateway/src/forward_takeover.cc
+++ b/libs/gateway/src/forward_takeover.cc
@@ -56,7 +56,7 @@
   const auto snapshot = shared_.snapshots.Get();
   std::vector<const known_upstream*> eligible;
   const std::vector<placement_candidate> candidates = FindCandidates(*snapshot, eligible, {});
-  const placement placed = ChooseUpstream(candidates, shared_.random);
+  const placement placed = ChooseUpstream(candidates, shared_.random, placed_request_);
   if (!placed.chosen || placed.is_fallback)
     return;
   const placement_candidate& chosen = candidates[*placed.chosen];
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -74,6 +74,15 @@
   reader.Finish();
 }
 
+void ReadRouting(json_reader& reader, gateway_settings& settings) {
+  const std::string name = reader.String("policy", ToString(settings.policy));
+  if (const auto policy = ParsePlacementPolicy(name))
+    settings.policy = *policy;
+  else
+    reader.Fail("policy", "there is no policy " + name);
+  reader.Finish();
+}
+
 }  // namespace
 
 result<gateway_settings> ParseGatewaySettings(std::string_view text) {
@@ -89,6 +98,7 @@
   reader.Child("addresses", [&](json_reader& child) { ReadAddresses(child, settings); });
   reader.Child("rules", [&](json_reader& child) { ReadRules(child, settings.rules); });
   reader.Child("control", [&](json_reader& child) { ReadControl(child, settings); });
+  reader.Child("routing", [&](json_reader& child) { ReadRouting(child, settings); });
   reader.Finish();
   if (errors.empty() && settings.clients.port == 0)
     errors.push_back({error_code::kInvalidArgument, "is missing", verdict::kNotRun, "/addresses"});
--- a/libs/gateway/src/load_watch.cc
+++ b/libs/gateway/src/load_watch.cc
@@ -128,9 +128,12 @@
     if (found == upstreams.end())
       continue;
     found->health->OnLoad(load.running + load.waiting, now);
+    found->health->work().OnReport({load.running, load.waiting, load.kv_used, load.pace}, now);
     if (found->liveness) {
       found->liveness->OnPass(load.step, now);
       found->liveness->OnBatchSize(load.running);
+      if (load.pace > 0)
+        found->liveness->OnPace(load.pace);
     }
     load_received_.NotifyAll();
     on_load_(service);
--- a/libs/gateway/tests/gateway_settings_test.cc
+++ b/libs/gateway/tests/gateway_settings_test.cc
@@ -12,6 +12,7 @@
     "peers": "10.0.0.1:83", "metrics": "10.0.0.1:84", "store": "10.0.0.9:85",
   },
   "rules": {"cold_factor": 1.5, "repeat_ratio": 0.2, "stop_grace_ms": 8000},
+  "routing": {"policy": "predicted_finish"},
   "control": {"agent_port": 83},  // Comments and trailing commas are allowed.
 })";
 
@@ -24,6 +25,17 @@
   EXPECT_EQ(settings.value().rules.cold_factor, 1.5);
   EXPECT_EQ(settings.value().rules.stop_grace, milliseconds(8'000));
   EXPECT_EQ(settings.value().agent_port, 83);
+  EXPECT_EQ(settings.value().policy, placement_policy::kPredictedFinish);
+}
+
+// Guards against a changed placement in deployments whose settings name no policy.
+TEST(gateway_settings, DefaultPolicyCountsRequests) {
+  std::string text = kValidSettings;
+  const std::string_view routing = R"("routing": {"policy": "predicted_finish"},)";
+  text.erase(text.find(routing), routing.size());
+  const auto settings = ParseGatewaySettings(text);
+  ASSERT_TRUE(settings) << Describe(settings.error());
+  EXPECT_EQ(settings.value().policy, placement_policy::kCount);
 }
 
 struct invalid_case {
@@ -54,6 +66,8 @@
                     invalid_case{"host_name", "10.0.0.9:85", "store:85", "/addresses/store"},
                     invalid_case{"unknown_key", "agent_port", "agents_port",
                                  "/control/agents_port"},
+                    invalid_case{"policy", "predicted_finish", "fastest", "/routing/policy"},
+                    invalid_case{"routing_key", "\"policy\"", "\"policies\"", "/routing/policies"},
                     invalid_case{"negative_time", "8000", "-1", "/rules/stop_grace_ms"},
                     invalid_case{"ratio", "0.2", "2", "/rules/repeat_ratio"},
                     invalid_case{"no_name", R"("name": "edge-1",)", "", "/name"},
--- a/libs/placement/include/quincebank/placement/choose_upstream.h
+++ b/libs/placement/include/quincebank/placement/choose_upstream.h
@@ -8,6 +8,8 @@
 
 #include "quincebank/base/random.h"
 #include "quincebank/base/time.h"
+#include "quincebank/placement/placement_policy.h"
+#include "quincebank/placement/work_estimate.h"
 
 namespace quincebank {
 
@@ -26,6 +28,12 @@
   bool rate_limited = false;    ///< A request would exceed this entry's share of the cold limit.
   time_point available_at{};    ///< When the next request may be sent, if rate-limited.
   bool same_domain = false;     ///< In the same failure domain as this entry.
+  /// \name Only for policies other than `placement_policy::kCount`.
+  /// @{
+  work_amount outstanding;     ///< Work of its requests, from all entries.
+  double expected_memory = 0;  ///< Tokens that these requests will need in its memory.
+  double speed = 1;            ///< 1 is the configured speed, or the mean one.
+  /// @}
 };
 
 /// \brief Why no upstream was chosen.
@@ -54,7 +62,8 @@
   std::size_t alternative_count = 0;
 };
 
-/// \brief Chooses the upstream with the shortest expected wait.
+/// \brief Chooses the upstream with the lowest cost for a request, by default that with the
+/// shortest expected wait. The costs of the policies are described at `PlacementCost`.
 ///
 /// The expected wait grows with the requests in flight per slot and with the share of failed
 /// attempts, since each failure costs a retry. Ejected upstreams are used only if there is no other
@@ -66,12 +75,14 @@
 ///
 /// If all usable upstreams report their loads, the better of two random ones is chosen (power of
 /// two choices): all entries see the same loads, some hundred milliseconds old, and would otherwise
-/// send to the same engine.
+/// send to the same engine. Policies other than the default one do so without reports too: an
+/// upstream that is faster than all others would otherwise get the next request of every entry.
 ///
 /// If the chosen engine is busy, `query_loads` is set. Between two load reports a busy engine can
 /// get requests from several entries that do not know of each other; the last of them would wait
 /// for a whole answer although other engines have free slots.
 [[nodiscard]] placement ChooseUpstream(std::span<const placement_candidate> candidates,
-                                       random_source& random) noexcept;
+                                       random_source& random,
+                                       const placement_request& request = {}) noexcept;
 
 }  // namespace quincebank
--- a/libs/placement/include/quincebank/placement/upstream_health.h
+++ b/libs/placement/include/quincebank/placement/upstream_health.h
@@ -7,6 +7,7 @@
 
 #include "quincebank/base/ref_counted.h"
 #include "quincebank/base/time.h"
+#include "quincebank/placement/outstanding_work.h"
 #include "quincebank/placement/send_window.h"
 #include "quincebank/placement/stated_limit.h"
 
@@ -81,6 +82,8 @@
   }
   /// \brief Attempts of this entry that have not ended.
   [[nodiscard]] int in_flight() const noexcept { return in_flight_; }
+  /// \brief Work of the requests at the upstream. Kept only for placement policies that use it.
+  [[nodiscard]] outstanding_work& work() noexcept { return work_; }
   /// \brief Moving average of failed attempts, 0 to 1; the newest attempts weigh most.
   [[nodiscard]] double failure_share() const noexcept { return failure_share_; }
   /// \brief End of the ejection. Until then the upstream is used only if there is no other one.
@@ -95,6 +98,7 @@
   /// \param initial  duration of the first of consecutive ejections; it doubles with each one.
   void Eject(milliseconds initial, time_point now);
 
+  outstanding_work work_;
   send_window window_;
   stated_limit stated_limit_;
   bool unreadable_limit_ = false;
--- a/libs/placement/src/choose_upstream.cc
+++ b/libs/placement/src/choose_upstream.cc
@@ -4,18 +4,11 @@
 #include <array>
 #include <utility>
 
+#include "quincebank/placement/placement_cost.h"
+
 namespace quincebank {
 namespace {
 
-// Cost of a failed attempt, in attempts: its own time, the retry and the wait of the retry.
-constexpr double kFailureCost = 4;
-// Preference for the own failure domain, in requests in flight. It is below one request, so that it
-// decides only between upstreams that are about equally busy.
-constexpr double kSameDomainBonus = 0.25;
-// Extra cost of a request in the queue of an upstream: it waits for a whole service time, while one
-// in a slot only slows the others down by a part of theirs.
-constexpr double kQueuedCost = 2;
-
 // Share of used slots from which the current load of an engine is queried. Below it, a few requests
 // that are not reported yet do not fill the engine.
 constexpr double kLoadQueryShare = 0.5;
@@ -24,17 +17,6 @@
   return candidate.in_flight + candidate.reported.value_or(0) >= candidate.slots * kLoadQueryShare;
 }
 
-/// Expected wait of a further request, relative to one request in an idle upstream with one slot.
-double Cost(const placement_candidate& candidate) noexcept {
-  const double in_flight = candidate.in_flight + candidate.reported.value_or(0) + 1.0;
-  const double slots = candidate.slots;
-  const double queued = in_flight > slots ? in_flight - slots : 0;
-  double cost = (in_flight + kQueuedCost * queued) / slots;
-  if (candidate.same_domain)
-    cost -= kSameDomainBonus / slots;
-  return cost * (1 + kFailureCost * candidate.failure_share);
-}
-
 // Engines that are sampled; the better of two of them is chosen.
 constexpr std::size_t kSampleSize = kMaxAlternatives + 1;
 
@@ -50,23 +32,24 @@
     sampled[index] = candidate;
 }
 
-/// Sets the sampled engines as alternatives. If there are more usable engines than were sampled,
-/// the better of two sampled ones is chosen, since all entries see the same outdated loads;
-/// otherwise the best engine stays chosen.
-///
-/// \param more  whether there are more usable engines than sampled ones.
-void ChooseByReportedLoads(std::span<const placement_candidate> candidates,
-                           std::span<std::size_t> sampled,
-                           bool more,
-                           random_source& random,
-                           placement& best) noexcept {
-  if (more) {
-    // Reservoir sampling yields a random set, but not a random order.
-    std::swap(sampled[0], sampled[random.Below(sampled.size())]);
-    std::swap(sampled[1], sampled[1 + random.Below(sampled.size() - 1)]);
-    best.chosen =
-        Cost(candidates[sampled[1]]) < Cost(candidates[sampled[0]]) ? sampled[1] : sampled[0];
-  }
+/// Returns the better of two random ones of the sampled upstreams, at least two.
+std::size_t BetterOfTwo(std::span<const placement_candidate> candidates,
+                        std::span<std::size_t> sampled,
+                        const placement_request& request,
+                        random_source& random) noexcept {
+  // Reservoir sampling yields a random set, but not a random order.
+  std::swap(sampled[0], sampled[random.Below(sampled.size())]);
+  std::swap(sampled[1], sampled[1 + random.Below(sampled.size() - 1)]);
+  return PlacementCost(candidates[sampled[1]], request) <
+                 PlacementCost(candidates[sampled[0]], request)
+             ? sampled[1]
+             : sampled[0];
+}
+
+/// Sets the sampled engines as alternatives.
+void QueryLoadsIfBusy(std::span<const placement_candidate> candidates,
+                      std::span<const std::size_t> sampled,
+                      placement& best) noexcept {
   best.query_loads = IsBusy(candidates[*best.chosen]);
   for (const std::size_t engine : sampled) {
     if (engine != *best.chosen)
@@ -77,7 +60,8 @@
 }  // namespace
 
 placement ChooseUpstream(std::span<const placement_candidate> candidates,
-                         random_source& random) noexcept {
+                         random_source& random,
+                         const placement_request& request) noexcept {
   placement best;
   best.obstacle = candidates.empty() ? placement_obstacle::kNoUpstream : placement_obstacle::kFull;
   // A full upstream may become available at any moment.
@@ -116,7 +100,7 @@
     ++usable;
     all_reported = all_reported && candidate.reported.has_value();
     Sample(sampled, usable, i, random);
-    const double cost = Cost(candidate);
+    const double cost = PlacementCost(candidate, request);
     if (best.chosen && cost > best_cost)
       continue;
     tied = best.chosen && cost == best_cost ? tied + 1 : 1;
@@ -125,11 +109,14 @@
     best.chosen = i;
     best_cost = cost;
   }
-  if (all_reported && usable > 0) {
-    const auto count = std::min<std::size_t>(usable, kSampleSize);
-    ChooseByReportedLoads(candidates, std::span(sampled).first(count), usable > kSampleSize, random,
-                          best);
-  }
+  const auto sample = std::span(sampled).first(std::min<std::size_t>(usable, kSampleSize));
+  // All entries see the same outdated loads, or none. After a load query there are no more usable
+  // engines than sampled ones, and the best of them stays chosen.
+  const bool is_unreported_choice = !all_reported && request.policy != placement_policy::kCount;
+  if ((all_reported && usable > kSampleSize) || (is_unreported_choice && usable > 2))
+    best.chosen = BetterOfTwo(candidates, sample, request, random);
+  if (all_reported && usable > 0)
+    QueryLoadsIfBusy(candidates, sample, best);
   if (!best.chosen && !fallback && !any_full && !any_rate_limited)
     fallback = superseded;
   if (!best.chosen && fallback) {
--- a/libs/placement/src/group_liveness.cc
+++ b/libs/placement/src/group_liveness.cc
@@ -11,6 +11,8 @@
 constexpr double kNewestWeight = 0.5;
 // Weight of the newest report in the average batch size, which covers about the last 20 reports.
 constexpr double kBatchSizeWeight = 0.05;
+// Weight of the newest report in the average speed, which covers about all ranks of a group.
+constexpr double kPaceWeight = 0.03;
 // Without a new pass for this time the group is idle or stalled, and the measured pass time is
 // outdated.
 constexpr milliseconds kMaxMeasurementAge{1'500};
@@ -43,6 +45,10 @@
   mean_batch_size_ += kBatchSizeWeight * (static_cast<double>(requests) - mean_batch_size_);
 }
 
+void group_liveness::OnPace(int pace) noexcept {
+  mean_pace_ += mean_pace_ == 0 ? pace : kPaceWeight * (pace - mean_pace_);
+}
+
 nanoseconds group_liveness::PassTime(time_point now) const noexcept {
   return now - last_pass_at_ > kMaxMeasurementAge ? nanoseconds(0) : pass_time_;
 }
--- a/libs/rank_agent/src/rank_agent.cc
+++ b/libs/rank_agent/src/rank_agent.cc
@@ -183,7 +183,12 @@
   const auto report = std::move(engine_->Reports(ranks).front());
   if (!report)
     return std::nullopt;
-  return engine_load{upstream, report.value().running, report.value().waiting, report.value().step};
+  return engine_load{upstream,
+                     report.value().running,
+                     report.value().waiting,
+                     report.value().step,
+                     report.value().kv_used,
+                     report.value().pace};
 }
 
 void rank_agent::Push(const std::string& upstream, const std::vector<endpoint>& receivers) {
