--- a/libs/gateway/src/forward_cost.cc
+++ b/libs/gateway/src/forward_cost.cc
@@ -60,7 +60,7 @@
   candidate.outstanding = work.Total(other_requests, mean_work_);
   candidate.expected_memory = work.ExpectedMemory(other_requests, mean_work_);
   candidate.speed = work.speed(Now());
-  const double group_speed = upstream.liveness ? upstream.liveness->mean_pace() / 1'000 : 0;
+  const double group_speed = upstream.liveness ? upstream.liveness->usual_pace() / 1'000 : 0;
   if (placed_request_.policy == placement_policy::kPredictedFinish && service_->engine &&
       candidate.reported && group_speed > 0)
     LimitToSpeed(*service_->engine, candidate.speed / group_speed, candidate);
--- a/libs/placement/include/quincebank/placement/group_liveness.h
+++ b/libs/placement/include/quincebank/placement/group_liveness.h
@@ -32,8 +32,8 @@
   [[nodiscard]] double mean_batch_size() const noexcept { return mean_batch_size_; }
   /// \brief A rank reports its speed, in per mille of the configured one.
   void OnPace(int pace) noexcept;
-  /// \brief Mean speed of the ranks over the most recent reports, in per mille; 0 if unknown.
-  [[nodiscard]] double mean_pace() const noexcept { return mean_pace_; }
+  /// \brief Speed of most ranks, in per mille; 0 if unknown.
+  [[nodiscard]] double usual_pace() const noexcept { return usual_pace_; }
   /// \brief Duration of one pass; 0 if it is unknown or the group is idle.
   [[nodiscard]] nanoseconds PassTime(time_point now) const noexcept;
 
@@ -56,7 +56,7 @@
   time_point last_pass_at_{};    ///< Start of the current measurement of the pass time.
   nanoseconds pass_time_{0};
   double mean_batch_size_ = 0;
-  double mean_pace_ = 0;
+  double usual_pace_ = 0;
 };
 
 }  // namespace quincebank
--- a/libs/placement/include/quincebank/placement/outstanding_work.h
+++ b/libs/placement/include/quincebank/placement/outstanding_work.h
@@ -41,10 +41,7 @@
   void OnEnd(assigned_work& share) noexcept;
 
   /// \brief The engine reports its load.
-  void OnReport(const reported_work& report, time_point now) noexcept {
-    report_ = report;
-    reported_at_ = now;
-  }
+  void OnReport(const reported_work& report, time_point now) noexcept;
   /// \brief A request without tokens was answered.
   /// \param predicted  its duration on an upstream of mean speed.
   void OnAnswered(nanoseconds duration, nanoseconds predicted, time_point now) noexcept;
@@ -70,6 +67,7 @@
   int own_requests_ = 0;
   reported_work report_;
   time_point reported_at_{};
+  double mean_pace_ = 0;         ///< Over the most recent reports; 0 if unknown.
   double learned_slowness_ = 1;  ///< Duration in relation to the prediction, moving average.
   time_point learned_at_{};
 };
--- a/libs/placement/include/quincebank/placement/placement_cost.h
+++ b/libs/placement/include/quincebank/placement/placement_cost.h
@@ -28,7 +28,7 @@
 /// takes as long as one of a full batch at the others. A larger batch would cost the group more
 /// than it adds.
 ///
-/// \param relative_speed  speed of the engine in relation to the mean of its group.
+/// \param relative_speed  speed of the engine in relation to that of most ranks of its group.
 void LimitToSpeed(const engine_profile& engine,
                   double relative_speed,
                   placement_candidate& candidate) noexcept;
--- a/libs/placement/src/group_liveness.cc
+++ b/libs/placement/src/group_liveness.cc
@@ -11,8 +11,9 @@
 constexpr double kNewestWeight = 0.5;
 // Weight of the newest report in the average batch size, which covers about the last 20 reports.
 constexpr double kBatchSizeWeight = 0.05;
-// Weight of the newest report in the average speed, which covers about all ranks of a group.
-constexpr double kPaceWeight = 0.03;
+// Largest change of the usual speed with one report, in per mille. Equal steps towards each report
+// yield about the median, which a few slow ranks do not lower although they are queried most often.
+constexpr double kPaceStep = 5;
 // Without a new pass for this time the group is idle or stalled, and the measured pass time is
 // outdated.
 constexpr milliseconds kMaxMeasurementAge{1'500};
@@ -46,7 +47,7 @@
 }
 
 void group_liveness::OnPace(int pace) noexcept {
-  mean_pace_ += mean_pace_ == 0 ? pace : kPaceWeight * (pace - mean_pace_);
+  usual_pace_ += usual_pace_ == 0 ? pace : std::clamp(pace - usual_pace_, -kPaceStep, kPaceStep);
 }
 
 nanoseconds group_liveness::PassTime(time_point now) const noexcept {
--- a/libs/placement/src/placement_cost.cc
+++ b/libs/placement/src/placement_cost.cc
@@ -23,7 +23,7 @@
 constexpr double kSafeMemoryShare = 0.9;
 
 // Relative speed from which an engine counts as equally fast: paces of equal engines vary a little.
-constexpr double kSameSpeed = 0.95;
+constexpr double kSameSpeed = 0.9;
 
 double ToMilliseconds(nanoseconds time) noexcept {
   return std::chrono::duration<double, std::milli>(time).count();
