--- a/libs/gateway/src/forward_cost.cc
+++ b/libs/gateway/src/forward_cost.cc
@@ -1,6 +1,7 @@
 // Cost of a request, for placement policies that use it.
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 
 #include "forward_flow.h"
@@ -14,6 +15,10 @@
   return std::llround(value);
 }
 
+std::int64_t ToMicroseconds(nanoseconds duration) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+}
+
 work_request StatedWork(const client_request& request,
                         const std::string& route,
                         const std::string& workspace) {
@@ -117,10 +122,13 @@
         .Add("outstanding_output", ToInteger(outstanding.output_tokens))
         .Add("expected_memory", ToInteger(chosen_candidate_.expected_memory));
   } else {
-    line.Add("predicted_ms", predicted.duration).Add("outstanding_ms", outstanding.duration);
+    line.Add("predicted_us", ToMicroseconds(predicted.duration))
+        .Add("outstanding_us", ToMicroseconds(outstanding.duration));
   }
   line.Add("slots", chosen_candidate_.slots)
       .Add("speed", chosen_candidate_.speed)
+      .Add("same_domain", chosen_candidate_.same_domain)
+      .Add("choice_failure_share", chosen_candidate_.failure_share)
       .Add("cost", PlacementCost(chosen_candidate_, placed_request_));
 }
 
--- a/libs/placement/tests/group_liveness_test.cc
+++ b/libs/placement/tests/group_liveness_test.cc
@@ -36,6 +36,14 @@
                     liveness_case{"idle", 0, milliseconds(0), milliseconds(5'000), false}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Guards against a slow rank that counts as usual, since it is queried more often than the others.
+TEST(group_liveness, SlowRanksDoNotLowerTheUsualPace) {
+  group_liveness liveness;
+  for (int report = 0; report < 1'000; ++report)
+    liveness.OnPace(report % 3 == 0 ? 600 : 1'000);
+  EXPECT_GT(liveness.usual_pace(), 950);
+}
+
 TEST(group_liveness, IdleGroupIsNotStalled) {
   group_liveness liveness;
   liveness.OnSend(kStart);
