--- a/libs/gateway/src/forward_report.cc
+++ b/libs/gateway/src/forward_report.cc
@@ -106,6 +106,7 @@
     line.Add("told_ms", load_age_);
   if (upstream.health->observations().IsAvoided(Now()))
     line.Add("avoided", true);
+  AddCost(line);
   if (!attempt.reason.empty())
     line.Add("reason", attempt.reason);
   if (last_event_id_)
--- a/libs/gateway/src/load_watch.cc
+++ b/libs/gateway/src/load_watch.cc
@@ -151,9 +151,12 @@
       return;
     }
     found->health->OnLoad(load.running + load.waiting, now);
+    found->health->work().OnReport({load.running, load.waiting, load.kv_used, load.pace}, now);
     if (found->liveness) {
       found->liveness->OnPass(load.step, now);
       found->liveness->OnBatchSize(load.running);
+      if (load.pace > 0)
+        found->liveness->OnPace(load.pace);
     }
     if (sharing_ != nullptr)
       sharing_->OnReport(*snapshot, upstreams, *found, load.observations, now);
--- a/libs/placement/include/quincebank/placement/upstream_health.h
+++ b/libs/placement/include/quincebank/placement/upstream_health.h
@@ -8,6 +8,7 @@
 #include "quincebank/base/ref_counted.h"
 #include "quincebank/base/time.h"
 #include "quincebank/placement/observation_exchange.h"
+#include "quincebank/placement/outstanding_work.h"
 #include "quincebank/placement/send_window.h"
 #include "quincebank/placement/stated_limit.h"
 
@@ -103,6 +104,8 @@
   }
   /// \brief Attempts of this entry that have not ended.
   [[nodiscard]] int in_flight() const noexcept { return in_flight_; }
+  /// \brief Work of the requests at the upstream. Kept only for placement policies that use it.
+  [[nodiscard]] outstanding_work& work() noexcept { return work_; }
   /// \brief Moving average of failed attempts, 0 to 1; the newest attempts weigh most.
   [[nodiscard]] double failure_share() const noexcept { return failure_share_; }
   /// \brief End of the ejection. Until then the upstream is used only if there is no other one.
@@ -117,6 +120,7 @@
   /// \param initial  duration of the first of consecutive ejections; it doubles with each one.
   void Eject(milliseconds initial, time_point now);
 
+  outstanding_work work_;
   send_window window_;
   stated_limit stated_limit_;
   stated_limit reported_limit_;  ///< As other entries report it.
--- a/libs/rank_agent/src/rank_agent.cc
+++ b/libs/rank_agent/src/rank_agent.cc
@@ -219,6 +219,8 @@
                            .running = read.running,
                            .waiting = read.waiting,
                            .step = read.step,
+                           .kv_used = read.kv_used,
+                           .pace = read.pace,
                            .incarnation = read.incarnation};
   read_at_ = now;
   auto load = last_load_;
