Admit requests by priority while capacity is short

Cause: the limit of an engine and the wait for capacity grew with the latency objective of the route, which is longest for the lowest priority, and nothing held requests back while the passes of a group were near the event gap objective.

Change: priority_admission decides per request, only for services with an engine profile and routes or workspaces of different priorities. Lower priorities leave headroom, are rejected in proportion while passes are too long, and are exempt while less than half of their recent requests were admitted. Engines get the priority in a header. The load at which an engine is queried follows its limit, since gateways together exceeded a low limit between two reports.

--- a/libs/catalog/include/quincebank/catalog/service_catalog.h
+++ b/libs/catalog/include/quincebank/catalog/service_catalog.h
@@ -103,6 +103,9 @@
   [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
   [[nodiscard]] const std::vector<route_rule>& routes() const noexcept { return routes_; }
   [[nodiscard]] const std::vector<service_rule>& services() const noexcept { return services_; }
+  [[nodiscard]] const std::vector<workspace_rule>& workspaces() const noexcept {
+    return workspaces_;
+  }
   [[nodiscard]] const client_limits& limits() const noexcept { return limits_; }
   /// \brief Whether there are workspaces, so that requests to routes that are not anonymous need an
   /// API key.
--- a/libs/gateway/include/quincebank/gateway/exchange_codec.h
+++ b/libs/gateway/include/quincebank/gateway/exchange_codec.h
@@ -34,6 +34,8 @@
   milliseconds time_left{0};
   std::string workspace;  ///< Empty if the request has none.
   std::optional<std::uint64_t> resume_after;
+  /// Place in the queue of an engine, 0 (first) to 9; nothing where priorities do not differ.
+  std::optional<int> engine_priority;
 };
 
 /// \brief Decoded status and header fields of an upstream's response.
--- a/libs/gateway/include/quincebank/gateway/gateway_service.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_service.h
@@ -25,6 +25,7 @@
 #include "quincebank/net/http_server.h"
 #include "quincebank/placement/crash_blame.h"
 #include "quincebank/placement/duration_estimate.h"
+#include "quincebank/placement/priority_admission.h"
 #include "quincebank/placement/queue_wait_estimator.h"
 #include "quincebank/placement/stop_schedule.h"
 #include "quincebank/placement/wait_queue.h"
@@ -47,6 +48,12 @@
   fiber_broadcast capacity_changed;
 };
 
+/// \brief Admission by priority to one service, under one version of the configuration.
+struct service_admission {
+  std::uint64_t config_version = 0;
+  priority_admission decision;
+};
+
 /// \brief Request that is being handled.
 class running_request : public boost::intrusive::list_base_hook<> {
  public:
@@ -73,6 +80,9 @@
   [[nodiscard]] service_queue& QueueFor(const std::string& service);
   /// \brief Wakes the queued requests of a service since an upstream may have free capacity.
   void NotifyCapacity(std::string_view service);
+  /// \brief Returns the admission by priority to a service; null if its priorities do not differ.
+  [[nodiscard]] priority_admission* AdmissionFor(const service_catalog& catalog,
+                                                 const service_rule& service);
   /// \brief How long requests are rejected because one of their prompt segments crashes upstreams;
   /// 0 if they are not.
   [[nodiscard]] milliseconds BlockedTime(const std::vector<std::string>& segments);
@@ -89,6 +99,7 @@
   http_client* http = nullptr;
   std::map<std::string, retry_budget_share, std::less<>> retry_budgets;
   std::map<std::string, service_queue, std::less<>> queues;
+  std::map<std::string, service_admission, std::less<>> admissions;
   crash_blame crashes;
   /// How long the answered requests of each route took, by its name.
   std::map<std::string, duration_estimate, std::less<>> durations;
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -26,11 +26,6 @@
 constexpr std::int64_t kMaxCost = 1'000;
 // Requests that may wait in the queue of an upstream, as a fraction of its slots.
 constexpr double kQueueShare = 0.75;
-// A request may spend this part (one half) of the latency objective in the queue of an engine.
-constexpr int kQueueWaitDivisor = 2;
-// Part of the event gap objective that one pass may take, in percent. The rest is for a pass that
-// is held back and for the transfer to the client.
-constexpr int kPassTimePercent = 80;
 // Retry-After if the route names a service that is missing from the configuration.
 constexpr milliseconds kUnknownServiceRetry{1'000};
 
@@ -185,6 +180,8 @@
     candidate.limit = candidate.slots + static_cast<int>(candidate.slots * kQueueShare);
     if (const auto other_requests = upstream.health->other_requests(now))
       AddEngineLoad(upstream, *other_requests, candidate);
+    else if (claim_ && !claim_->is_highest)
+      candidate.limit = claim_->At(*service_->engine, {}).limit;
     candidate.failure_share = upstream.health->failure_share();
     candidate.superseded = upstream.superseded;
     candidate.ejected = upstream.health->IsEjected(now) || (record.group && !record.group->open) ||
@@ -227,9 +224,13 @@
   group_pass_stats pass_stats;
   if (upstream.liveness)
     pass_stats = {upstream.liveness->PassTime(Now()), upstream.liveness->mean_batch_size()};
-  candidate.limit = EngineRequestLimit(*service_->engine, pass_stats,
-                                       {route_->latency_objective / kQueueWaitDivisor,
-                                        route_->event_gap_objective * kPassTimePercent / 100});
+  if (claim_) {
+    ApplyAllowance(claim_->At(*service_->engine, pass_stats), candidate);
+    return;
+  }
+  candidate.limit =
+      EngineRequestLimit(*service_->engine, pass_stats,
+                         MakeLatencyGoal(route_->latency_objective, route_->event_gap_objective));
 }
 
 std::optional<known_upstream> forward_flow::SelectUpstream() {
@@ -268,6 +269,7 @@
 }
 
 std::optional<known_upstream> forward_flow::WaitForUpstream() {
+  ClaimCapacity();
   service_queue& queue = shared_.QueueFor(service_->name);
   const wait_queue_request queue_request = MakeQueueRequest();
   const time_point wait_started = Now();
@@ -281,6 +283,8 @@
     }
     queue.wait_estimator.OnQueueStart(wait_started);
   }
+  if (IsHeldBack())
+    return std::nullopt;
   const milliseconds max_wait = RemainingWait(
       wait_started, queue.wait_estimator.EstimateWait(queue.requests.size(), wait_started));
   wait_queue::waiter waiter;
@@ -294,7 +298,7 @@
     if (!queue.requests.IsFirst(waiter))
       continue;
     upstream = SelectUpstream();
-    if (!upstream && RemainingWait(Now(), milliseconds(0)).count() == 0)
+    if (!upstream && (IsHeldBack() || RemainingWait(Now(), milliseconds(0)).count() == 0))
       break;
   }
   if (upstream) {
@@ -308,7 +312,8 @@
 }
 
 milliseconds forward_flow::RemainingWait(time_point now, milliseconds queue_wait) const {
-  return MaxWait(*route_, {obstacle_, available_at_, queue_wait}, TimeLeft() - kMinTimeLeft, now);
+  return MaxWait(*route_, {obstacle_, available_at_, queue_wait},
+                 std::min(TimeLeft() - kMinTimeLeft, MaxQueueWait()), now);
 }
 
 nanoseconds forward_flow::GroupPassTime() const {
@@ -324,8 +329,12 @@
   auto upstream = WaitForUpstream();
   if (client_disconnected_)
     return std::nullopt;
+  if (!upstream && MayBeSent())
+    OnNoCapacity();
   if (!upstream)
-    obstacle = MayBeSent() ? ToString(obstacle_) : kStoppingReason;
+    obstacle = !MayBeSent() ? kStoppingReason
+               : held_back_ ? held_back_->reason
+                            : ToString(obstacle_);
   else if (!MayBeSent())
     obstacle = kStoppingReason;
   // Reports on crashes may have arrived while the request waited.
@@ -336,6 +345,7 @@
     obstacle = "no-time-left";
   else {
     upstream->health->OnSend(upstream->limit, Now());
+    OnCapacityGranted();
     return upstream;
   }
   return std::nullopt;
@@ -444,7 +454,8 @@
   http_call call;
   call.peer = upstream.record.address;
   call.request = shared_.codec.EncodeForUpstream(
-      exchange_.request(), {upstream.record.id, time_left, workspace_, last_event_id_});
+      exchange_.request(), {upstream.record.id, time_left, workspace_, last_event_id_,
+                            claim_ ? std::optional(priority_) : std::nullopt});
   call.connect_timeout = std::min(kConnectTimeout, time_left);
   call.response_timeout = FirstByteTimeout(*route_, time_left, RetryAllowed(), GroupPassTime());
   call.idle_timeout = call.response_timeout;
@@ -657,6 +668,7 @@
     const milliseconds blocked = shared_.BlockedTime(request_.shared_segments);
     SendOwnResponse({503, last_result.reason,
                      blocked.count() > 0 ? blocked
+                     : held_back_        ? held_back_->retry_after
                                          : RetryAfter(*route_, obstacle_, last_result.outcome,
                                                       shared_.rules.Get().engine_stall_time)});
     return;
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -11,6 +11,7 @@
 #include "quincebank/net/call_cancellation.h"
 #include "quincebank/net/sse.h"
 #include "quincebank/placement/choose_upstream.h"
+#include "quincebank/placement/priority_admission.h"
 #include "quincebank/placement/wait_queue.h"
 
 namespace quincebank {
@@ -45,6 +46,16 @@
   placement_candidate candidate;  ///< Its state when it was chosen.
 };
 
+/// \brief Why a request is not sent although a higher priority might be, and the state of the least
+/// loaded engine.
+struct held_back_request {
+  std::string_view reason;
+  milliseconds retry_after{0};
+  int load = 0;
+  engine_allowance allowance;
+  group_pass_stats pass_stats;
+};
+
 /// \brief Handles one client request. Runs in the fiber of its connection.
 class forward_flow final : public running_request {
  public:
@@ -103,6 +114,22 @@
   void AddEngineLoad(const known_upstream& upstream,
                      int other_requests,
                      placement_candidate& candidate) const;
+  /// \brief Determines what the request's priority may use, before the first attempt. Sets
+  /// `claim_`.
+  void ClaimCapacity();
+  /// \brief Counts the request as admitted; its further attempts are exempt from `claim_`'s limits.
+  void OnCapacityGranted();
+  /// \brief Whether no engine is open to the request's priority, so that it is rejected at once.
+  /// Sets `held_back_`.
+  [[nodiscard]] bool IsHeldBack();
+  /// \brief Returns the state of the least loaded engine if none has capacity for the request.
+  [[nodiscard]] std::optional<held_back_request> FindShortage();
+  /// \brief Counts a request that is rejected since no engine has capacity for its priority.
+  void OnNoCapacity();
+  /// \brief Adds the inputs of the decision to reject the request for its priority.
+  void AddHeldBackFields(event_line& line) const;
+  /// \brief Upper limit on the wait for capacity that follows from the other routes of the service.
+  [[nodiscard]] milliseconds MaxQueueWait() const;
   /// \brief Makes one attempt at an upstream and relays its response.
   [[nodiscard]] attempt_result SendAttempt(const known_upstream& upstream);
   /// \brief Records the rate limit that the upstream states, or that it states none any more.
@@ -165,6 +192,9 @@
   const service_rule* service_ = nullptr;
   std::string workspace_;
   int priority_ = 0;
+  /// What the request may use; none where the priorities of the service do not differ.
+  std::optional<priority_claim> claim_;
+  std::optional<held_back_request> held_back_;
   boot_time deadline_;
   ref_ptr<call_cancellation> cancellation_;
   bool client_disconnected_ = false;
--- a/libs/gateway/src/forward_report.cc
+++ b/libs/gateway/src/forward_report.cc
@@ -76,6 +76,7 @@
   if (first_byte_at_)
     line.Add("first_byte_ms",
              std::chrono::duration_cast<milliseconds>(*first_byte_at_ - started_at_));
+  AddHeldBackFields(line);
   line.Add("config", catalog_ ? catalog_->version() : 0)
       .Add("store_revision", snapshot_->store_revision);
   shared_.log.Write(std::move(line));
--- a/libs/placement/include/quincebank/placement/engine_limit.h
+++ b/libs/placement/include/quincebank/placement/engine_limit.h
@@ -17,6 +17,18 @@
   milliseconds pass_time{0};   ///< Longest pass that keeps streams on time; 0: no limit.
 };
 
+/// \brief Returns the goals at an engine that follow from the objectives of a route.
+[[nodiscard]] latency_goal MakeLatencyGoal(milliseconds latency_objective,
+                                           milliseconds event_gap_objective) noexcept;
+
+/// \brief Returns how many requests, from 1 to the slots of an engine, may run concurrently so that
+/// a pass takes at most `max_pass_time`. \param pass_stats  current speed of the engine's group.
+/// Without a pass time, all slots may be
+///     used.
+[[nodiscard]] int EngineBatchLimit(const engine_profile& profile,
+                                   const group_pass_stats& pass_stats,
+                                   milliseconds max_pass_time) noexcept;
+
 /// \brief Returns the maximum number of requests at an engine, running and queued.
 ///
 /// In an overload an overloaded or slow rank, or an expert map that no longer fits the load,
--- a/libs/placement/src/choose_upstream.cc
+++ b/libs/placement/src/choose_upstream.cc
@@ -21,7 +21,9 @@
 constexpr double kLoadQueryShare = 0.5;
 
 bool IsBusy(const placement_candidate& candidate) noexcept {
-  return candidate.in_flight + candidate.reported.value_or(0) >= candidate.slots * kLoadQueryShare;
+  const double query_from =
+      candidate.query_from > 0 ? candidate.query_from : candidate.slots * kLoadQueryShare;
+  return candidate.in_flight + candidate.reported.value_or(0) >= query_from;
 }
 
 /// Expected wait of a further request, relative to one request in an idle upstream with one slot.
