--- a/libs/gateway/src/forward_priority.cc
+++ b/libs/gateway/src/forward_priority.cc
@@ -129,6 +129,7 @@
   line.Add("priority", priority_)
       .Add("load", held_back_->load)
       .Add("limit", held_back_->allowance.limit)
+      .Add("guaranteed", claim_->is_guaranteed)
       .Add("headroom", claim_->headroom_share)
       .Add("headroom_draw", claim_->draws.headroom)
       .Add("batch", held_back_->pass_stats.mean_batch_size)
