Admission by priority: mean batch of the ranks that may get requests

Cause: idle ranks of an evacuated failure domain lowered the mean batch, so the slowdown of the group was overestimated and the limits were too low for all priorities. Change: claims use the mean of the ranks that may get requests; limits without priorities are as before.

--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -221,13 +221,13 @@
   candidate.reported = other_requests;
   if (!service_->engine)
     return;
-  group_pass_stats pass_stats;
-  if (upstream.liveness)
-    pass_stats = {upstream.liveness->PassTime(Now()), upstream.liveness->mean_batch_size()};
   if (claim_) {
-    ApplyAllowance(claim_->At(*service_->engine, pass_stats), candidate);
+    ApplyAllowance(AllowanceAt(upstream), candidate);
     return;
   }
+  group_pass_stats pass_stats;
+  if (upstream.liveness)
+    pass_stats = {upstream.liveness->PassTime(Now()), upstream.liveness->mean_batch_size()};
   candidate.limit =
       EngineRequestLimit(*service_->engine, pass_stats,
                          MakeLatencyGoal(route_->latency_objective, route_->event_gap_objective));
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -119,6 +119,8 @@
   void ClaimCapacity();
   /// \brief Counts the request as admitted; its further attempts are exempt from `claim_`'s limits.
   void OnCapacityGranted();
+  /// \brief Returns what the request's priority may use at an engine. Requires `claim_`.
+  [[nodiscard]] engine_allowance AllowanceAt(const known_upstream& upstream) const;
   /// \brief Whether no engine is open to the request's priority, so that it is rejected at once.
   /// Sets `held_back_`.
   [[nodiscard]] bool IsHeldBack();
--- a/libs/gateway/src/forward_priority.cc
+++ b/libs/gateway/src/forward_priority.cc
@@ -20,7 +20,7 @@
 group_pass_stats PassStats(const known_upstream& upstream, time_point now) {
   if (!upstream.liveness)
     return {};
-  return {upstream.liveness->PassTime(now), upstream.liveness->mean_batch_size()};
+  return {upstream.liveness->PassTime(now), upstream.liveness->mean_serving_batch_size()};
 }
 
 }  // namespace
@@ -61,6 +61,10 @@
     admission->OnAdmitted(priority_, Now());
 }
 
+engine_allowance forward_flow::AllowanceAt(const known_upstream& upstream) const {
+  return claim_->At(*service_->engine, PassStats(upstream, Now()));
+}
+
 bool forward_flow::IsHeldBack() {
   if (!claim_ || claim_->may_wait() || obstacle_ != placement_obstacle::kFull)
     return false;
--- a/libs/gateway/src/load_watch.cc
+++ b/libs/gateway/src/load_watch.cc
@@ -131,6 +131,9 @@
     if (found->liveness) {
       found->liveness->OnPass(load.step, now);
       found->liveness->OnBatchSize(load.running);
+      if (!found->record.leaving &&
+          !snapshot->evacuated_domains.contains(found->record.failure_domain))
+        found->liveness->OnServingBatchSize(load.running);
     }
     load_received_.NotifyAll();
     on_load_(service);
--- a/libs/placement/include/quincebank/placement/group_liveness.h
+++ b/libs/placement/include/quincebank/placement/group_liveness.h
@@ -28,6 +28,11 @@
   void OnPass(std::uint64_t pass_number, time_point now) noexcept;
   /// \brief A rank reports how many requests are in its batch.
   void OnBatchSize(int requests) noexcept;
+  /// \brief A rank that may get requests reports how many are in its batch. Ranks of evacuated
+  /// failure domains are idle and don't lengthen the passes.
+  void OnServingBatchSize(int requests) noexcept;
+  /// \brief Mean as `mean_batch_size`, of the ranks that may get requests.
+  [[nodiscard]] double mean_serving_batch_size() const noexcept { return mean_serving_batch_size_; }
   /// \brief Mean number of requests in the batch of a rank, over the most recent reports.
   [[nodiscard]] double mean_batch_size() const noexcept { return mean_batch_size_; }
   /// \brief Duration of one pass; 0 if it is unknown or the group is idle.
@@ -52,6 +57,7 @@
   time_point last_pass_at_{};    ///< Start of the current measurement of the pass time.
   nanoseconds pass_time_{0};
   double mean_batch_size_ = 0;
+  double mean_serving_batch_size_ = 0;
 };
 
 }  // namespace quincebank
--- a/libs/placement/src/group_liveness.cc
+++ b/libs/placement/src/group_liveness.cc
@@ -43,6 +43,11 @@
   mean_batch_size_ += kBatchSizeWeight * (static_cast<double>(requests) - mean_batch_size_);
 }
 
+void group_liveness::OnServingBatchSize(int requests) noexcept {
+  mean_serving_batch_size_ +=
+      kBatchSizeWeight * (static_cast<double>(requests) - mean_serving_batch_size_);
+}
+
 nanoseconds group_liveness::PassTime(time_point now) const noexcept {
   return now - last_pass_at_ > kMaxMeasurementAge ? nanoseconds(0) : pass_time_;
 }
--- a/libs/placement/tests/priority_admission_test.cc
+++ b/libs/placement/tests/priority_admission_test.cc
@@ -110,6 +110,9 @@
   [[nodiscard]] bool InBurst() const {
     return now_ >= kBurstStart && now_ < kBurstStart + load_.burst;
   }
+  [[nodiscard]] bool IsEvacuated(std::size_t engine) const {
+    return load_.evacuated && InBurst() && engine % 3 == 0;
+  }
   [[nodiscard]] time_point Time() const { return time_point{} + 1h + now_; }
   static std::size_t Batch(const std::vector<stream>& streams) {
     return std::min<std::size_t>(streams.size(), 10);
@@ -156,6 +159,8 @@
     group& one = groups_[engine / kRanks];
     one.liveness.OnPass(one.pass, Time());
     one.liveness.OnBatchSize(static_cast<int>(in_pass_[engine]));
+    if (!IsEvacuated(engine))
+      one.liveness.OnServingBatchSize(static_cast<int>(in_pass_[engine]));
     for (std::size_t gateway = 0; gateway < kGateways; ++gateway)
       Learn(gateway, engine);
   }
@@ -195,18 +200,18 @@
   }
 
   [[nodiscard]] placement_candidate Candidate(const stream& one, std::size_t engine) const {
-    const group& its_group = groups_[engine / kRanks];
-    const group_pass_stats stats{its_group.liveness.PassTime(Time()),
-                                 its_group.liveness.mean_batch_size()};
+    const group_liveness& liveness = groups_[engine / kRanks].liveness;
+    const nanoseconds pass_time = liveness.PassTime(Time());
     placement_candidate candidate;
     candidate.in_flight = own_[one.gateway][engine];
     candidate.reported = others_[one.gateway][engine];
     candidate.slots = 10;
     if (by_priority_) {
-      ApplyAllowance(one.claim.At(Profile(), stats), candidate);
+      ApplyAllowance(one.claim.At(Profile(), {pass_time, liveness.mean_serving_batch_size()}),
+                     candidate);
     } else {
-      candidate.limit =
-          EngineRequestLimit(Profile(), stats, MakeLatencyGoal(kObjectives[one.priority], kGap));
+      candidate.limit = EngineRequestLimit(Profile(), {pass_time, liveness.mean_batch_size()},
+                                           MakeLatencyGoal(kObjectives[one.priority], kGap));
     }
     return candidate;
   }
@@ -215,7 +220,7 @@
     std::vector<placement_candidate> candidates;
     std::vector<std::size_t> engines;
     for (std::size_t engine = 0; engine < kEngines; ++engine) {
-      if (load_.evacuated && InBurst() && engine % 3 == 0)
+      if (IsEvacuated(engine))
         continue;
       candidates.push_back(Candidate(one, engine));
       engines.push_back(engine);
@@ -286,17 +291,17 @@
   const outcome_counts& highest = after.counts[0];
   EXPECT_LE(highest.late + highest.rejected, before.counts[0].late + before.counts[0].rejected);
   for (const outcome_counts& counts : after.counts)
-    EXPECT_GE(counts.arrived - counts.rejected, counts.arrived * 9 / 20);
+    EXPECT_GE(counts.arrived - counts.rejected, counts.arrived / 2);
 }
 
 INSTANTIATE_TEST_SUITE_P(
     loads,
     priority_load_test,
-    testing::Values(expected_load{{"lowest_slow", {1, 1, 2.5}, 6s, false, 1.6}, 1.05},
-                    expected_load{{"lowest_evacuated", {1, 1, 2.5}, 6s, true, 1.4}, 1.08},
-                    expected_load{{"highest_slow", {1.7, 1, 1}, 4s, false, 1.6}, 1.05},
-                    expected_load{{"highest_evacuated", {1.7, 1, 1}, 4s, true, 1.3}, 1.03},
-                    expected_load{{"lowest_long", {1, 1, 2.5}, 30s, true, 1.4}, 1.2}),
+    testing::Values(expected_load{{"lowest_slow", {1, 1, 2.5}, 6s, false, 1.6}, 1.1},
+                    expected_load{{"lowest_evacuated", {1, 1, 2.5}, 6s, true, 1.4}, 1.15},
+                    expected_load{{"highest_slow", {1.7, 1, 1}, 4s, false, 1.6}, 1.1},
+                    expected_load{{"highest_evacuated", {1.7, 1, 1}, 4s, true, 1.3}, 1.07},
+                    expected_load{{"lowest_long", {1, 1, 2.5}, 30s, true, 1.4}, 1.5}),
     [](const auto& info) { return std::string(info.param.load.name); });
 
 // Guards against rejections for priority while there is capacity.
