--- a/libs/placement/tests/priority_admission_test.cc
+++ b/libs/placement/tests/priority_admission_test.cc
@@ -299,7 +299,7 @@
     priority_load_test,
     testing::Values(expected_load{{"lowest_slow", {1, 1, 2.5}, 6s, false, 1.6}, 1.1},
                     expected_load{{"lowest_evacuated", {1, 1, 2.5}, 6s, true, 1.4}, 1.15},
-                    expected_load{{"highest_slow", {1.7, 1, 1}, 4s, false, 1.6}, 1.1},
+                    expected_load{{"highest_slow", {1.7, 1, 1}, 4s, false, 1.6}, 1.05},
                     expected_load{{"highest_evacuated", {1.7, 1, 1}, 4s, true, 1.3}, 1.07},
                     expected_load{{"lowest_long", {1, 1, 2.5}, 30s, true, 1.4}, 1.5}),
     [](const auto& info) { return std::string(info.param.load.name); });
