--- a/libs/gateway/src/load_watch.cc
+++ b/libs/gateway/src/load_watch.cc
@@ -157,6 +157,9 @@
       found->liveness->OnBatchSize(load.running);
       if (load.pace > 0)
         found->liveness->OnPace(load.pace);
+      if (!found->record.leaving &&
+          !snapshot->evacuated_domains.contains(found->record.failure_domain))
+        found->liveness->OnServingBatchSize(load.running);
     }
     if (sharing_ != nullptr)
       sharing_->OnReport(*snapshot, upstreams, *found, load.observations, now);
--- a/libs/placement/src/choose_upstream.cc
+++ b/libs/placement/src/choose_upstream.cc
@@ -14,7 +14,9 @@
 constexpr double kLoadQueryShare = 0.5;
 
 bool IsBusy(const placement_candidate& candidate) noexcept {
-  return candidate.in_flight + candidate.reported.value_or(0) >= candidate.slots * kLoadQueryShare;
+  const double query_from =
+      candidate.query_from > 0 ? candidate.query_from : candidate.slots * kLoadQueryShare;
+  return candidate.in_flight + candidate.reported.value_or(0) >= query_from;
 }
 
 // Engines that are sampled; the better of two of them is chosen.
--- a/libs/placement/src/group_liveness.cc
+++ b/libs/placement/src/group_liveness.cc
@@ -50,6 +50,11 @@
   usual_pace_ += usual_pace_ == 0 ? pace : std::clamp(pace - usual_pace_, -kPaceStep, kPaceStep);
 }
 
+void group_liveness::OnServingBatchSize(int requests) noexcept {
+  mean_serving_batch_size_ +=
+      kBatchSizeWeight * (static_cast<double>(requests) - mean_serving_batch_size_);
+}
+
 nanoseconds group_liveness::PassTime(time_point now) const noexcept {
   return now - last_pass_at_ > kMaxMeasurementAge ? nanoseconds(0) : pass_time_;
 }
