Read the limits of the host from the settings

Gateway and rank agent accept an object limits with memory_mb and descriptors. Nothing uses the values yet.

--- a/libs/gateway/include/quincebank/gateway/gateway_settings.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_settings.h
@@ -8,6 +8,7 @@
 #include "quincebank/base/error.h"
 #include "quincebank/base/time.h"
 #include "quincebank/net/endpoint.h"
+#include "quincebank/net/process_limits.h"
 
 namespace quincebank {
 
@@ -63,6 +64,7 @@
   endpoint store;  ///< Address of the shared store.
 
   gateway_rules rules;
+  process_limits limits;  ///< Of the host.
 
   milliseconds store_timeout{600};   ///< For each call; the wait of a watch is added.
   milliseconds engine_timeout{400};  ///< For each call to an engine.
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -87,6 +87,7 @@
   constexpr double kMaxCores = 10'000;
   settings.cores = reader.Number("cores", 0, kMaxCores, settings.cores);
   reader.Child("addresses", [&](json_reader& child) { ReadAddresses(child, settings); });
+  settings.limits = ReadProcessLimits(reader);
   reader.Child("rules", [&](json_reader& child) { ReadRules(child, settings.rules); });
   reader.Child("control", [&](json_reader& child) { ReadControl(child, settings); });
   reader.Finish();
--- a/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
+++ b/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
@@ -18,6 +18,7 @@
 #include "quincebank/net/fiber_thread.h"
 #include "quincebank/net/http_client.h"
 #include "quincebank/net/http_server.h"
+#include "quincebank/net/process_limits.h"
 #include "quincebank/rank_agent/expected_arrivals.h"
 #include "quincebank/rpc/rpc.h"
 
@@ -30,6 +31,7 @@
   endpoint engine;   ///< Address of the engine on the same host.
   milliseconds engine_timeout{300};  ///< For one call of the engine.
   std::size_t log_lines = 500;       ///< Most log lines that are buffered until they are read.
+  process_limits limits;             ///< Of the host.
 };
 
 /// \brief Parses and validates a settings file (JSON with comments).
--- a/libs/rank_agent/src/rank_agent.cc
+++ b/libs/rank_agent/src/rank_agent.cc
@@ -56,6 +56,7 @@
   settings.engine_timeout = reader.Millis("engine_timeout_ms", kMillis, settings.engine_timeout);
   settings.log_lines = static_cast<std::size_t>(
       reader.Int("log_lines", kLines, static_cast<std::int64_t>(settings.log_lines)));
+  settings.limits = ReadProcessLimits(reader);
   reader.Finish();
   if (!errors.empty())
     return JoinErrors(errors);
