Bound the memory and the connections that clients can take

A process kept each body of a request up to three times and nothing bounded their sum, and nothing bounded the number of connections, so that clients could use up the memory of a host.

Change: a memory budget of the process, half of memory_mb beyond 64 MB for the process itself, or 128 MiB if memory_mb is unknown. http_server reserves a body before it is read, in one step if its length is known and in doubling steps otherwise; the body is held once, and the calls to upstreams send a view of it. What does not fit is rejected with 503, Retry-After and Connection: close. Bodies without progress for a second are evicted with 408 when memory is short. Buffered responses and events that wait for a client count too. Each server has a limit on connections; beyond it, idle ones and then incomplete ones without progress are closed. The rest of a body over the limit is no longer read beyond 64 KiB. Calls to rank agents and peers have lower limits on bodies, since a parsed message takes many times its size. The allocator returns blocks from 64 KiB at once.

--- a/libs/entry/src/request_flow.cc
+++ b/libs/entry/src/request_flow.cc
@@ -151,7 +151,7 @@
   http_call call = CallTo(target);
   call.request.method = request.method;
   call.request.target = "/attempt" + path_;
-  call.request.body = request.body;
+  call.body = request.body;
   for (const http_header& field : request.headers) {
     if (!IsHopByHop(field.name) && !call.request.headers.Find(field.name))
       call.request.headers.Add(field.name, field.value);
--- a/libs/gateway/include/quincebank/gateway/exchange_codec.h
+++ b/libs/gateway/include/quincebank/gateway/exchange_codec.h
@@ -61,6 +61,7 @@
   virtual ~exchange_codec() = default;
 
   [[nodiscard]] virtual client_request DecodeRequest(const http_request& request) const = 0;
+  /// \brief Returns the request that is sent to an upstream, without its body.
   [[nodiscard]] virtual http_request EncodeForUpstream(const http_request& request,
                                                        const upstream_dispatch& dispatch) const = 0;
   [[nodiscard]] virtual upstream_response_info DecodeResponse(
--- a/libs/gateway/include/quincebank/gateway/gateway_metrics.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_metrics.h
@@ -39,6 +39,18 @@
       {"quincebank_config_version", "Version of the configuration in force.", {}});
   gauge& in_flight =
       registry.AddGauge({"quincebank_in_flight", "Requests that are being handled.", {}});
+  gauge& buffered_bytes = registry.AddGauge(
+      {"quincebank_buffered_bytes", "Bytes that are reserved in the memory budget.", {}});
+  gauge& buffered_bytes_limit = registry.AddGauge(
+      {"quincebank_buffered_bytes_limit", "Memory budget of the process in bytes.", {}});
+  gauge& memory_rejections =
+      registry.AddGauge({"quincebank_memory_rejections",
+                         "Requests rejected since the memory budget was used up.",
+                         {}});
+  gauge& evicted_bodies = registry.AddGauge(
+      {"quincebank_evicted_bodies", "Incomplete bodies evicted while memory was short.", {}});
+  gauge& closed_connections = registry.AddGauge(
+      {"quincebank_closed_connections", "Client connections closed to keep within the limit.", {}});
   latency_histogram& first_byte_time = registry.AddHistogram(
       {"quincebank_first_byte_seconds", "Time to the first byte of an answer's body.", {}});
   latency_histogram& total_time =
--- a/libs/gateway/include/quincebank/gateway/gateway_service.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_service.h
@@ -23,6 +23,7 @@
 #include "quincebank/net/fiber_event.h"
 #include "quincebank/net/http_client.h"
 #include "quincebank/net/http_server.h"
+#include "quincebank/net/memory_budget.h"
 #include "quincebank/placement/crash_blame.h"
 #include "quincebank/placement/duration_estimate.h"
 #include "quincebank/placement/queue_wait_estimator.h"
@@ -97,6 +98,7 @@
   /// Passes a report of this entry on to the others; empty until the service has started.
   std::function<void(const crash_report&)> share_crash;
   std::size_t buffered_bytes = 0;  ///< Total size of responses that are buffered until complete.
+  memory_budget& memory = memory_budget::OfProcess();
 };
 
 /// \brief HTTP handlers for the platform-specific endpoints of a deployment.
@@ -145,6 +147,8 @@
   /// \brief Returns the HTTP limits for clients from the current configuration, or the defaults
   /// without one.
   [[nodiscard]] http_limits ClientHttpLimits() const;
+  /// \param divisor  the server's part of the connections.
+  [[nodiscard]] http_limits InternalHttpLimits(std::size_t divisor) const;
   void ServeMetrics(http_exchange& exchange);
   /// \brief Blocks until all client connections have ended, at most until `deadline`.
   void AwaitDrained(time_point deadline) const;
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -48,18 +48,22 @@
 /// Counts the buffered bytes of one response towards the total of the process.
 class buffer_accounting {
  public:
-  explicit buffer_accounting(std::size_t& total) : total_(total) {}
+  buffer_accounting(std::size_t& total, memory_reservation& memory)
+      : total_(total), memory_(memory) {}
   ~buffer_accounting() { total_ -= counted_; }
   buffer_accounting(const buffer_accounting&) = delete;
   buffer_accounting& operator=(const buffer_accounting&) = delete;
 
-  void Add(std::size_t bytes) {
+  /// \returns False if the memory budget has no room.
+  [[nodiscard]] bool Add(std::size_t bytes) {
     counted_ += bytes;
     total_ += bytes;
+    return memory_.TryGrowTo(counted_);
   }
 
  private:
   std::size_t& total_;
+  memory_reservation& memory_;
   std::size_t counted_ = 0;
 };
 
@@ -445,6 +449,7 @@
   call.peer = upstream.record.address;
   call.request = shared_.codec.EncodeForUpstream(
       exchange_.request(), {upstream.record.id, time_left, workspace_, last_event_id_});
+  call.body = exchange_.request().body;
   call.connect_timeout = std::min(kConnectTimeout, time_left);
   call.response_timeout = FirstByteTimeout(*route_, time_left, RetryAllowed(), GroupPassTime());
   call.idle_timeout = call.response_timeout;
@@ -522,6 +527,9 @@
 attempt_result forward_flow::RelayStream(http_stream& stream) {
   attempt_result attempt;
   sse_splitter splitter(shared_.settings.max_event_bytes);
+  // Events are counted without a check: a stream that has begun is not cut for want of memory, and
+  // what one stream holds is bounded by the size of an event.
+  memory_reservation memory(shared_.memory);
   bool client_open = true;
   // Only complete events count as progress: a faulty upstream may send single bytes from time to
   // time, or an endless event.
@@ -546,6 +554,7 @@
         last_event_id_ = id;
       complete_events += event;
     });
+    memory.Set(chunk.value()->size() + complete_events.size() + splitter.rest().size());
     if (splitter.overflowed()) {
       attempt.reason = "event exceeds the size limit";
       return attempt;
@@ -588,7 +597,8 @@
 attempt_result forward_flow::RelayBuffered(http_stream& stream) {
   attempt_result attempt;
   http_response response{stream.status(), shared_.codec.EncodeForClient(stream.headers()), {}};
-  buffer_accounting accounting(shared_.buffered_bytes);
+  memory_reservation memory(shared_.memory);
+  buffer_accounting accounting(shared_.buffered_bytes, memory);
   stream.SetIdleTimeout(TimeLeft());
   stream.SetDeadline(Now() + TimeLeft());
   for (;;) {
@@ -597,10 +607,11 @@
       return MakeErrorResult(chunk.error());
     if (!chunk.value())
       break;
-    response.body += *chunk.value();
-    accounting.Add(chunk.value()->size());
+    const bool has_memory = accounting.Add(chunk.value()->size());
+    if (has_memory)
+      response.body += *chunk.value();
     const bool too_large = response.body.size() > shared_.settings.max_response_bytes;
-    if (too_large || shared_.buffered_bytes > shared_.settings.max_buffered_bytes) {
+    if (too_large || !has_memory || shared_.buffered_bytes > shared_.settings.max_buffered_bytes) {
       attempt.reason = too_large ? "response exceeds the size limit"
                                  : "buffered responses exceed the total size limit";
       return attempt;
@@ -612,6 +623,7 @@
     attempt.outcome = attempt_outcome::kFailed;
     attempt.reason = "upstream answered " + std::to_string(response.status);
     attempt.error_response = std::move(response);
+    attempt.error_memory.emplace(std::move(memory));
     return attempt;
   }
   attempt.outcome = attempt_outcome::kServed;
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -31,6 +31,7 @@
   std::string reason;                  ///< For the log; empty after a success.
   /// The upstream's error response; passed to the client if no later attempt is made.
   std::optional<http_response> error_response;
+  std::optional<memory_reservation> error_memory;  ///< Of its body.
 };
 
 /// Upper limit on the attempts of one request, including those that no upstream ran: each may be
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -31,6 +31,13 @@
 constexpr milliseconds kDrainPollPeriod{20};
 // Upper limit on the entries in one look-up.
 constexpr std::size_t kMaxLookupAddresses = 64;
+// Parts of the connections for clients, peers and the directory; each other server gets the least.
+constexpr std::size_t kClientDivisor = 2;
+constexpr std::size_t kPeerDivisor = 4;
+constexpr std::size_t kInternalDivisor = 8;
+// Bodies of calls between gateways, such as a crash report. A parsed message takes many times its
+// size.
+constexpr std::uint64_t kMaxPeerBody = std::uint64_t{256} * 1024;
 
 }  // namespace
 
@@ -117,7 +124,8 @@
 result<void> gateway_service::Listen(const endpoint& address, const http_handler& handler) {
   if (address.port == 0)
     return BOOST_OUTCOME_V2_NAMESPACE::success();
-  BOOST_OUTCOME_TRY(auto server, http_server::Listen({&traffic_thread_}, address, handler));
+  BOOST_OUTCOME_TRY(auto server, http_server::Listen({&traffic_thread_}, address, handler,
+                                                     InternalHttpLimits(kInternalDivisor)));
   internal_servers_.push_back(std::move(server));
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -148,8 +156,10 @@
   BOOST_OUTCOME_TRY(Listen(settings_.directory, handlers.directory));
   BOOST_OUTCOME_TRY(Listen(settings_.metrics, [this](http_exchange& e) { ServeMetrics(e); }));
   // Peers read the store mirror, which belongs to the control thread.
-  BOOST_OUTCOME_TRY(auto peers, http_server::Listen({&control_thread_}, settings_.peers,
-                                                    [this](http_exchange& e) { rpc_.Serve(e); }));
+  BOOST_OUTCOME_TRY(auto peers, http_server::Listen(
+                                    {&control_thread_}, settings_.peers,
+                                    [this](http_exchange& e) { rpc_.Serve(e); },
+                                    InternalHttpLimits(kPeerDivisor)));
   internal_servers_.push_back(std::move(peers));
   fleet_sync_->OnCrashReports([this](const crash_report& report) {
     traffic_thread_.Spawn([this, report] { shared_.crashes.OnCrash(report, Now()); });
@@ -162,6 +172,14 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+http_limits gateway_service::InternalHttpLimits(std::size_t divisor) const {
+  http_limits limits;
+  limits.body_bytes = kMaxPeerBody;
+  limits.connections = MaxConnections(settings_.limits) / divisor;
+  limits.socket_buffer_bytes = SocketBufferBytes(settings_.limits);
+  return limits;
+}
+
 http_limits gateway_service::ClientHttpLimits() const {
   const auto catalog = shared_.snapshots.Get()->catalog;
   const client_limits configured = catalog ? catalog->limits() : client_limits{};
@@ -170,6 +188,8 @@
   limits.body_bytes = configured.body_bytes;
   limits.header_timeout = configured.header_timeout;
   limits.idle_timeout = configured.idle_timeout;
+  limits.connections = MaxConnections(settings_.limits) / kClientDivisor;
+  limits.socket_buffer_bytes = SocketBufferBytes(settings_.limits);
   return limits;
 }
 
@@ -207,6 +227,13 @@
   const auto snapshot = shared_.snapshots.Get();
   shared_.metrics.config_version.Set(
       snapshot->catalog ? static_cast<std::int64_t>(snapshot->catalog->version()) : 0);
+  const memory_budget& memory = memory_budget::OfProcess();
+  shared_.metrics.buffered_bytes.Set(static_cast<std::int64_t>(memory.used()));
+  shared_.metrics.buffered_bytes_limit.Set(static_cast<std::int64_t>(memory.limit()));
+  shared_.metrics.memory_rejections.Set(static_cast<std::int64_t>(memory.rejections()));
+  shared_.metrics.evicted_bodies.Set(static_cast<std::int64_t>(memory.evictions()));
+  shared_.metrics.closed_connections.Set(
+      static_cast<std::int64_t>(client_server_->closed_connections()));
   exchange.Respond({200,
                     {{"Content-Type", "text/plain; version=0.0.4"}},
                     ToPrometheusText(shared_.metrics.registry.Snapshot())});
--- a/libs/net/include/quincebank/net/http_client.h
+++ b/libs/net/include/quincebank/net/http_client.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "quincebank/base/error.h"
 #include "quincebank/base/time.h"
@@ -25,6 +26,8 @@
 struct http_call {
   endpoint peer;
   http_request request;
+  /// Body that is sent instead of that of `request`; must outlive the call's opening.
+  std::optional<std::string_view> body;
   milliseconds connect_timeout{1'000};
   milliseconds response_timeout{10'000};  ///< From the last byte sent to the answer's header.
   milliseconds idle_timeout{3'000};       ///< Between two reads of the answer's body.
--- a/libs/net/include/quincebank/net/http_server.h
+++ b/libs/net/include/quincebank/net/http_server.h
@@ -46,6 +46,14 @@
   milliseconds header_timeout{10'000};  ///< For a request's head, from its first byte.
   milliseconds read_timeout{10'000};    ///< For the rest of a request, from the end of its head.
   milliseconds write_timeout{10'000};   ///< For each write of an answer.
+  /// Bodies are counted there; null stands for the budget of the process.
+  memory_budget* memory = nullptr;
+  /// How often the handler and the server together hold a body.
+  std::size_t body_copies = 1;
+  /// Of the server; 0 sets no limit. Beyond it, connections that wait for their client are closed,
+  /// those without progress for the longest time first.
+  std::size_t connections = 0;
+  std::size_t socket_buffer_bytes = 0;  ///< Of each connection; 0 leaves it to the system.
 };
 
 /// \brief Tells the limits in force; asked for each request by the thread of its connection.
@@ -88,6 +96,8 @@
   /// \brief Whether, after `Close`, no connection is left and none can come any more. A count of
   /// running requests misses those that have arrived and are about to be read.
   [[nodiscard]] bool Drained() const noexcept;
+  /// \brief Number of connections that were closed to keep within the limit.
+  [[nodiscard]] std::uint64_t closed_connections() const noexcept { return closed_connections_; }
 
  private:
   class listener;
@@ -99,6 +109,8 @@
   http_limits_source limits_;
   std::atomic<bool> announce_close_{false};
   std::atomic<int> running_{0};
+  std::atomic<std::size_t> open_{0};  ///< Connections, without those that are being closed.
+  std::atomic<std::uint64_t> closed_connections_{0};
   std::vector<std::shared_ptr<listener>> listeners_;
 };
 
--- a/libs/net/include/quincebank/net/net_fwd.h
+++ b/libs/net/include/quincebank/net/net_fwd.h
@@ -8,6 +8,7 @@
 class http_headers;
 class http_server;
 class http_stream;
+class memory_budget;
 class stop_signal;
 struct endpoint;
 struct http_call;
--- a/libs/net/include/quincebank/net/process_limits.h
+++ b/libs/net/include/quincebank/net/process_limits.h
@@ -15,4 +15,15 @@
 /// \brief Reads the optional object `limits` of a settings file.
 [[nodiscard]] process_limits ReadProcessLimits(json_reader& reader);
 
+/// \brief Sets the memory budget of this process, and has the allocator return large blocks to the
+/// system at once. Without a known limit the budget keeps its default.
+void ApplyMemoryLimit(const process_limits& limits);
+
+/// \brief Returns how many connections of clients the process may hold, over all its servers. Takes
+/// the system's limit on descriptors if that of the host is unknown.
+[[nodiscard]] std::size_t MaxConnections(const process_limits& limits);
+
+/// \brief Returns the size of the socket buffers of client connections; 0 leaves it to the system.
+[[nodiscard]] std::size_t SocketBufferBytes(const process_limits& limits);
+
 }  // namespace quincebank
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -375,7 +375,7 @@
   BOOST_OUTCOME_TRY(std::unique_ptr<connection> connected, impl_->Connect(call));
   if (call.cancellation && call.cancellation->cancelled())
     return MakeError(error_code::kUnavailable, "the call was cancelled", verdict::kNotRun);
-  http::request<http::string_body> message;
+  http::request<http::span_body<const char>> message;
   message.method_string(call.request.method);
   message.target(call.request.target);
   message.version(11);
@@ -386,7 +386,8 @@
   }
   if (message.find(http::field::host) == message.end())
     message.set(http::field::host, ToString(call.peer));
-  message.body() = call.request.body;
+  const std::string_view body = call.body.value_or(call.request.body);
+  message.body() = {body.data(), body.size()};
   message.prepare_payload();
   cancellation_scope writing(call.cancellation, *connected);
   std::shared_ptr<quincebank::impl::silence_watch> watch;
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -11,9 +12,12 @@
 #include <boost/intrusive/list.hpp>
 #include <utility>
 
+#include "quincebank/base/clock.h"
 #include "quincebank/base/log.h"
+#include "quincebank/base/random.h"
 #include "quincebank/net/fiber_thread.h"
 #include "quincebank/net/impl/await.h"
+#include "quincebank/net/memory_budget.h"
 
 namespace quincebank {
 namespace {
@@ -29,10 +33,18 @@
 constexpr logger kLog{"http"};
 // Bytes held between reads, beside the limit of a head. A chunk's extension or a trailer is held
 // until it is complete, and the parser itself sets no limit to them.
-constexpr std::size_t kMostBuffered = std::size_t{128} * 1024;
+constexpr std::size_t kMostBuffered = std::size_t{32} * 1024;
 // Pause after a failed accept (such as no file descriptors left), so that the loop doesn't spin.
 constexpr milliseconds kAcceptRetryDelay{50};
 
+using body_parser = http::request_parser<http::buffer_body>;
+
+enum class connection_state : std::uint8_t {
+  kIdle,       ///< Between two requests.
+  kReading,    ///< A request is incomplete.
+  kAnswering,  ///< The handler runs.
+};
+
 struct connection : boost::intrusive::list_base_hook<> {
   connection(tcp::socket socket, std::size_t most_buffered)
       : stream(std::move(socket)), buffer(most_buffered) {}
@@ -46,7 +58,9 @@
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
-  bool idle = true;
+  connection_state state = connection_state::kIdle;
+  time_point last_progress{};
+  bool evicted = false;  ///< It is being closed early.
 };
 
 class beast_exchange final : public http_exchange {
@@ -167,27 +181,33 @@
   return ec;
 }
 
-http_request ToRequest(http::request<http::string_body>&& message) {
-  http_request request;
+memory_budget& BudgetOf(const http_limits& limits) noexcept {
+  return limits.memory == nullptr ? memory_budget::OfProcess() : *limits.memory;
+}
+
+void CopyHead(const http::request<http::buffer_body>& message, http_request& request) {
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
   for (const auto& field : message)
     request.headers.Add(std::string(field.name_string()), std::string(field.value()));
-  request.body = std::move(message.body());
-  return request;
 }
 
-http_response RefuseParse(const boost::system::error_code& ec) {
-  const bool too_large = ec == http::error::body_limit;
-  const bool header_limit = ec == http::error::header_limit;
-  const int status = too_large ? 413 : header_limit ? 431 : 400;
+/// Response to a request that was not passed to the handler, so it has not run.
+http_response MakeRefusal(int status, std::string_view code, const std::string& message) {
   http_response response{status, {{"Content-Type", "application/json"}}, {}};
   response.headers.Set("Quincebank-Verdict", std::string(ToString(verdict::kNotRun)));
-  response.body = R"({"error":{"code":"invalid-argument","message":")" + ec.message() +
+  response.body = R"({"error":{"code":")" + std::string(code) + R"(","message":")" + message +
                   R"(","verdict":"not-run"}})";
   return response;
 }
 
+http_response RefuseParse(const boost::system::error_code& ec) {
+  const bool too_large = ec == http::error::body_limit;
+  const bool header_limit = ec == http::error::header_limit;
+  const int status = too_large ? 413 : header_limit ? 431 : 400;
+  return MakeRefusal(status, "invalid-argument", ec.message());
+}
+
 }  // namespace
 
 /// Accepts on one thread and owns that thread's connections.
@@ -205,6 +225,12 @@
       acceptor_.set_option(reuse_port(true), ec);
     if (!ec)
       acceptor_.bind(address, ec);
+    // Accepted sockets take these over.
+    const int buffer_bytes = static_cast<int>(server_.limits_().socket_buffer_bytes);
+    if (!ec && buffer_bytes > 0)
+      acceptor_.set_option(asio::socket_base::receive_buffer_size(buffer_bytes), ec);
+    if (!ec && buffer_bytes > 0)
+      acceptor_.set_option(asio::socket_base::send_buffer_size(buffer_bytes), ec);
     if (!ec)
       acceptor_.listen(asio::socket_base::max_listen_connections, ec);
     return ec;
@@ -227,7 +253,7 @@
       boost::system::error_code ignored;
       acceptor_.close(ignored);
       for (connection& peer : connections_) {
-        if (!peer.idle || peer.HasInput())
+        if (peer.state != connection_state::kIdle || peer.HasInput())
           continue;
         peer.stream.cancel();
       }
@@ -275,6 +301,11 @@
   }
 
   void Take(tcp::socket socket) {
+    if (!MakeRoom()) {
+      ++server_.closed_connections_;
+      return;
+    }
+    ++server_.open_;
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     ++fibers_;
@@ -294,80 +325,245 @@
       }
     });
     connections_.erase(connections_.iterator_to(peer));
+    if (!peer.evicted)
+      --server_.open_;
     boost::system::error_code ignored;
     peer.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
   }
 
   bool ServeOne(connection& peer) {
-    http::request_parser<http::string_body> parser;
     const http_limits limits = server_.limits_();
-    parser.header_limit(limits.header_bytes);
-    parser.body_limit(limits.body_bytes);
-    peer.idle = true;
+    if (peer.buffer.size() == 0)
+      peer.buffer.shrink_to_fit();
+    Enter(peer, connection_state::kIdle);
     if (peer.buffer.size() == 0) {
       const io_outcome first = Await([&](auto handler) {
         peer.stream.expires_after(limits.idle_timeout);
         peer.stream.async_read_some(peer.buffer.prepare(kReadBytes), std::move(handler));
       });
-      if (first.ec)
+      if (first.ec || peer.evicted)
         return false;
       peer.buffer.commit(first.bytes);
     }
-    peer.idle = false;
+    Enter(peer, connection_state::kReading);
     ++server_.running_;
     bool again = false;
-    RunGuarded("request", [&] { again = Answer(peer, parser, limits); });
+    RunGuarded("request", [&] { again = Answer(peer, limits); });
     --server_.running_;
     return again;
   }
 
-  bool Answer(connection& peer,
-              http::request_parser<http::string_body>& parser,
-              const http_limits& limits) {
-    io_outcome read = Await([&](auto handler) {
-      peer.stream.expires_after(limits.header_timeout);
-      http::async_read_header(peer.stream, peer.buffer, parser, std::move(handler));
-    });
-    if (!read.ec && !parser.is_done()) {
-      read = Await([&](auto handler) {
-        peer.stream.expires_after(limits.read_timeout);
-        http::async_read(peer.stream, peer.buffer, parser, std::move(handler));
-      });
-    }
-    const bool keep_alive =
-        !read.ec && parser.keep_alive() && !closing_ && !server_.announce_close_;
-    const http_request request = read.ec ? http_request{} : ToRequest(parser.release());
+  bool Answer(connection& peer, const http_limits& limits) {
+    body_parser parser;
+    parser.header_limit(limits.header_bytes);
+    parser.body_limit(limits.body_bytes);
+    memory_reservation memory(BudgetOf(limits));
+    http_request request;
+    boost::system::error_code ec = ReadHead(peer, parser, limits);
+    if (!ec && !parser.is_done())
+      ec = ReadBody(peer, parser, limits, request.body, memory);
+    const bool keep_alive = !ec && parser.keep_alive() && !closing_ && !server_.announce_close_;
+    if (!ec)
+      CopyHead(parser.get(), request);
     beast_exchange exchange(peer, request, limits, keep_alive);
-    if (read.ec) {
-      if (read.ec.category() == http::make_error_code(http::error::body_limit).category()) {
-        exchange.Respond(RefuseParse(read.ec));
-        DiscardRest(peer, kDiscardedBodies * limits.body_bytes);
-      }
+    if (ec) {
+      Refuse(peer, exchange, ec, limits);
       return false;
     }
+    Enter(peer, connection_state::kAnswering);
     if (!RunGuarded("handler", [&] { server_.handler_(exchange); }) && !exchange.started())
       exchange.Respond({500, {}, {}});
     return exchange.finished() && keep_alive;
   }
 
+  static boost::system::error_code ReadHead(connection& peer,
+                                            body_parser& parser,
+                                            const http_limits& limits) {
+    return Await([&](auto handler) {
+             peer.stream.expires_after(limits.header_timeout);
+             http::async_read_header(peer.stream, peer.buffer, parser, std::move(handler));
+           })
+        .ec;
+  }
+
+  /// Reads the body piece by piece, each after its memory is reserved.
+  /// \param memory  receives the reservation of a complete body.
+  boost::system::error_code ReadBody(connection& peer,
+                                     body_parser& parser,
+                                     const http_limits& limits,
+                                     std::string& body,
+                                     memory_reservation& memory) {
+    // The order to evict may come from another thread, and later than the body is complete.
+    const auto evicted_peer = std::make_shared<connection*>(&peer);
+    unfinished_body unfinished(
+        BudgetOf(limits),
+        [this, weak = std::weak_ptr(evicted_peer)] {
+          asio::post(thread_.io(), [weak, self = weak_from_this()] {
+            const auto to_evict = weak.lock();
+            const auto owner = self.lock();
+            if (to_evict && owner)
+              owner->Evict(**to_evict);
+          });
+        },
+        Now());
+    const boost::system::error_code ec = ReadPieces(peer, parser, limits, body, unfinished);
+    if (!ec) {
+      memory = std::move(unfinished.memory());
+      return ec;
+    }
+    // A refused body must not take memory while its connection lingers.
+    std::string().swap(body);
+    return ec;
+  }
+
+  boost::system::error_code ReadPieces(connection& peer,
+                                       body_parser& parser,
+                                       const http_limits& limits,
+                                       std::string& body,
+                                       unfinished_body& unfinished) {
+    const boost::system::error_code no_memory =
+        boost::system::errc::make_error_code(boost::system::errc::not_enough_memory);
+    const time_point until = Now() + limits.read_timeout;
+    const auto length = parser.content_length();
+    std::size_t capacity = length ? static_cast<std::size_t>(*length) : kFirstPiece;
+    if (!Hold(peer, limits, capacity, body, unfinished))
+      return no_memory;
+    while (!parser.is_done()) {
+      if (peer.evicted)
+        return asio::error::operation_aborted;
+      if (body.size() == capacity) {
+        // One byte more than is allowed, so that the parser always has room to detect the end.
+        capacity = std::min(2 * capacity, static_cast<std::size_t>(limits.body_bytes) + 1);
+        if (!Hold(peer, limits, capacity, body, unfinished))
+          return no_memory;
+      }
+      const std::size_t held = body.size();
+      body.resize(held + std::min(kPieceBytes, capacity - held));
+      parser.get().body().data = body.data() + held;
+      parser.get().body().size = body.size() - held;
+      parser.get().body().more = true;
+      const io_outcome read = Await([&](auto handler) {
+        peer.stream.expires_at(until);
+        http::async_read(peer.stream, peer.buffer, parser, std::move(handler));
+      });
+      body.resize(body.size() - parser.get().body().size);
+      if (read.ec && read.ec != http::error::need_buffer)
+        return read.ec;
+      unfinished.OnProgress(Now());
+      Enter(peer, connection_state::kReading);
+    }
+    return {};
+  }
+
+  /// Gives a body more capacity if the budget has room for it, or gets room by an eviction.
+  static bool Hold(const connection& peer,
+                   const http_limits& limits,
+                   std::size_t capacity,
+                   std::string& body,
+                   unfinished_body& unfinished) {
+    const std::size_t bytes = capacity * limits.body_copies;
+    // While the body moves, the memory of both places is in use.
+    const std::size_t moving = unfinished.memory().bytes() + bytes;
+    memory_budget& budget = BudgetOf(limits);
+    bool reserved = unfinished.memory().TryGrowTo(moving);
+    if (!reserved && budget.EvictStalled(bytes, Now())) {
+      for (time_point until = Now() + kEvictionTime; !reserved && !peer.evicted && Now() < until;) {
+        boost::this_fiber::sleep_for(kEvictionPoll);
+        reserved = unfinished.memory().TryGrowTo(moving);
+      }
+    }
+    if (!reserved) {
+      budget.CountRejection();
+      return false;
+    }
+    body.reserve(capacity);
+    unfinished.memory().Set(bytes);
+    return true;
+  }
+
+  void Refuse(connection& peer,
+              beast_exchange& exchange,
+              const boost::system::error_code& ec,
+              const http_limits& limits) {
+    if (peer.evicted) {
+      exchange.Respond(MakeRefusal(408, "unavailable", "no progress while memory is short"));
+    } else if (ec == boost::system::errc::not_enough_memory) {
+      http_response response = MakeRefusal(503, "overloaded", "no memory for the body");
+      // Clients that were rejected at the same time must not all retry at the same time.
+      response.headers.Set("Retry-After", std::to_string(1 + random_.Below(kMaxRetrySeconds)));
+      exchange.Respond(std::move(response));
+      // Enough for the client to see the response, although it may first send the whole body.
+      DiscardRest(peer, limits.body_bytes);
+    } else if (ec.category() == http::make_error_code(http::error::body_limit).category()) {
+      exchange.Respond(RefuseParse(ec));
+      DiscardRest(peer, kDiscardedBytes);
+    }
+  }
+
   // Closing while the peer still sends resets the connection, and the peer loses the refusal.
   static void DiscardRest(connection& peer, std::uint64_t most) {
     boost::system::error_code ignored;
     peer.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     peer.stream.expires_after(kDiscardLimit);
     io_outcome read;
-    for (std::uint64_t discarded = 0; !read.ec && discarded < most; discarded += read.bytes) {
+    for (std::uint64_t discarded = 0; !read.ec && !peer.evicted && discarded < most;
+         discarded += read.bytes) {
       peer.buffer.clear();
       read = Await([&](auto handler) {
-        peer.stream.async_read_some(peer.buffer.prepare(kDiscardBytes), std::move(handler));
+        peer.stream.async_read_some(peer.buffer.prepare(kReadBytes), std::move(handler));
       });
     }
   }
 
+  /// Notes that a connection has made progress. The list is in the order of these moments.
+  void Enter(connection& peer, connection_state state) {
+    peer.state = state;
+    peer.last_progress = Now();
+    connections_.splice(connections_.end(), connections_, connections_.iterator_to(peer));
+  }
+
+  /// Makes room for another connection by closing one that waits for its client.
+  /// \returns False if there is none.
+  bool MakeRoom() {
+    const std::size_t most = server_.limits_().connections;
+    if (most == 0 || server_.open_ < most)
+      return true;
+    // Connections that are being closed have their descriptors for some moments more.
+    if (static_cast<std::size_t>(fibers_) > most + most / kClosingDivisor)
+      return false;
+    for (connection& peer : connections_) {
+      if (peer.state == connection_state::kIdle && !peer.evicted && !peer.HasInput())
+        return Evict(peer);
+    }
+    for (connection& peer : connections_) {
+      if (peer.last_progress + memory_budget::kStallTime > Now())
+        return false;
+      if (peer.state == connection_state::kReading && !peer.evicted)
+        return Evict(peer);
+    }
+    return false;
+  }
+
+  bool Evict(connection& peer) {
+    if (peer.evicted)
+      return true;
+    peer.evicted = true;
+    --server_.open_;
+    ++server_.closed_connections_;
+    peer.stream.cancel();
+    return true;
+  }
+
   static constexpr milliseconds kDiscardLimit{2'000};
-  static constexpr std::size_t kDiscardBytes = std::size_t{64} * 1024;
-  static constexpr std::uint64_t kDiscardedBodies = 2;  ///< In the largest that are allowed.
+  static constexpr std::uint64_t kDiscardedBytes = std::uint64_t{64} * 1024;
   static constexpr std::size_t kReadBytes = 4096;
+  static constexpr std::size_t kFirstPiece = 4096;  ///< Of a body whose length is unknown.
+  static constexpr std::size_t kPieceBytes = std::size_t{16} * 1024;
+  /// Time in which evicted connections give back their memory.
+  static constexpr milliseconds kEvictionTime{100};
+  static constexpr milliseconds kEvictionPoll{5};
+  static constexpr std::uint64_t kMaxRetrySeconds = 4;
+  static constexpr std::size_t kClosingDivisor = 8;  ///< Of connections that are being closed.
 
   http_server& server_;
   fiber_thread& thread_;
@@ -375,6 +571,7 @@
   bool closing_ = false;
   std::atomic<int> fibers_{0};  ///< That accept, and one for each connection.
   boost::intrusive::list<connection> connections_;
+  random_source random_ = random_source::FromSystem();
 };
 
 http_server::http_server(endpoint address, http_handler handler, http_limits_source limits)
--- a/libs/rank_agent/src/rank_agent.cc
+++ b/libs/rank_agent/src/rank_agent.cc
@@ -33,6 +33,19 @@
   return (random_source::FromSystem().Next() >> (64U - kMarkBits)) << kMarkBits;
 }
 
+// Calls of the coordinator are short. A parsed message takes many times its size.
+constexpr std::uint64_t kMaxCallBytes = std::uint64_t{64} * 1024;
+// Part of the connections that the HTTP server may use.
+constexpr std::size_t kConnectionDivisor = 2;
+
+http_limits HttpLimits(const process_limits& host) {
+  http_limits limits;
+  limits.body_bytes = kMaxCallBytes;
+  limits.connections = MaxConnections(host) / kConnectionDivisor;
+  limits.socket_buffer_bytes = SocketBufferBytes(host);
+  return limits;
+}
+
 endpoint ReadEndpoint(json_reader& reader, std::string_view key) {
   const auto parsed = ParseEndpoint(reader.String(key));
   if (parsed)
@@ -100,8 +113,10 @@
                                                    {"rank.held", &rank_agent::Held}}};
   for (const named_handler& named : kMethods)
     AddMethod(named);
-  BOOST_OUTCOME_TRY(server_, http_server::Listen({&thread_}, settings_.address,
-                                                 [this](http_exchange& e) { rpc_.Serve(e); }));
+  BOOST_OUTCOME_TRY(server_,
+                    http_server::Listen(
+                        {&thread_}, settings_.address, [this](http_exchange& e) { rpc_.Serve(e); },
+                        HttpLimits(settings_.limits)));
   BOOST_OUTCOME_TRY(socket_, datagram_socket::Bind(thread_, server_->address()));
   constexpr std::array<void (rank_agent::*)(), 3> kLoops{
       &rank_agent::ReceiveLoop, &rank_agent::PushLoop, &rank_agent::ReplyLoop};
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -12,6 +12,7 @@
 #include "quincebank/daemon/options.h"
 #include "quincebank/daemon/signals.h"
 #include "quincebank/gateway/gateway_service.h"
+#include "quincebank/net/process_limits.h"
 
 namespace quincebank {
 namespace {
@@ -58,6 +59,7 @@
 };
 
 int Run(const gateway_settings& settings, const std::string& path) {
+  ApplyMemoryLimit(settings.limits);
   event_log log(settings.max_log_lines);
   const auto http_codec = adapter::MakeExchangeCodec();
   const auto records = adapter::MakeRecordCodec();
--- a/programs/rank_agent/main.cc
+++ b/programs/rank_agent/main.cc
@@ -9,6 +9,7 @@
 #include "quincebank/daemon/daemon_main.h"
 #include "quincebank/daemon/options.h"
 #include "quincebank/daemon/signals.h"
+#include "quincebank/net/process_limits.h"
 #include "quincebank/rank_agent/rank_agent.h"
 
 namespace quincebank {
@@ -18,6 +19,7 @@
 constexpr milliseconds kLogFlush{200};
 
 int Run(const rank_agent_settings& settings) {
+  ApplyMemoryLimit(settings.limits);
   event_log log(settings.log_lines);
   rank_agent agent(settings);
   log.Write(event_line("process.start")
