Bound the memory of the own interface's entry and agent too

Entry and agent accept the object limits as well, and their servers have the limits on connections and the memory budget. An agent counts each body twice, since an attempt has a copy.

--- a/libs/agent/src/agent_node.cc
+++ b/libs/agent/src/agent_node.cc
@@ -12,6 +12,8 @@
 
 constexpr logger kLog{"agent"};
 constexpr milliseconds kShutdownTick{20};
+// An attempt has a body of its own, since it may go on after its caller has left.
+constexpr std::size_t kBodyCopies = 2;
 
 /// Settings until the configuration names the upstream: nothing is admitted.
 upstream_settings Unconfigured() {
@@ -61,9 +63,10 @@
   node_.AddMethods(rpc_);
   agent_.AddMethods(rpc_);
   experts_.AddMethods(rpc_);
-  BOOST_OUTCOME_TRY(server_,
-                    http_server::Listen({&traffic_}, settings_.node.listen,
-                                        [this](http_exchange& exchange) { Handle(exchange); }));
+  BOOST_OUTCOME_TRY(server_, http_server::Listen(
+                                 {&traffic_}, settings_.node.listen,
+                                 [this](http_exchange& exchange) { Handle(exchange); },
+                                 OnlyServerLimits(settings_.node.limits, kBodyCopies)));
   node_control::observers observers;
   observers.on_config = [this](const auto& config) { OnConfig(config); };
   observers.on_hosts = [this](const auto& hosts) { OnHosts(hosts); };
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -107,9 +107,11 @@
     threads_.back()->RunAndWait([&] { current_context = contexts_.back().get(); });
     threads.push_back(threads_.back().get());
   }
-  BOOST_OUTCOME_TRY(server_,
-                    http_server::Listen(threads, settings_.node.listen,
-                                        [this](http_exchange& exchange) { Handle(exchange); }));
+  BOOST_OUTCOME_TRY(server_, http_server::Listen(
+                                 threads, settings_.node.listen,
+                                 [this](http_exchange& exchange) { Handle(exchange); },
+                                 OnlyServerLimits(settings_.node.limits,
+                                                  /*body_copies=*/1)));
   node_control::observers observers;
   observers.on_config = [this](const auto& config) { directory_.OnConfig(config); };
   observers.on_hosts = [this](const auto& hosts) { directory_.OnHosts(hosts); };
--- a/libs/net/include/quincebank/net/process_limits.h
+++ b/libs/net/include/quincebank/net/process_limits.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 
 #include "quincebank/base/json_reader.h"
+#include "quincebank/net/http_server.h"
 
 namespace quincebank {
 
@@ -23,6 +24,10 @@
 /// the system's limit on descriptors if that of the host is unknown.
 [[nodiscard]] std::size_t MaxConnections(const process_limits& limits);
 
+/// \brief Returns HTTP limits for a server that is the only one of its process.
+/// \param body_copies  how often the process holds the body of a request.
+[[nodiscard]] http_limits OnlyServerLimits(const process_limits& limits, std::size_t body_copies);
+
 /// \brief Returns the size of the socket buffers of client connections; 0 leaves it to the system.
 [[nodiscard]] std::size_t SocketBufferBytes(const process_limits& limits);
 
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -529,7 +529,7 @@
     if (most == 0 || server_.open_ < most)
       return true;
     // Connections that are being closed have their descriptors for some moments more.
-    if (static_cast<std::size_t>(fibers_) > most + most / kClosingDivisor)
+    if (static_cast<std::size_t>(fibers_) > most + most / kClosingDivisor + kMinClosing)
       return false;
     for (connection& peer : connections_) {
       if (peer.state == connection_state::kIdle && !peer.evicted && !peer.HasInput())
@@ -564,6 +564,7 @@
   static constexpr milliseconds kEvictionPoll{5};
   static constexpr std::uint64_t kMaxRetrySeconds = 4;
   static constexpr std::size_t kClosingDivisor = 8;  ///< Of connections that are being closed.
+  static constexpr std::size_t kMinClosing = 8;
 
   http_server& server_;
   fiber_thread& thread_;
--- a/libs/net/src/process_limits.cc
+++ b/libs/net/src/process_limits.cc
@@ -23,6 +23,8 @@
 // Part of the descriptors for connections of clients, in percent. The others are for upstreams,
 // store and peers.
 constexpr std::size_t kConnectionShare = 60;
+// A process with one server leaves half of the connections to calls that it makes.
+constexpr std::size_t kOnlyServerDivisor = 2;
 // Blocks from this size, such as bodies and stacks, are returned to the system when they are freed.
 // The allocator's default threshold grows with the blocks that are freed.
 constexpr int kLargeBlock = 64 * 1024;
@@ -67,6 +69,14 @@
   return connections;
 }
 
+http_limits OnlyServerLimits(const process_limits& limits, std::size_t body_copies) {
+  http_limits server;
+  server.body_copies = body_copies;
+  server.connections = MaxConnections(limits) / kOnlyServerDivisor;
+  server.socket_buffer_bytes = SocketBufferBytes(limits);
+  return server;
+}
+
 std::size_t SocketBufferBytes(const process_limits& limits) {
   return limits.memory_mb == 0 ? 0 : kSocketBufferBytes;
 }
--- a/libs/node/include/quincebank/node/node_settings.h
+++ b/libs/node/include/quincebank/node/node_settings.h
@@ -9,6 +9,7 @@
 #include "quincebank/base/time.h"
 #include "quincebank/membership/config_peer.h"
 #include "quincebank/net/endpoint.h"
+#include "quincebank/net/process_limits.h"
 
 namespace quincebank {
 
@@ -30,6 +31,7 @@
   milliseconds host_list_interval{1'000};
   /// Decisions kept in memory; with 620 upstreams one takes about 15 KB.
   std::size_t record_keep = 500;
+  process_limits limits;       ///< Of the host.
   bool record_stdout = false;  ///< Also writes each decision as a line on standard output.
 };
 
--- a/libs/node/src/node_settings.cc
+++ b/libs/node/src/node_settings.cc
@@ -50,6 +50,7 @@
   });
   if (!has_host_list)
     reader.Fail("host_list", "missing or not an object");
+  settings.limits = ReadProcessLimits(reader);
   reader.Child("record", [&](json_reader& child) {
     settings.record_keep = static_cast<std::size_t>(
         child.Int("keep", kRecords, static_cast<std::int64_t>(settings.record_keep)));
--- a/libs/rank_agent/src/rank_agent.cc
+++ b/libs/rank_agent/src/rank_agent.cc
@@ -35,14 +35,10 @@
 
 // Calls of the coordinator are short. A parsed message takes many times its size.
 constexpr std::uint64_t kMaxCallBytes = std::uint64_t{64} * 1024;
-// Part of the connections that the HTTP server may use.
-constexpr std::size_t kConnectionDivisor = 2;
 
 http_limits HttpLimits(const process_limits& host) {
-  http_limits limits;
+  http_limits limits = OnlyServerLimits(host, /*body_copies=*/1);
   limits.body_bytes = kMaxCallBytes;
-  limits.connections = MaxConnections(host) / kConnectionDivisor;
-  limits.socket_buffer_bytes = SocketBufferBytes(host);
   return limits;
 }
 
--- a/programs/agent/main.cc
+++ b/programs/agent/main.cc
@@ -5,6 +5,7 @@
 #include "quincebank/daemon/daemon_main.h"
 #include "quincebank/daemon/options.h"
 #include "quincebank/daemon/signals.h"
+#include "quincebank/net/process_limits.h"
 
 namespace quincebank {
 namespace {
@@ -12,6 +13,7 @@
 constexpr logger kLog{"agent"};
 
 int Run(const agent_settings& settings) {
+  ApplyMemoryLimit(settings.node.limits);
   random_source random = random_source::FromSystem();
   fiber_thread control("control");
   agent_node agent(settings, control, NewIncarnation(random));
--- a/programs/entry/main.cc
+++ b/programs/entry/main.cc
@@ -5,6 +5,7 @@
 #include "quincebank/daemon/options.h"
 #include "quincebank/daemon/signals.h"
 #include "quincebank/entry/entry_service.h"
+#include "quincebank/net/process_limits.h"
 
 namespace quincebank {
 namespace {
@@ -12,6 +13,7 @@
 constexpr logger kLog{"entry"};
 
 int Run(const entry_settings& settings) {
+  ApplyMemoryLimit(settings.node.limits);
   fiber_thread control("control");
   entry_service entry(settings, control, random_source::FromSystem().Next());
   const auto started = entry.Start();
