Count responses that wait for their client, and test entry and agent of the own interface

A caller that asks a peer for a large answer again and again without reading it made the process hold each answer. The test of client load covers entry and agent too; it has not run on them yet.

--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -629,6 +629,7 @@
   attempt.outcome = attempt_outcome::kServed;
   first_byte_at_ = Now();
   head_sent_ = true;
+  memory.Set(0);  // The exchange counts the response from here on.
   attempt.delivered = exchange_.Respond(std::move(response));
   return attempt;
 }
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -63,6 +63,10 @@
   bool evicted = false;  ///< It is being closed early.
 };
 
+memory_budget& BudgetOf(const http_limits& limits) noexcept {
+  return limits.memory == nullptr ? memory_budget::OfProcess() : *limits.memory;
+}
+
 class beast_exchange final : public http_exchange {
  public:
   beast_exchange(connection& peer,
@@ -75,6 +79,15 @@
 
   bool Respond(http_response response) override {
     started_ = true;
+    // Held until the client has read it. A small one is only counted.
+    memory_reservation memory(BudgetOf(limits_));
+    if (response.body.size() <= memory_budget::kSmallBytes) {
+      memory.Set(response.body.size());
+    } else if (!memory.TryGrowTo(response.body.size())) {
+      // The handler may have run, so this is no rejection.
+      broken_ = true;
+      return false;
+    }
     http::response<http::string_body> message{static_cast<http::status>(response.status), 11};
     CopyHeaders(response.headers, message);
     message.body() = std::move(response.body);
@@ -181,10 +194,6 @@
   return ec;
 }
 
-memory_budget& BudgetOf(const http_limits& limits) noexcept {
-  return limits.memory == nullptr ? memory_budget::OfProcess() : *limits.memory;
-}
-
 void CopyHead(const http::request<http::buffer_body>& message, http_request& request) {
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
--- a/tests/memory/memory_test.py
+++ b/tests/memory/memory_test.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import os
+import subprocess
 import sys
 import time
 
@@ -114,12 +115,52 @@
         self.head = head(self.address, "/rpc", {})
 
 
+class OwnProgram(standin.Program):
+    """Entry or agent of the own interface. It serves `/healthz` without a configuration."""
+
+    def start(self):
+        with open(self.log, "ab") as log:
+            # `Program.running` and `Program.signal` use the process.
+            self.process = subprocess.Popen([self.binary, "--settings=" + self.settings],
+                                            stdout=log, stderr=log)
+
+
+class Entry:
+    """Its requests of callers, without any other process."""
+
+    name, more, target = "entry", "", "/services/drafts/x"
+
+    def __init__(self, deployment):
+        host = deployment.hosts[0]
+        self.address = f"{host}:{deployment.port + 6}"
+        self.head = head(self.address, self.target, {})
+        settings = (f'{{"host": "{self.name}", "region": "r", "failure_domain": "lahore",'
+                    f'"listen": "{self.address}",'
+                    f'"key_value": {{"address": "{host}:{deployment.port + 7}"}},'
+                    f'"host_list": {{"address": "{host}:{deployment.port + 7}"}},'
+                    f'{self.more} "limits": {{}}}}')
+        binary = os.path.join(os.path.dirname(standin.GATEWAY), "..", self.name,
+                              "quincebank-" + self.name)
+        self.program = OwnProgram(self.name, binary, settings, deployment.folder)
+        add_limits(self.program)
+        deployment.agents.append(self.program)  # Ends with the others.
+        self.program.start()
+
+    async def ordinary_request(self):
+        answer = await call(self.address, "GET", "/healthz")
+        return answer is not None and answer[0] == 200
+
+
+class Agent(Entry):
+    name, more, target = "agent", '"upstream": "drafts-0",', "/attempt/x"
+
+
 def add_limits(program):
     with open(program.settings, encoding="utf-8") as file:
         text = file.read()
     limits = f'"memory_mb": {MEMORY_MB}, "descriptors": {DESCRIPTORS},'
     with open(program.settings, "w", encoding="utf-8") as file:
-        file.write(text.replace('"limits": {', '"limits": {' + limits))
+        file.write(text.replace('"limits": {', '"limits": {' + limits, 1))
 
 
 async def run(target_type, load_name, record):
@@ -150,6 +191,9 @@
         deployment.stop()
 
 
+TARGETS = (Gateway, Peers, RankAgent, Entry, Agent)
+
+
 async def answered(target):
     until = time.monotonic() + ANSWER_S
     while time.monotonic() < until:
@@ -163,6 +207,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("load", choices=LOADS)
     parser.add_argument("--programs", default=os.path.join(ROOT, "build", "programs"))
+    parser.add_argument("--target", choices=[one.__name__ for one in TARGETS], help="only this one")
     parser.add_argument("--out", default=".", help="folder of the record")
     options = parser.parse_args()
     standin.GATEWAY = os.path.join(options.programs, "gateway/quincebank-gateway")
@@ -170,7 +215,9 @@
     os.makedirs(options.out, exist_ok=True)
     record = standin.Record(options.out)
     failed = False
-    for target in (Gateway, Peers, RankAgent):
+    for target in TARGETS:
+        if options.target not in (None, target.__name__):
+            continue
         for breach in asyncio.run(run(target, options.load, record)):
             failed = True
             print(f"BREACH {target.__name__} {breach}")
