--- a/libs/net/tests/memory_budget_test.cc
+++ b/libs/net/tests/memory_budget_test.cc
@@ -107,7 +107,11 @@
                   {&thread_}, {"127.0.0.1", 0},
                   [this](http_exchange& exchange) {
                     held_ = budget_.used();
-                    exchange.Respond({200, {}, std::to_string(exchange.request().body.size())});
+                    const http_request& request = exchange.request();
+                    if (request.target == "/large")
+                      responded_ = exchange.Respond({200, {}, std::string(kMegabyte, 'x')});
+                    else
+                      exchange.Respond({200, {}, std::to_string(request.body.size())});
                   },
                   limits)
                   .value();
@@ -121,6 +125,7 @@
 
   memory_budget budget_{kMegabyte};
   std::size_t held_ = 0;
+  bool responded_ = true;
   fiber_thread thread_{"server"};
   std::unique_ptr<http_server> server_;
 };
@@ -174,6 +179,15 @@
   EXPECT_NE(evicted.find("not-run"), std::string::npos) << evicted;
 }
 
+// Guards against responses for slow readers that are held beyond the budget.
+TEST_F(bounded_server_test, ClosesTheConnectionIfAResponseDoesNotFit) {
+  raw_client client(server_->address(), "GET /large HTTP/1.1\r\n\r\n");
+  EXPECT_EQ(client.ReadHead(), "");
+  server_.reset();
+  EXPECT_FALSE(responded_);
+  EXPECT_EQ(budget_.used(), 0U);
+}
+
 // Guards against idle connections that keep all others out.
 TEST_F(bounded_server_test, ClosesTheOldestIdleConnection) {
   std::deque<raw_client> clients;
