--- a/libs/gateway/include/quincebank/gateway/gateway_settings.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_settings.h
@@ -8,6 +8,7 @@
 #include "quincebank/base/error.h"
 #include "quincebank/base/time.h"
 #include "quincebank/net/endpoint.h"
+#include "quincebank/net/process_limits.h"
 #include "quincebank/placement/placement_policy.h"
 
 namespace quincebank {
@@ -66,6 +67,7 @@
   gateway_rules rules;
   /// How upstreams are compared. Takes effect with a restart.
   placement_policy policy = placement_policy::kCount;
+  process_limits limits;  ///< Of the host.
 
   milliseconds store_timeout{600};   ///< For each call; the wait of a watch is added.
   milliseconds engine_timeout{400};  ///< For each call to an engine.
--- a/libs/rank_agent/src/rank_agent.cc
+++ b/libs/rank_agent/src/rank_agent.cc
@@ -48,6 +48,15 @@
   return (random_source::FromSystem().Next() >> (64U - kMarkBits)) << kMarkBits;
 }
 
+// Calls of the coordinator are short. A parsed message takes many times its size.
+constexpr std::uint64_t kMaxCallBytes = std::uint64_t{64} * 1024;
+
+http_limits HttpLimits(const process_limits& host) {
+  http_limits limits = OnlyServerLimits(host, /*body_copies=*/1);
+  limits.body_bytes = kMaxCallBytes;
+  return limits;
+}
+
 endpoint ReadEndpoint(json_reader& reader, std::string_view key) {
   const auto parsed = ParseEndpoint(reader.String(key));
   if (parsed)
@@ -71,6 +80,7 @@
   settings.engine_timeout = reader.Millis("engine_timeout_ms", kMillis, settings.engine_timeout);
   settings.log_lines = static_cast<std::size_t>(
       reader.Int("log_lines", kLines, static_cast<std::int64_t>(settings.log_lines)));
+  settings.limits = ReadProcessLimits(reader);
   reader.Finish();
   if (!errors.empty())
     return JoinErrors(errors);
@@ -114,8 +124,10 @@
                                                    {"rank.held", &rank_agent::Held}}};
   for (const named_handler& named : kMethods)
     AddMethod(named);
-  BOOST_OUTCOME_TRY(server_, http_server::Listen({&thread_}, settings_.address,
-                                                 [this](http_exchange& e) { rpc_.Serve(e); }));
+  BOOST_OUTCOME_TRY(server_,
+                    http_server::Listen(
+                        {&thread_}, settings_.address, [this](http_exchange& e) { rpc_.Serve(e); },
+                        HttpLimits(settings_.limits)));
   BOOST_OUTCOME_TRY(socket_, datagram_socket::Bind(thread_, server_->address()));
   constexpr std::array<void (rank_agent::*)(), 4> kLoops{
       &rank_agent::ReceiveLoop, &rank_agent::PushLoop, &rank_agent::ReplyLoop,
