Store: follow a store that is restored from an older copy

Cause: the mirror never goes back, so it ignored records that a restored store writes again with lower revisions, and a gateway believed in leases that were gone.

The mirror compares era and revision in that order, and changes the era only by a whole read; missing keys are carried over for the grace period. A rise ends the leases and the coordinator role, wakes the registration, and makes the watch loop read the whole content. Views between gateways carry the era.

--- a/libs/fleet/include/quincebank/fleet/store_mirror.h
+++ b/libs/fleet/include/quincebank/fleet/store_mirror.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -31,11 +32,18 @@
 /// order. Leases also expire while the store is down, so a removal during an outage or soon after
 /// it takes effect only after a grace period, and not at all if the key is written again before.
 /// The store is down only if it answers no entry: calls of single hosts may fail for other reasons.
+///
+/// When the store is restored from an older copy, its era rises and revisions begin again. Only a
+/// whole read leads from one era to the next. A key that is missing in it is carried over for the
+/// grace period, since whoever wrote it writes it again.
 class store_mirror {
  public:
   explicit store_mirror(const mirror_settings& settings = {}) noexcept : settings_(settings) {}
 
   /// \brief Applies an update. One from the store counts as contact.
+
+  /// Ignores an update of an older era than the newest one seen, and changes of an era whose whole
+  /// content is not known.
   /// \param from_store  false if the update was received from another entry.
   /// \returns The keys that were added, changed or removed.
   std::vector<std::string> Apply(const store_update& update, bool from_store, time_point now);
@@ -54,8 +62,14 @@
       failing_since_ = now;
   }
 
+  /// \brief The store or another entry has shown an era. After a rise the content is not updated
+  /// until a whole read of that era.
+  void OnEra(std::uint64_t era) noexcept { newest_era_ = std::max(newest_era_, era); }
+
   /// \brief Returns the item of a key; null if there is none.
   [[nodiscard]] const store_item* Find(std::string_view key) const;
+  /// \brief Whether a key is missing in the store since a restore and still kept.
+  [[nodiscard]] bool IsCarriedOver(std::string_view key) const;
   /// \brief Calls `visit` with each item whose key begins with the prefix.
   template <typename Visitor>
   void Each(std::string_view prefix, Visitor&& visit) const {
@@ -65,16 +79,24 @@
       visit(it->second.item);
     }
   }
-  /// \brief Returns the changes after a revision, or the whole content if some removals after it
-  /// are no longer known.
-  [[nodiscard]] store_update Since(std::uint64_t since) const;
+  /// \brief Returns the changes after a position, or the whole content if some removals after it
+  /// are no longer known or it belongs to an older era.
+  [[nodiscard]] store_update Since(const store_position& since) const;
 
   /// \brief Revision of the store up to which all changes are known; 0 before the first read.
   [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
+  /// \brief Era of the content.
+  [[nodiscard]] std::uint64_t era() const noexcept { return era_; }
+  [[nodiscard]] store_position position() const noexcept { return {era_, revision_}; }
+  /// \brief Newest era seen, which may be higher than that of the content.
+  [[nodiscard]] std::uint64_t newest_era() const noexcept { return newest_era_; }
+  /// \brief Whether the content is from before a restore of the store.
+  [[nodiscard]] bool IsFromOlderEra() const noexcept { return era_ < newest_era_; }
 
  private:
   struct entry {
     store_item item;
+    std::uint64_t era = 0;                ///< Era of the item's revision.
     std::optional<time_point> remove_at;  ///< End of the grace period of a delayed removal.
   };
 
@@ -89,15 +111,20 @@
   /// \param supersedes_view  the update holds the whole content and is not older than this one.
   bool Put(const store_item& item, bool supersedes_view);
   bool Remove(std::string_view key, std::uint64_t revision, time_point now);
+  /// \brief Replaces the content by that of a new era.
+  [[nodiscard]] std::vector<std::string> BeginEra(const store_update& whole, time_point now);
 
   const mirror_settings settings_;
   std::map<std::string, entry, std::less<>> items_;
   std::deque<removal> removals_;
   std::uint64_t removals_complete_after_ = 0;  ///< `removals_` holds all later ones.
   std::uint64_t revision_ = 0;
+  std::uint64_t era_ = 0;
+  std::uint64_t newest_era_ = 0;
   std::optional<time_point> answered_at_;    ///< When the store last answered any entry.
   std::optional<time_point> failing_since_;  ///< First failure since the last contact.
-  std::optional<time_point> grace_until_;    ///< End of the grace period after the last outage.
+  /// End of the grace period after the last outage or restore.
+  std::optional<time_point> grace_until_;
 };
 
 }  // namespace quincebank
--- a/libs/fleet/src/store_mirror.cc
+++ b/libs/fleet/src/store_mirror.cc
@@ -26,22 +26,25 @@
 
 bool store_mirror::Put(const store_item& item, bool supersedes_view) {
   // All keys that existed at `revision_` are known, so a missing one has been removed since.
-  if (!supersedes_view && item.revision <= revision_ && !items_.contains(item.key))
+  const bool missing = !items_.contains(item.key) || IsCarriedOver(item.key);
+  if (!supersedes_view && item.revision <= revision_ && missing)
     return false;
-  const auto [found, added] = items_.try_emplace(item.key, entry{item, std::nullopt});
+  const auto [found, added] = items_.try_emplace(item.key, entry{item, era_, std::nullopt});
   if (added)
     return true;
   entry& known = found->second;
-  if (known.item.revision >= item.revision)
+  if (known.era == era_ && known.item.revision >= item.revision)
     return false;
-  known.remove_at.reset();
-  known.item = item;
-  return true;
+  // A key that was written again after a restore with the same value has not changed.
+  const bool changed = known.era == era_ || known.item.value != item.value;
+  known = {item, era_, std::nullopt};
+  return changed;
 }
 
 bool store_mirror::Remove(std::string_view key, std::uint64_t revision, time_point now) {
   const auto found = items_.find(key);
-  if (found == items_.end() || found->second.item.revision > revision)
+  if (found == items_.end() ||
+      (found->second.era == era_ && found->second.item.revision > revision))
     return false;
   removals_.push_back({std::string(key), revision});
   while (removals_.size() > settings_.max_removals) {
@@ -62,8 +65,13 @@
 std::vector<std::string> store_mirror::Apply(const store_update& update,
                                              bool from_store,
                                              time_point now) {
+  OnEra(update.era);
+  if (update.era < newest_era_)
+    return {};
   if (from_store)
     OnContact(now);
+  if (update.era > era_)
+    return update.whole ? BeginEra(update, now) : std::vector<std::string>();
   std::vector<std::string> changed;
   std::set<std::string_view> present;
   const bool supersedes_view = update.whole && update.revision >= revision_;
@@ -95,6 +103,29 @@
   return changed;
 }
 
+std::vector<std::string> store_mirror::BeginEra(const store_update& whole, time_point now) {
+  const bool restored = !items_.empty();
+  era_ = whole.era;
+  revision_ = whole.revision;
+  removals_.clear();
+  removals_complete_after_ = whole.revision;
+  std::vector<std::string> changed;
+  for (const store_event& event : whole.events) {
+    if (!event.removed && Put(event.item, true))
+      changed.push_back(event.item.key);
+  }
+  const time_point kept_until = now + settings_.lease_grace_period;
+  // Leases of the copy may end before their holders have noticed the restore.
+  if (restored)
+    grace_until_ = std::max(grace_until_.value_or(kept_until), kept_until);
+  for (auto& [key, known] : items_) {
+    // A key of an even older era keeps the end of its grace period.
+    if (known.era != era_ && !known.remove_at)
+      known.remove_at = kept_until;
+  }
+  return changed;
+}
+
 std::vector<std::string> store_mirror::Expire(time_point now) {
   std::vector<std::string> removed;
   for (auto it = items_.begin(); it != items_.end();) {
@@ -113,19 +144,29 @@
   return found == items_.end() ? nullptr : &found->second.item;
 }
 
-store_update store_mirror::Since(std::uint64_t since) const {
+bool store_mirror::IsCarriedOver(std::string_view key) const {
+  const auto found = items_.find(key);
+  return found != items_.end() && found->second.era != era_;
+}
+
+store_update store_mirror::Since(const store_position& since) const {
   store_update update;
   update.revision = revision_;
-  update.whole = since < removals_complete_after_;
+  update.era = era_;
+  if (since.era > era_)
+    return update;
+  update.whole = since.era < era_ || since.revision < removals_complete_after_;
   for (const auto& [key, known] : items_) {
+    if (known.era != era_)
+      continue;
     // In the whole content, a missing key is the only sign of a removal.
-    if (update.whole ? !known.remove_at : known.item.revision > since)
+    if (update.whole ? !known.remove_at : known.item.revision > since.revision)
       update.events.push_back({known.item, false});
   }
   if (update.whole)
     return update;
   for (const removal& removed : removals_) {
-    if (removed.revision > since)
+    if (removed.revision > since.revision)
       update.events.push_back({{removed.key, {}, removed.revision}, true});
   }
   return update;
--- a/libs/gateway/include/quincebank/gateway/fleet_snapshot.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_snapshot.h
@@ -36,6 +36,7 @@
   /// Larger of the number of registered entries and the fleet size recorded in the store: entries
   /// that are starting may not be registered yet.
   std::size_t expected_entries = 0;
+  std::uint64_t store_era = 0;
   std::uint64_t store_revision = 0;
 };
 
--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -73,6 +73,8 @@
   void OnCrashReports(std::function<void(const crash_report&)> receiver) {
     on_crash_ = std::move(receiver);
   }
+  /// \brief Sets the receiver of each restore of the store. Call before `Start`.
+  void OnStoreRestored(std::function<void()> receiver) { on_restored_ = std::move(receiver); }
   /// \brief Writes a report on a crashed upstream to the store, joined with others on the same
   /// crash. Returns when it is written or several tries have failed.
   void ShareCrash(const crash_report& report);
@@ -81,7 +83,32 @@
   void Stop();
 
  private:
-  void EndLease(const std::string& lease);
+  void EndLease(const store_lease& lease);
+  /// \brief The era of the store has risen: ends what is held under leases of the older era and
+  /// makes the watch loop read the whole content.
+  void OnEraRise(std::uint64_t era);
+  /// \brief Follows the first content of a new era: notes the keys that it lacks.
+  /// \param before  position of the view until then.
+  void OnRestoredContent(const store_position& before);
+  /// \brief Writes the keys that a restore has lost and that this entry is responsible for.
+  void RewriteLostKeys();
+  /// \brief Writes a key and notes its value in case a restore loses it.
+  [[nodiscard]] result<void> PutNoted(const std::string& key,
+                                      const std::string& value,
+                                      const store_lease& lease);
+  /// \brief Writes one lost key unless it exists.
+  /// \param report  it is a crash report, which is written under the lease for those.
+  [[nodiscard]] result<void> RewriteLostKey(const std::string& key,
+                                            const std::string& value,
+                                            bool report);
+  /// \brief Returns the lease for crash reports; opens it if needed.
+  [[nodiscard]] result<store_lease> CrashLease();
+  /// \brief Whether an upstream leaves, by its record or by an announcement that a restored store
+  /// has lost. Notes announcements.
+  [[nodiscard]] bool HasAnnouncedLeaving(const std::string& key, const upstream_record& record);
+  /// \brief Whether the holder of the coordinator role before a restore of the store may still
+  /// believe that it holds it.
+  [[nodiscard]] bool MayFormerCoordinatorAct() const;
   /// \brief Watches the store, or follows the readers of the failure domain.
   void WatchLoop();
   /// \brief While this entry is a store reader, announces its revision to the entries of its
@@ -94,6 +121,8 @@
   /// \brief Whether this entry relies on the readers of its failure domain instead of watching the
   /// store itself.
   [[nodiscard]] bool FollowsReaders() const;
+  /// \brief Whether a reader is live that knows the store in its newest era, or may soon do so.
+  [[nodiscard]] bool HasReader(time_point now) const;
   /// \brief Fetches the changes that a reader has announced, or waits for the next announcement.
   void FollowReader();
   /// \brief Registers this entry and renews the lease of its registration.
@@ -131,6 +160,8 @@
   void MarkSuperseded(fleet_snapshot& snapshot) const;
   /// \brief Returns the liveness of an upstream's group; null if it is in no group.
   [[nodiscard]] ref_ptr<group_liveness> LivenessOf(const upstream_record& record);
+  /// \brief Returns the record of the coordinator; null if the role is vacant.
+  [[nodiscard]] const store_item* FindHolder() const;
   /// \brief Returns this entry's name and incarnation, as stored by the holder of the role.
   [[nodiscard]] std::string CoordinatorId() const;
   /// \brief Stores this entry's name as that of the last coordinator.
@@ -169,11 +200,13 @@
   std::atomic<int> running_loops_{0};  ///< Loops that have not ended.
   store_mirror mirror_;
   ref_ptr<const service_catalog> catalog_;
+  std::uint64_t catalog_era_ = 0;  ///< Era of the record of `catalog_`.
   std::map<std::string, known_upstream, std::less<>> upstreams_;      ///< By store key.
   std::map<std::string, ref_ptr<group_liveness>> liveness_by_group_;  ///< By service and group.
-  std::string registration_lease_;         ///< Empty while this entry is not registered.
+  store_lease registration_lease_;         ///< Empty while this entry is not registered.
   boot_time registration_renewal_sent_{};  ///< When the last successful renewal was sent.
-  std::string coordinator_lease_;          ///< Empty unless this entry has claimed the role.
+  fiber_event registration_due_;           ///< Wakes `RegisterLoop`.
+  store_lease coordinator_lease_;          ///< Empty unless this entry has claimed the role.
   role_lease coordinator_role_;
   boot_time confirmed_claim_sent_{};  ///< When the last confirmed claim was sent.
   std::map<std::string, time_point> popularity_stored_at_;  ///< By group.
@@ -184,7 +217,7 @@
   time_point fleet_size_confirmed_at_{};
   std::function<void(const crash_report&)> on_crash_;
   std::map<std::string, crash_report> unshared_crashes_;  ///< By upstream.
-  std::string crash_lease_;  ///< Ends by itself, and the reports with it.
+  store_lease crash_lease_;  ///< Ends by itself, and the reports with it.
   time_point crash_lease_opened_{};
   const time_point started_;
   bool starting_ = true;  ///< Entries that started at the same time may still be unknown.
@@ -203,6 +236,24 @@
   bool watching_ = false;          ///< A blocking watch of the store is waiting.
   bool full_read_needed_ = false;  ///< The store has lost the history since the known revision.
   bool store_reachable_ = false;
+  std::function<void()> on_restored_;
+  std::optional<boot_time> era_raised_at_;        ///< When the last restore was noticed.
+  bool coordinator_before_rise_ = false;          ///< This entry held the role at that time.
+  std::uint64_t restored_revision_ = 0;           ///< Of the first content of the present era.
+  std::map<std::string, std::string> lost_keys_;  ///< Values of keys that a restore has lost.
+  /// Value that this entry has written.
+  struct written_value {
+    std::string value;
+    time_point at{};
+  };
+  std::map<std::string, written_value> written_keys_;  ///< Those that may not be in the mirror yet.
+  /// Upstream that has announced that it leaves.
+  struct leaving_upstream {
+    std::uint64_t incarnation = 0;
+    std::uint64_t era = 0;  ///< In which it has announced that.
+    time_point announced_at{};
+  };
+  std::map<std::string, leaving_upstream> leaving_upstreams_;  ///< By store key.
 };
 
 /// \brief Decodes the record under which an entry has registered.
--- a/libs/gateway/include/quincebank/gateway/gateway_metrics.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_metrics.h
@@ -37,6 +37,12 @@
       registry.AddCounter({"quincebank_lookups_total", "Look-ups of entry addresses.", {}});
   gauge& config_version = registry.AddGauge(
       {"quincebank_config_version", "Version of the configuration in force.", {}});
+  counter& store_restores = registry.AddCounter(
+      {"quincebank_store_restores_total",
+       "Restores of the store from an older copy that this process has followed.",
+       {}});
+  gauge& store_era =
+      registry.AddGauge({"quincebank_store_era", "Era of the store's content in use.", {}});
   gauge& in_flight =
       registry.AddGauge({"quincebank_in_flight", "Requests that are being handled.", {}});
   latency_histogram& first_byte_time = registry.AddHistogram(
--- a/libs/gateway/include/quincebank/gateway/role_lease.h
+++ b/libs/gateway/include/quincebank/gateway/role_lease.h
@@ -32,6 +32,11 @@
     paused_ = paused_ || now - last_attempt_ >= lifetime_;
     last_attempt_ = now;
   }
+  /// \brief Records that the lease is gone although its time has not passed.
+  void OnLost() noexcept {
+    renewal_sent_ = {};
+    paused_ = true;
+  }
   /// \brief Whether the process may act in the role now.
   [[nodiscard]] bool MayAct(boot_time now) const noexcept {
     if (now - renewal_sent_ < lifetime_)
--- a/libs/gateway/include/quincebank/gateway/store_relay.h
+++ b/libs/gateway/include/quincebank/gateway/store_relay.h
@@ -11,6 +11,7 @@
 #include "quincebank/base/error.h"
 #include "quincebank/base/time.h"
 #include "quincebank/fleet/fleet_records.h"
+#include "quincebank/fleet/store_item.h"
 
 namespace quincebank {
 
@@ -20,6 +21,9 @@
   std::string reader;          ///< Name of the announcing entry.
   std::uint64_t revision = 0;  ///< Store revision up to which it knows all changes.
   milliseconds age{0};         ///< Time since a watch last confirmed that this is the newest one.
+  std::uint64_t era = 0;       ///< Era of the revision; 0 if the reader states none.
+
+  [[nodiscard]] store_position position() const noexcept { return {era, revision}; }
 
   [[nodiscard]] bool operator==(const revision_announcement&) const = default;
 };
@@ -53,16 +57,16 @@
   /// \brief Drops a reader that did not hand over the changes it had announced, until its next
   /// announcement.
   void OnReadFailure(std::string_view reader);
-  /// \brief Whether at least one reader is live.
-  [[nodiscard]] bool HasLiveReader(time_point now) const;
-  /// \brief Returns the live reader with the highest revision, if that is above `revision`.
-  [[nodiscard]] std::optional<std::string> ReaderAheadOf(std::uint64_t revision,
+  /// \brief Whether at least one reader is live and knows the store in an era, or a newer one.
+  [[nodiscard]] bool HasLiveReader(time_point now, std::uint64_t era = 0) const;
+  /// \brief Returns the live reader that is furthest ahead of a position, if there is one.
+  [[nodiscard]] std::optional<std::string> ReaderAheadOf(store_position position,
                                                          time_point now) const;
 
  private:
   /// Last announcement of one reader.
   struct reader_state {
-    std::uint64_t revision = 0;
+    store_position position;
     time_point confirmed_at{};  ///< When a watch last confirmed the reader's view.
     time_point received_at{};   ///< When its last announcement arrived.
   };
--- a/libs/gateway/src/expert_rebalancer.cc
+++ b/libs/gateway/src/expert_rebalancer.cc
@@ -38,6 +38,8 @@
 // A map version has the store revision in its high bits, so that versions grow from one coordinator
 // to the next, and this many low bits that number the changes of one coordinator.
 constexpr int kChangeNumberBits = 16;
+// A restored store goes back to a lower revision, by fewer revisions than this.
+constexpr std::uint64_t kRevisionsPerEra = 1U << 20U;
 // Most experts, over all sets, that one rank may load for one map change.
 constexpr int kMaxLoadsPerRank = 24;
 // Duration of a map change without the loading of experts.
@@ -59,6 +61,11 @@
   before = now;
 }
 
+/// Ranks refuse versions below those that they have had.
+std::uint64_t LeastVersion(const fleet_snapshot& snapshot) {
+  return (snapshot.store_era * kRevisionsPerEra + snapshot.store_revision) << kChangeNumberBits;
+}
+
 even_share_shape ShapeOf(const engine_profile& profile, std::size_t ranks) {
   return {static_cast<int>(ranks), profile.experts_per_set, profile.places_per_rank,
           profile.new_experts_per_plan, kMaxLoadsPerRank};
@@ -222,9 +229,9 @@
                  .Add("change", change));
   if (!change)
     return;
-  const rollout_outcome outcome =
-      rollout.Run(target, {plan.sets, plan.most_loads * view.profile.expert_load_time,
-                           view.snapshot->store_revision << kChangeNumberBits});
+  const rollout_outcome outcome = rollout.Run(
+      target,
+      {plan.sets, plan.most_loads * view.profile.expert_load_time, LeastVersion(*view.snapshot)});
   log_.Write(event_line("expert.rollout")
                  .Add("group", group)
                  .Add("version", rollout.last_version())
--- a/libs/gateway/src/fleet_keys.h
+++ b/libs/gateway/src/fleet_keys.h
@@ -4,6 +4,8 @@
 
 namespace quincebank {
 
+/// Prefix of all keys that entries write.
+inline constexpr std::string_view kOwnPrefix = "quincebank/";
 /// Prefix of the keys under which entries register in the shared store.
 inline constexpr std::string_view kEntryPrefix = "quincebank/entries/";
 /// Holds the name and incarnation of the coordinator, the entry that rebalances experts.
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -65,6 +65,9 @@
 // A view counts as outdated this long after a watch should have confirmed it. Leaves time for a
 // slow answer of the store.
 constexpr milliseconds kWatchSlack{250};
+// Time that the readers of a failure domain have, after this entry has noticed a restore of the
+// store, before it reads the whole content itself.
+constexpr milliseconds kReaderRestoreTime{800};
 // Ages in milliseconds that another entry may report.
 constexpr int_range kViewAgeRange{0, 86'400'000};
 
@@ -87,7 +90,9 @@
       snapshots_(snapshots),
       incarnation_(incarnation),
       coordinator_role_(settings.coordinator_lease, kMaxUnrenewedRoleTime),
-      started_(Now()) {}
+      started_(Now()) {
+  store_.era().OnRise([this](std::uint64_t era) { OnEraRise(era); });
+}
 
 void fleet_sync::AddMethods(rpc_server& rpc) {
   rpc.Add("store.since", [this](const json::object& params) -> result<json::value> {
@@ -95,11 +100,13 @@
     const json::value input(params);
     json_reader reader(input, "", errors);
     const auto since = static_cast<std::uint64_t>(reader.Int("since", {}));
+    const auto era = static_cast<std::uint64_t>(reader.Int("era", {}, 0));
     if (!errors.empty())
       return JoinErrors(errors);
-    const store_update update = mirror_.Since(since);
-    json::object answer{{"revision", update.revision}, {"whole", update.whole}};
-    if (view_confirmed_at_)
+    const store_update update = mirror_.Since({era, since});
+    json::object answer{
+        {"revision", update.revision}, {"era", update.era}, {"whole", update.whole}};
+    if (view_confirmed_at_ && !mirror_.IsFromOlderEra())
       answer["view_age_ms"] = ViewAge().count();
     json::array items;
     for (const store_event& event : update.events) {
@@ -133,6 +140,7 @@
 
 void fleet_sync::Stop() {
   stop_.Set();
+  registration_due_.Set();
   if (announcement_socket_)
     announcement_socket_->Close();
   while (running_loops_ > 0)
@@ -164,6 +172,8 @@
 }
 
 result<store_update> fleet_sync::ReadStore() {
+  const bool restored = mirror_.IsFromOlderEra() && mirror_.revision() != 0;
+  full_read_needed_ = full_read_needed_ || restored;
   if (full_read_needed_ || mirror_.revision() == 0) {
     // After the store has lost the history, a stale read would only lead to a watch that fails the
     // same way, so the newest state is read.
@@ -193,11 +203,17 @@
 bool fleet_sync::FollowsReaders() const {
   const time_point now = Now();
   return announcement_socket_ && !reader_index_ && !leaving_ && view_current_ &&
-         now >= watch_directly_until_ && reader_tracker_.HasLiveReader(now);
+         now >= watch_directly_until_ && HasReader(now);
+}
+
+bool fleet_sync::HasReader(time_point now) const {
+  return reader_tracker_.HasLiveReader(now, mirror_.newest_era()) ||
+         (era_raised_at_ && BootNow() - *era_raised_at_ < kReaderRestoreTime &&
+          reader_tracker_.HasLiveReader(now));
 }
 
 void fleet_sync::FollowReader() {
-  const std::uint64_t followed_from = mirror_.revision();
+  const store_position followed_from = mirror_.position();
   const auto reader = reader_tracker_.ReaderAheadOf(followed_from, Now());
   if (!reader) {
     announcement_received_.WaitFor(kAnnouncementPeriod);
@@ -205,26 +221,25 @@
   }
   const auto known = entries_.find(std::string(kEntryPrefix) + *reader);
   if (known != entries_.end() && ReadPeer(known->second.peers) != peer_view::kUnavailable &&
-      mirror_.revision() > followed_from)
+      mirror_.position() > followed_from)
     return;
   reader_tracker_.OnReadFailure(*reader);
-  if (reader_tracker_.HasLiveReader(Now()))
+  if (HasReader(Now()))
     return;
   watch_directly_until_ = Now() + kDirectWatchTime;
 }
 
 void fleet_sync::AnnounceLoop() {
-  std::uint64_t announced_revision = 0;
+  store_position announced;
   time_point announced_at{};
   while (!stop_.IsSet()) {
     const time_point now = Now();
-    const bool due =
-        mirror_.revision() != announced_revision || now - announced_at >= kAnnouncementPeriod;
-    if (reader_index_ && view_confirmed_at_ && due && !leaving_) {
-      announced_revision = mirror_.revision();
+    const bool due = mirror_.position() != announced || now - announced_at >= kAnnouncementPeriod;
+    if (reader_index_ && view_confirmed_at_ && due && !leaving_ && !mirror_.IsFromOlderEra()) {
+      announced = mirror_.position();
       announced_at = now;
-      const std::string payload =
-          Encode(revision_announcement{settings_.name, announced_revision, ViewAge()});
+      const std::string payload = Encode(
+          revision_announcement{settings_.name, announced.revision, ViewAge(), announced.era});
       for (const auto& [key, entry] : entries_) {
         if (entry.failure_domain == settings_.failure_domain && entry.name != settings_.name)
           (void)announcement_socket_->Send({entry.peers.address, settings_.announcements.port},
@@ -251,11 +266,15 @@
         !entries_.contains(std::string(kEntryPrefix) + announcement.value().reader))
       continue;
     reader_tracker_.OnAnnouncement(announcement.value(), Now());
+    // An announcement only shows that a newer era may be known: the era is taken from the reader's
+    // answer, since anyone can send datagrams.
+    if (announcement.value().era < mirror_.newest_era())
+      continue;
     const time_point confirmed_at = Now() - announcement.value().age;
     mirror_.OnPeerContact(confirmed_at);
     if (!FollowsReaders())
       continue;
-    if (announcement.value().revision <= mirror_.revision())
+    if (announcement.value().position() <= mirror_.position())
       ConfirmView(confirmed_at);
     if (watching_)
       store_.CancelWatch();
@@ -278,12 +297,14 @@
       FollowReader();
       continue;
     }
+    const std::uint64_t era_before = mirror_.newest_era();
     const auto update = ReadStore();
-    if (!update && FollowsReaders())
-      continue;  // The watch was cancelled because a reader became live.
+    // The watch was cancelled because a reader became live or the store was restored.
+    if (!update && (FollowsReaders() || mirror_.newest_era() != era_before))
+      continue;
     if (update) {
       UpdateStoreReachability(true, "answered");
-      if (view_current_)
+      if (view_current_ && update.value().era == mirror_.era())
         ConfirmView(Now());
       ApplyUpdate(update.value(), true);
       pause = kMinStoreRetryDelay;
@@ -293,7 +314,10 @@
     }
     if (update.error().code == error_code::kStale) {
       log_.Write(event_line("store.history_lost").Add("revision", mirror_.revision()));
-      full_read_needed_ = true;
+      // A full read fails this way only if its own answers are from different eras.
+      const bool full = std::exchange(full_read_needed_, true);
+      if (full && stop_.WaitFor(pause))
+        return;
       continue;
     }
     UpdateStoreReachability(false, update.error().message);
@@ -339,8 +363,9 @@
 
 fleet_sync::peer_view fleet_sync::ReadPeer(const endpoint& peer) {
   constexpr milliseconds kPeerTimeout{250};
-  const std::uint64_t since = mirror_.revision();
-  const auto answer = rpc_.Call(peer, "store.since", {{"since", since}}, kPeerTimeout);
+  const store_position since = mirror_.position();
+  const auto answer =
+      rpc_.Call(peer, "store.since", {{"since", since.revision}, {"era", since.era}}, kPeerTimeout);
   if (!answer) {
     log_.Write(event_line("peer.failed")
                    .Add("peer", ToString(peer))
@@ -351,13 +376,16 @@
   json_reader reader(answer.value(), "", errors);
   store_update update;
   update.revision = static_cast<std::uint64_t>(reader.Int("revision", {}));
+  update.era = static_cast<std::uint64_t>(reader.Int("era", {}, 0));
   update.whole = reader.Bool("whole", false);
+  if (errors.empty() && !store_.era().Observe(update.era))
+    return peer_view::kOutdated;
   // An age that is missing or unreadable is no contact.
   const milliseconds view_age(reader.Int("view_age_ms", kViewAgeRange, kViewAgeRange.max));
   mirror_.OnPeerContact(Now() - view_age);
   const peer_view state = view_age < settings_.max_watch_wait + kWatchSlack ? peer_view::kCurrent
                                                                             : peer_view::kOutdated;
-  if (update.revision <= since)
+  if (update.position() <= since)
     return state;
   reader.Each("items", [&](json_reader& item) {
     store_event event;
@@ -376,17 +404,22 @@
   }
   log_.Write(event_line("peer.read")
                  .Add("peer", ToString(peer))
-                 .Add("from_revision", since)
+                 .Add("from_era", since.era)
+                 .Add("from_revision", since.revision)
+                 .Add("era", update.era)
                  .Add("revision", update.revision));
   ApplyUpdate(update, false);
   return state;
 }
 
 void fleet_sync::ApplyUpdate(const store_update& update, bool from_store) {
-  const std::uint64_t before = mirror_.revision();
+  const store_position before = mirror_.position();
   const std::vector<std::string> changed = mirror_.Apply(update, from_store, Now());
-  if (mirror_.revision() != before)
+  if (mirror_.position() != before)
     revision_changed_.Set();
+  const bool restored = mirror_.era() != before.era && before.revision != 0;
+  if (restored)
+    OnRestoredContent(before);
   for (const store_event& event : update.events) {
     const store_item* const kept = event.removed ? mirror_.Find(event.item.key) : nullptr;
     if (kept == nullptr || kept->revision > event.item.revision)
@@ -396,12 +429,10 @@
                    .Add("revision", event.item.revision)
                    .Add("from_store", from_store));
   }
-  if (changed.empty())
-    return;
   for (const std::string& key : changed)
     ApplyRecord(key);
   const bool affects_snapshot =
-      std::any_of(changed.begin(), changed.end(), [&](const std::string& key) {
+      restored || std::any_of(changed.begin(), changed.end(), [&](const std::string& key) {
         return codec_.KindOf(key) != record_kind::kOther || key == kFleetSizeKey;
       });
   if (affects_snapshot)
@@ -419,23 +450,26 @@
 
 result<void> fleet_sync::Register() {
   if (!registration_lease_.empty()) {
+    const store_lease held = registration_lease_;
     const boot_time sent = BootNow();
-    auto renewed = store_.RenewLease(registration_lease_);
+    auto renewed = store_.RenewLease(held);
     if (renewed)
       registration_renewal_sent_ = sent;
     if (renewed || renewed.error().code != error_code::kNotFound)
       return renewed;
-    log_.Write(event_line("registration.lapsed").Add("lease", registration_lease_));
-    registration_lease_.clear();
+    log_.Write(event_line("registration.lapsed").Add("lease", held.id).Add("era", held.era));
+    registration_lease_ = {};
   }
   const boot_time sent = BootNow();
-  BOOST_OUTCOME_TRY(std::string lease, store_.OpenLease(settings_.lease));
+  BOOST_OUTCOME_TRY(store_lease lease, store_.OpenLease(settings_.lease));
   BOOST_OUTCOME_TRY(
       store_.Put(std::string(kEntryPrefix) + settings_.name, RegistrationRecord(), lease));
   registration_lease_ = std::move(lease);
   registration_renewal_sent_ = sent;
   registered_at_ = Now();
-  log_.Write(event_line("registration.written").Add("lease", registration_lease_));
+  log_.Write(event_line("registration.written")
+                 .Add("lease", registration_lease_.id)
+                 .Add("era", registration_lease_.era));
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -448,19 +482,21 @@
         catalog_ ? Register() : result<void>(BOOST_OUTCOME_V2_NAMESPACE::success());
     // Renewals are frequent, so they are the first to fail when the store is unreachable. The watch
     // would wait for its whole time on a dead connection, so it is cancelled.
-    if (!written && written.error().code != error_code::kNotFound) {
+    const bool lost = !written && written.error().code != error_code::kNotFound &&
+                      written.error().code != error_code::kStale;
+    if (lost) {
       UpdateStoreReachability(false, written.error().message);
       store_.CancelWatch();
     }
     if (written && catalog_) {
       mirror_.OnContact(Now());
       UpdateStoreReachability(true, "renewed");
+      RewriteLostKeys();
     }
     if (!written && !failing)
       log_.Write(event_line("registration.failed").Add("reason", written.error().message));
     failing = !written;
-    if (stop_.WaitFor(catalog_ ? (failing ? period / 2 : period) : kExpiryCheckPeriod))
-      return;
+    registration_due_.WaitFor(catalog_ ? (failing ? period / 2 : period) : kExpiryCheckPeriod);
   }
 }
 
@@ -473,10 +509,14 @@
   return settings_.name + "/" + ToString(incarnation{incarnation_});
 }
 
+const store_item* fleet_sync::FindHolder() const {
+  return mirror_.IsCarriedOver(kCoordinatorKey) ? nullptr : mirror_.Find(kCoordinatorKey);
+}
+
 bool fleet_sync::IsCoordinator() const {
   if (coordinator_lease_.empty() || !coordinator_role_.MayAct(BootNow()))
     return false;
-  const store_item* const holder = mirror_.Find(kCoordinatorKey);
+  const store_item* const holder = FindHolder();
   if (holder != nullptr)
     return holder->value == CoordinatorId();
   // The claim is confirmed by the store, but may not have reached this entry's mirror yet.
@@ -502,8 +542,8 @@
 }
 
 void fleet_sync::TryClaimCoordinatorRole() {
-  const store_item* const holder = mirror_.Find(kCoordinatorKey);
-  if (!HasValidRegistration() || !view_current_ || IsCoordinator())
+  const store_item* const holder = FindHolder();
+  if (!HasValidRegistration() || !view_current_ || mirror_.IsFromOlderEra() || IsCoordinator())
     return;
   // If an earlier incarnation of this entry holds the role, it is dead and can be replaced although
   // its lease has not ended.
@@ -513,17 +553,18 @@
     return;
   }
   const time_point sent = Now();
-  if (sent < next_claim_at_ || (!own && !ClaimIsDue()))
+  if (sent < next_claim_at_ || MayFormerCoordinatorAct() || (!own && !ClaimIsDue()))
     return;
   vacant_since_.reset();
   next_claim_at_ = sent + kMinClaimInterval;
   const boot_time boot_sent = BootNow();
+  const std::optional<store_item> replaced = own ? std::optional(*holder) : std::nullopt;
   auto lease = store_.OpenLease(settings_.coordinator_lease);
-  const auto claimed = !lease ? result<bool>(lease.error())
-                       : own  ? store_.Replace(*holder, CoordinatorId(), lease.value())
-                              : store_.Create(kCoordinatorKey, CoordinatorId(), lease.value());
+  const auto claimed = !lease     ? result<bool>(lease.error())
+                       : replaced ? store_.Replace(*replaced, CoordinatorId(), lease.value())
+                                  : store_.Create(kCoordinatorKey, CoordinatorId(), lease.value());
   // A write that failed without an answer may still take effect, so its lease is kept.
-  if (lease && (!claimed || claimed.value())) {
+  if (lease && lease.value().era == store_.era().newest() && (!claimed || claimed.value())) {
     coordinator_lease_ = lease.value();
     coordinator_role_.OnRenewed(boot_sent);
   }
@@ -552,7 +593,7 @@
   const store_item* const last = mirror_.Find(kLastCoordinatorKey);
   if (last != nullptr && last->value == settings_.name)
     return;
-  const auto written = store_.Put(kLastCoordinatorKey, settings_.name, {});
+  const auto written = PutNoted(std::string(kLastCoordinatorKey), settings_.name, {});
   if (!written)
     log_.Write(event_line("coordinator.not_noted").Add("reason", written.error().message));
 }
@@ -563,7 +604,7 @@
   if (now - stored < kPopularityStoreInterval || !store_reachable_)
     return;
   stored = now;
-  const auto written = store_.Put(std::string(kPopularityPrefix) + group, popularity, {});
+  const auto written = PutNoted(std::string(kPopularityPrefix) + group, popularity, {});
   if (!written) {
     log_.Write(event_line("expert.popularity_not_noted")
                    .Add("group", group)
@@ -585,7 +626,7 @@
   const bool due = present > stored || now - fleet_size_confirmed_at_ >= kFleetShrinkDelay;
   if (present == stored || present == 0 || !due)
     return;
-  const auto written = store_.Put(kFleetSizeKey, std::to_string(present), {});
+  const auto written = PutNoted(std::string(kFleetSizeKey), std::to_string(present), {});
   fleet_size_confirmed_at_ = now;
   log_.Write(event_line("fleet.size_noted")
                  .Add("entries", static_cast<std::uint64_t>(present))
@@ -601,16 +642,19 @@
     if (IsCoordinator())
       StoreFleetSize();
     const boot_time sent = BootNow();
+    const store_lease held = coordinator_lease_;
     coordinator_role_.OnRenewalAttempt(sent);
-    const auto renewed = store_.RenewLease(coordinator_lease_);
+    const auto renewed = store_.RenewLease(held);
+    if (coordinator_lease_ != held)
+      continue;  // The store was restored, or the role resigned.
     if (renewed) {
       coordinator_role_.OnRenewed(sent);
       continue;
     }
     if (renewed.error().code != error_code::kNotFound)
       continue;  // RegisterLoop reports a store that does not answer.
-    log_.Write(event_line("coordinator.lapsed").Add("lease", coordinator_lease_));
-    coordinator_lease_.clear();
+    log_.Write(event_line("coordinator.lapsed").Add("lease", held.id).Add("era", held.era));
+    coordinator_lease_ = {};
   }
 }
 
@@ -623,8 +667,8 @@
   EndLease(std::exchange(coordinator_lease_, {}));
 }
 
-void fleet_sync::EndLease(const std::string& lease) {
-  if (lease.empty())
+void fleet_sync::EndLease(const store_lease& lease) {
+  if (lease.empty() || lease.era != store_.era().newest())
     return;
   const auto ended = store_.EndLease(lease);
   if (!ended)
--- a/libs/gateway/src/fleet_sync_crashes.cc
+++ b/libs/gateway/src/fleet_sync_crashes.cc
@@ -41,16 +41,21 @@
   --running_loops_;
 }
 
-result<void> fleet_sync::WriteCrash(const crash_report& report) {
+result<store_lease> fleet_sync::CrashLease() {
   if (crash_lease_.empty() || Now() - crash_lease_opened_ >= kMaxCrashLeaseAge) {
     const time_point opened = Now();
     BOOST_OUTCOME_TRY(crash_lease_, store_.OpenLease(kCrashLease));
     crash_lease_opened_ = opened;
   }
+  return crash_lease_;
+}
+
+result<void> fleet_sync::WriteCrash(const crash_report& report) {
+  BOOST_OUTCOME_TRY(const store_lease lease, CrashLease());
   const std::string key = std::string(kCrashPrefix) + report.upstream + "/" + settings_.name;
-  auto written = store_.Put(key, Encode(report), crash_lease_);
+  auto written = PutNoted(key, Encode(report), lease);
   if (!written && written.error().code == error_code::kNotFound)
-    crash_lease_.clear();
+    crash_lease_ = {};
   return written;
 }
 
--- a/libs/gateway/src/fleet_sync_records.cc
+++ b/libs/gateway/src/fleet_sync_records.cc
@@ -78,7 +78,11 @@
     return;
   }
   const std::uint64_t version = decoded.value()->version();
-  if (catalog_ && version <= catalog_->version()) {
+  // After a restore the store may hold an older version until the operator writes the one in force
+  // again.
+  const bool newer = !catalog_ || version > catalog_->version() ||
+                     (version == catalog_->version() && mirror_.era() > catalog_era_);
+  if (!newer) {
     log_.Write(
         event_line("config.ignored").Add("version", version).Add("in_force", catalog_->version()));
     return;
@@ -89,6 +93,7 @@
                  .Add("revision", item.revision)
                  .Add("routes", static_cast<std::uint64_t>(decoded.value()->routes().size())));
   catalog_ = std::move(decoded).value();
+  catalog_era_ = mirror_.era();
 }
 
 void fleet_sync::ApplyUpstream(const std::string& key, const store_item* item) {
@@ -116,6 +121,7 @@
     return;
   }
   upstream_record& record = decoded.value();
+  record.leaving = HasAnnouncedLeaving(key, record);
   const bool same_incarnation = known != upstreams_.end() &&
                                 known->second.record.incarnation == record.incarnation &&
                                 known->second.record.address == record.address;
@@ -176,6 +182,7 @@
 void fleet_sync::Publish() {
   ref_ptr<fleet_snapshot> snapshot(new fleet_snapshot);
   snapshot->catalog = catalog_;
+  snapshot->store_era = mirror_.era();
   snapshot->store_revision = mirror_.revision();
   for (const auto& [key, upstream] : upstreams_)
     snapshot->upstreams[upstream.record.service].push_back(upstream);
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -154,6 +154,7 @@
   fleet_sync_->OnCrashReports([this](const crash_report& report) {
     traffic_thread_.Spawn([this, report] { shared_.crashes.OnCrash(report, Now()); });
   });
+  fleet_sync_->OnStoreRestored([this] { shared_.metrics.store_restores.Add(); });
   shared_.share_crash = [this](const crash_report& report) {
     control_thread_.Spawn([this, report] { fleet_sync_->ShareCrash(report); });
   };
@@ -207,6 +208,7 @@
   const auto snapshot = shared_.snapshots.Get();
   shared_.metrics.config_version.Set(
       snapshot->catalog ? static_cast<std::int64_t>(snapshot->catalog->version()) : 0);
+  shared_.metrics.store_era.Set(static_cast<std::int64_t>(snapshot->store_era));
   exchange.Respond({200,
                     {{"Content-Type", "text/plain; version=0.0.4"}},
                     ToPrometheusText(shared_.metrics.registry.Snapshot())});
--- a/libs/gateway/src/store_relay.cc
+++ b/libs/gateway/src/store_relay.cc
@@ -1,5 +1,6 @@
 #include "quincebank/gateway/store_relay.h"
 
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 #include <utility>
@@ -25,21 +26,27 @@
 }  // namespace
 
 std::string Encode(const revision_announcement& announcement) {
-  return json::serialize(
-      json::array{announcement.reader, announcement.revision, announcement.age.count()});
+  json::array payload{announcement.reader, announcement.revision, announcement.age.count()};
+  // Entries of earlier versions accept only three elements.
+  if (announcement.era != 0)
+    payload.emplace_back(announcement.era);
+  return json::serialize(payload);
 }
 
 result<revision_announcement> DecodeAnnouncement(std::string_view payload) {
   BOOST_OUTCOME_TRY(const json::value document, ParseJson(payload));
   const json::array* const array = document.if_array();
-  if (array == nullptr || array->size() != 3 || !(*array)[0].is_string() ||
-      !(*array)[1].is_int64() || !(*array)[2].is_int64() || (*array)[1].get_int64() < 0 ||
-      (*array)[2].get_int64() < 0)
+  const auto is_count = [](const json::value& value) {
+    return value.is_int64() && value.get_int64() >= 0;
+  };
+  if (array == nullptr || (array->size() != 3 && array->size() != 4) || !(*array)[0].is_string() ||
+      !std::all_of(array->begin() + 1, array->end(), is_count))
     return MakeError(error_code::kInvalidArgument,
-                     "expected an array of a reader name, a revision and an age in ms");
-  return revision_announcement{std::string((*array)[0].get_string()),
-                               static_cast<std::uint64_t>((*array)[1].get_int64()),
-                               milliseconds((*array)[2].get_int64())};
+                     "expected an array of a reader name, a revision, an age in ms and an era");
+  return revision_announcement{
+      std::string((*array)[0].get_string()), static_cast<std::uint64_t>((*array)[1].get_int64()),
+      milliseconds((*array)[2].get_int64()),
+      array->size() == 4 ? static_cast<std::uint64_t>((*array)[3].get_int64()) : 0};
 }
 
 std::vector<std::string> SelectStoreReaders(std::string_view failure_domain,
@@ -59,7 +66,10 @@
 void store_reader_tracker::OnAnnouncement(const revision_announcement& announcement,
                                           time_point now) {
   reader_state& reader = readers_[announcement.reader];
-  reader.revision = std::max(reader.revision, announcement.revision);
+  // A datagram from before a restore of the store may arrive after one from after it.
+  if (announcement.era < reader.position.era)
+    return;
+  reader.position = std::max(reader.position, announcement.position());
   reader.confirmed_at = now - announcement.age;
   reader.received_at = now;
   std::erase_if(readers_, [&](const auto& item) { return !IsLive(item.second, now); });
@@ -76,21 +86,21 @@
          now - reader.confirmed_at < kConfirmationExpiry;
 }
 
-bool store_reader_tracker::HasLiveReader(time_point now) const {
+bool store_reader_tracker::HasLiveReader(time_point now, std::uint64_t era) const {
   for (const auto& [name, reader] : readers_) {
-    if (IsLive(reader, now))
+    if (IsLive(reader, now) && reader.position.era >= era)
       return true;
   }
   return false;
 }
 
-std::optional<std::string> store_reader_tracker::ReaderAheadOf(std::uint64_t revision,
+std::optional<std::string> store_reader_tracker::ReaderAheadOf(store_position position,
                                                                time_point now) const {
   std::optional<std::string> newest;
   for (const auto& [name, reader] : readers_) {
-    if (!IsLive(reader, now) || reader.revision <= revision)
+    if (!IsLive(reader, now) || reader.position <= position)
       continue;
-    revision = reader.revision;
+    position = reader.position;
     newest = name;
   }
   return newest;
