--- a/libs/fleet/include/quincebank/fleet/store_item.h
+++ b/libs/fleet/include/quincebank/fleet/store_item.h
@@ -15,6 +15,7 @@
   std::uint64_t era = 0;  ///< 0 if the store states none.
   std::uint64_t revision = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the defaulted operator.
   [[nodiscard]] auto operator<=>(const store_position&) const = default;
 };
 
--- a/libs/fleet/tests/store_mirror_test.cc
+++ b/libs/fleet/tests/store_mirror_test.cc
@@ -187,6 +187,102 @@
   EXPECT_EQ(Keys(mirror), strings{"a"});
 }
 
+struct era_case {
+  const char* name;
+  store_update update;
+  std::vector<std::string> changed;
+  std::vector<std::string> keys;
+  store_position position;
+};
+
+class mirror_era_test : public testing::TestWithParam<era_case> {};
+
+// Guards against a view that ignores a restored store, since its revisions are lower, and against
+// one that goes back to an answer from before the restore.
+TEST_P(mirror_era_test, ComparesEraBeforeRevision) {
+  store_mirror mirror;
+  mirror.Apply({{Put("a", 5), Put("b", 6)}, true, 8, 3}, true, kStart);
+  for (const bool from_store : {false, true}) {
+    store_mirror one = mirror;
+    EXPECT_EQ(one.Apply(GetParam().update, from_store, kStart), GetParam().changed);
+    EXPECT_EQ(Keys(one), GetParam().keys);
+    EXPECT_EQ(one.position(), GetParam().position);
+    EXPECT_EQ(one.IsFromOlderEra(), GetParam().update.era > GetParam().position.era);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    updates,
+    mirror_era_test,
+    testing::Values(
+        era_case{"restored",
+                 {{{{"a", "older", 2}, false}, Put("c", 3)}, true, 4, 4},
+                 strings{"a", "c"},
+                 strings{"a", "b", "c"},
+                 {4, 4}},
+        era_case{"restored_with_same_value",
+                 {{Put("a", 2), Put("b", 3)}, true, 4, 4},
+                 strings{},
+                 strings{"a", "b"},
+                 {4, 4}},
+        era_case{"changes_of_a_newer_era",
+                 {{Put("a", 9), Removal("b", 9)}, false, 9, 4},
+                 strings{},
+                 strings{"a", "b"},
+                 {3, 8}},
+        era_case{"changes_of_an_older_era",
+                 {{Put("a", 9), Removal("b", 9)}, false, 9, 2},
+                 strings{},
+                 strings{"a", "b"},
+                 {3, 8}},
+        era_case{"whole_of_an_older_era", {{Put("a", 9)}, true, 9, 2}, {}, {"a", "b"}, {3, 8}},
+        era_case{"whole_without_an_era", {{Put("a", 9)}, true, 9}, {}, {"a", "b"}, {3, 8}},
+        era_case{"several_restores", {{Put("a", 1)}, true, 1, 9}, {}, {"a", "b"}, {9, 1}}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// Guards against the loss of what is written again within seconds, and against a view that never
+// follows the store again.
+TEST(store_mirror, KeysThatARestoreHasLostAreKeptForTheGracePeriod) {
+  store_mirror mirror;
+  mirror.Apply({{Put("a", 5), Put("b", 6), Put("c", 7)}, true, 9, 1}, true, kStart);
+  const time_point restored = kStart + seconds(1);
+  mirror.Apply({{Put("c", 2)}, true, 3, 2}, true, restored);
+  EXPECT_TRUE(mirror.IsCarriedOver("a"));
+  EXPECT_FALSE(mirror.IsCarriedOver("c"));
+  // A late answer of the new era shows a key that was removed before the whole read.
+  EXPECT_TRUE(mirror.Apply({{Put("b", 3)}, false, 3, 2}, true, restored).empty());
+  EXPECT_TRUE(mirror.IsCarriedOver("b"));
+  mirror.Apply({{Put("a", 4)}, false, 4, 2}, true, restored + seconds(1));
+  EXPECT_FALSE(mirror.IsCarriedOver("a"));
+  // A lease of the copy ends before its holder has noticed the restore.
+  EXPECT_TRUE(mirror.Apply({{Removal("c", 5)}, false, 5, 2}, true, restored + seconds(1)).empty());
+  EXPECT_TRUE(mirror.Expire(restored + seconds(2)).empty());
+  EXPECT_EQ(mirror.Expire(restored + seconds(3)), (strings{"b", "c"}));
+  EXPECT_EQ(mirror.Apply({{Removal("a", 6)}, false, 6, 2}, true, restored + seconds(4)),
+            strings{"a"});
+}
+
+// Guards against a follower that applies changes of a new era to the content of an older one, or an
+// older view over a newer one.
+TEST(store_mirror, ViewsOfOtherErasArePassedOnWhole) {
+  store_mirror mirror;
+  mirror.Apply({{Put("a", 5), Put("b", 6)}, true, 9, 1}, true, kStart);
+  store_mirror follower = mirror;
+  mirror.Apply({{Put("a", 2)}, true, 3, 2}, true, kStart);
+  const store_update update = mirror.Since(follower.position());
+  EXPECT_TRUE(update.whole);
+  ASSERT_EQ(update.events.size(), 1U);
+  const store_update older = follower.Since(mirror.position());
+  EXPECT_TRUE(older.events.empty());
+  EXPECT_TRUE(mirror.Apply(older, false, kStart).empty());
+  EXPECT_EQ(mirror.position(), (store_position{2, 3}));
+  follower.Apply(update, false, kStart);
+  EXPECT_EQ(follower.position(), (store_position{2, 3}));
+  EXPECT_TRUE(follower.IsCarriedOver("b"));
+  EXPECT_FALSE(mirror.Since({2, 3}).whole);
+  EXPECT_TRUE(mirror.Since({2, 3}).events.empty());
+}
+
 // Guards against a removal that never reaches an entry because its peer still delayed it when it
 // sent its whole content.
 TEST(store_mirror, WholeContentLeavesOutDelayedRemovals) {
--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -168,6 +168,8 @@
   void StoreLastCoordinator();
   /// \brief Stores the number of entries; a smaller number only after `kFleetShrinkDelay`.
   void StoreFleetSize();
+  /// \brief Returns the value of a key, also if a restore has lost it; empty if there is none.
+  [[nodiscard]] std::string StoredValue(std::string_view key) const;
   /// \brief Returns the stored number of entries; 0 if none is stored.
   [[nodiscard]] std::size_t StoredFleetSize() const;
   /// \brief Whether the entries before this one have had time to claim the vacant role.
@@ -237,10 +239,11 @@
   bool full_read_needed_ = false;  ///< The store has lost the history since the known revision.
   bool store_reachable_ = false;
   std::function<void()> on_restored_;
-  std::optional<boot_time> era_raised_at_;        ///< When the last restore was noticed.
-  bool coordinator_before_rise_ = false;          ///< This entry held the role at that time.
-  std::uint64_t restored_revision_ = 0;           ///< Of the first content of the present era.
-  std::map<std::string, std::string> lost_keys_;  ///< Values of keys that a restore has lost.
+  std::optional<boot_time> era_raised_at_;  ///< When the last restore was noticed.
+  bool coordinator_before_rise_ = false;    ///< This entry held the role at that time.
+  std::uint64_t restored_revision_ = 0;     ///< Of the first content of the present era.
+  /// Values of keys that a restore has lost, until they are written again.
+  std::map<std::string, std::string, std::less<>> lost_keys_;
   /// Value that this entry has written.
   struct written_value {
     std::string value;
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -470,6 +470,9 @@
   log_.Write(event_line("registration.written")
                  .Add("lease", registration_lease_.id)
                  .Add("era", registration_lease_.era));
+  // The entry may have begun to leave while the restore of the store had ended its lease.
+  if (leaving_)
+    EndLease(registration_lease_);
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -582,10 +585,9 @@
 }
 
 std::size_t fleet_sync::StoredFleetSize() const {
-  const store_item* const item = mirror_.Find(kFleetSizeKey);
+  const std::string value = StoredValue(kFleetSizeKey);
   std::size_t stored = 0;
-  if (item != nullptr)
-    std::from_chars(item->value.data(), item->value.data() + item->value.size(), stored);
+  std::from_chars(value.data(), value.data() + value.size(), stored);
   return stored;
 }
 
@@ -613,8 +615,7 @@
 }
 
 std::string fleet_sync::StoredPopularity(const std::string& group) const {
-  const store_item* const stored = mirror_.Find(std::string(kPopularityPrefix) + group);
-  return stored != nullptr ? stored->value : std::string();
+  return StoredValue(std::string(kPopularityPrefix) + group);
 }
 
 void fleet_sync::StoreFleetSize() {
--- a/libs/gateway/src/fleet_sync_restore.cc
+++ b/libs/gateway/src/fleet_sync_restore.cc
@@ -66,6 +66,13 @@
     on_restored_();
 }
 
+std::string fleet_sync::StoredValue(std::string_view key) const {
+  if (const store_item* const item = mirror_.Find(key); item != nullptr)
+    return item->value;
+  const auto lost = lost_keys_.find(key);
+  return lost != lost_keys_.end() ? lost->second : std::string();
+}
+
 void fleet_sync::RewriteLostKeys() {
   const auto lost = lost_keys_;
   for (const auto& [key, value] : lost) {
--- a/libs/gateway/tests/role_lease_test.cc
+++ b/libs/gateway/tests/role_lease_test.cc
@@ -70,6 +70,19 @@
                    true}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Guards against a coordinator that goes on under a lease that a restored store has lost.
+TEST(role_lease, EndsAtOnceWhenItIsLost) {
+  role_lease lease(1'000ms, 10'000ms);
+  const boot_time start(1h);
+  lease.OnRenewed(start);
+  lease.OnLost();
+  EXPECT_FALSE(lease.MayAct(start));
+  lease.OnRenewalAttempt(start + 100ms);
+  EXPECT_FALSE(lease.MayAct(start + 100ms));
+  lease.OnRenewed(start + 200ms);
+  EXPECT_TRUE(lease.MayAct(start + 200ms));
+}
+
 // Guards against a coordinator that acts without limit during a store outage.
 TEST(role_lease, ExpiresAfterALongStoreOutage) {
   role_lease lease(1'000ms, 10'000ms);
--- a/libs/gateway/tests/store_relay_test.cc
+++ b/libs/gateway/tests/store_relay_test.cc
@@ -46,8 +46,12 @@
 TEST(store_relay, AnnouncementsSurviveARoundTrip) {
   const revision_announcement announcement{"edge-1", 812, 340ms};
   EXPECT_EQ(DecodeAnnouncement(Encode(announcement)).value(), announcement);
+  const revision_announcement restored{"edge-1", 812, 340ms, 3};
+  EXPECT_EQ(DecodeAnnouncement(Encode(restored)).value(), restored);
+  EXPECT_EQ(Encode(announcement), R"(["edge-1",812,340])");
   for (const char* const bad :
-       {"", "[]", "[1,2,3]", R"(["a",-1,0])", R"(["a",1,-1])", R"(["a",1.5,0])", R"({"a":1})"})
+       {R"(["a",1,1,-1])", R"(["a",1,1,"2"])", R"(["a",1,1,1,1])", "", "[]", "[1,2,3]",
+        R"(["a",-1,0])", R"(["a",1,-1])", R"(["a",1.5,0])", R"({"a":1})"})
     EXPECT_FALSE(DecodeAnnouncement(bad)) << bad;
 }
 
@@ -101,6 +105,16 @@
                                 100ms,
                                 true,
                                 "a"},
+                    reader_case{"restored",
+                                {{0ms, {"a", 15, 0ms, 0}}, {100ms, {"b", 3, 0ms, 1}}},
+                                200ms,
+                                true,
+                                "b"},
+                    reader_case{"late_datagram_of_an_older_era",
+                                {{0ms, {"a", 3, 0ms, 1}}, {1'200ms, {"a", 15, 0ms, 0}}},
+                                1'400ms,
+                                false,
+                                std::nullopt},
                     reader_case{"late_datagram",
                                 {{0ms, {"a", 15, 0ms}}, {100ms, {"a", 12, 0ms}}},
                                 200ms,
@@ -108,6 +122,16 @@
                                 "a"}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Guards against entries that rely on a reader which still shows the store before its restore.
+TEST(store_reader_tracker, ReaderOfAnOlderEraIsNotLive) {
+  const time_point start(1h);
+  store_reader_tracker tracker;
+  tracker.OnAnnouncement({"a", 15, 0ms, 1}, start);
+  EXPECT_TRUE(tracker.HasLiveReader(start, 1));
+  EXPECT_FALSE(tracker.HasLiveReader(start, 2));
+  EXPECT_EQ(tracker.ReaderAheadOf({2, 3}, start), std::nullopt);
+}
+
 TEST(store_reader_tracker, DropsAReaderThatDoesNotAnswer) {
   const time_point start(1h);
   store_reader_tracker tracker;
