Placement by cost: test that a reported pace reaches the placement

Cause: a field that is lost between agent and placement leaves all engines equally fast, without any error. Change: load_watch_test checks the speed that follows from a load.

--- a/libs/gateway/tests/load_watch_test.cc
+++ b/libs/gateway/tests/load_watch_test.cc
@@ -51,7 +51,7 @@
 
   void SendLoad(const endpoint& entry, int running) {
     agent_thread_.RunAndWait([&] {
-      EXPECT_TRUE(agent_->Send(entry, Encode(engine_load{"i-1", running, 1, 5})));
+      EXPECT_TRUE(agent_->Send(entry, Encode(engine_load{"i-1", running, 1, 5, 9'000, 500})));
     });
   }
 
@@ -80,6 +80,7 @@
   SendLoad(entry, 7);
   ASSERT_TRUE(AwaitLoads(1));
   EXPECT_EQ(upstream_.health->other_requests(Now()), 8);
+  EXPECT_EQ(upstream_.health->work().speed(Now()), 0.5);
 }
 
 // Guards against requests that wait too long for agents that do not answer.
