--- a/libs/gateway/tests/load_watch_test.cc
+++ b/libs/gateway/tests/load_watch_test.cc
@@ -59,7 +59,7 @@
 
   void SendLoad(const endpoint& entry, int running) {
     agent_thread_.RunAndWait([&] {
-      EXPECT_TRUE(agent_->Send(entry, Encode(engine_load{"i-1", running, 1, 5})));
+      EXPECT_TRUE(agent_->Send(entry, Encode(engine_load{"i-1", running, 1, 5, 9'000, 500})));
     });
   }
 
@@ -90,6 +90,7 @@
   SendLoad(entry, 7);
   ASSERT_TRUE(AwaitLoads(1));
   EXPECT_EQ(upstream_.health->other_requests(Now()), 8);
+  EXPECT_EQ(upstream_.health->work().speed(Now()), 0.5);
 }
 
 // Guards against an engine that others find silent and this entry goes on using, and against one
