--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -244,7 +244,8 @@
   const bool restart_needed =
       updated.clients != settings_.clients || updated.peers != settings_.peers ||
       updated.readiness != settings_.readiness || updated.directory != settings_.directory ||
-      updated.store != settings_.store;
+      updated.store != settings_.store || updated.limits.memory_mb != settings_.limits.memory_mb ||
+      updated.limits.descriptors != settings_.limits.descriptors;
   shared_.rules.Set(updated.rules);
   log_.Write(event_line("settings.reloaded")
                  .Add("rules_changed", rules_changed)
