--- a/libs/gateway/tests/gateway_settings_test.cc
+++ b/libs/gateway/tests/gateway_settings_test.cc
@@ -12,6 +12,7 @@
     "peers": "10.0.0.1:83", "metrics": "10.0.0.1:84", "store": "10.0.0.9:85",
   },
   "rules": {"cold_factor": 1.5, "repeat_ratio": 0.2, "stop_grace_ms": 8000},
+  "limits": {"memory_mb": 112, "descriptors": 2870},
   "control": {"agent_port": 83},  // Comments and trailing commas are allowed.
 })";
 
@@ -24,6 +25,8 @@
   EXPECT_EQ(settings.value().rules.cold_factor, 1.5);
   EXPECT_EQ(settings.value().rules.stop_grace, milliseconds(8'000));
   EXPECT_EQ(settings.value().agent_port, 83);
+  EXPECT_EQ(settings.value().limits.memory_mb, 112U);
+  EXPECT_EQ(settings.value().limits.descriptors, 2'870U);
 }
 
 struct invalid_case {
@@ -56,6 +59,7 @@
                                  "/control/agents_port"},
                     invalid_case{"negative_time", "8000", "-1", "/rules/stop_grace_ms"},
                     invalid_case{"ratio", "0.2", "2", "/rules/repeat_ratio"},
+                    invalid_case{"memory", "112", "0", "/limits/memory_mb"},
                     invalid_case{"no_name", R"("name": "edge-1",)", "", "/name"},
                     invalid_case{"syntax", "}", "]", "6:"}),
     [](const auto& info) { return std::string(info.param.name); });
--- a/libs/net/tests/memory_budget_test.cc
+++ b/libs/net/tests/memory_budget_test.cc
@@ -13,6 +13,7 @@
 
 #include "quincebank/base/clock.h"
 #include "quincebank/net/net.h"
+#include "quincebank/net/process_limits.h"
 
 namespace quincebank {
 namespace {
@@ -67,6 +68,20 @@
   EXPECT_EQ(budget.evictions(), 2U);
 }
 
+// Guards against limits that ordinary clients of the smallest host reach: 300 connections at the
+// clients' address, which has half of them, and one chunked body of 4 MiB.
+TEST(process_limits, LeaveRoomForOrdinaryClients) {
+  const process_limits smallest{112, 2'870};
+  EXPECT_GE(MaxConnections(smallest) / 2, 300U);
+  memory_budget& budget = memory_budget::OfProcess();
+  const std::size_t before = budget.limit();
+  ApplyMemoryLimit(smallest);
+  EXPECT_EQ(budget.limit(), 24 * kMegabyte);
+  memory_reservation moving(budget);
+  EXPECT_TRUE(moving.TryGrowTo(6 * kMegabyte));
+  budget.SetLimit(before);
+}
+
 class raw_client {
  public:
   raw_client(const endpoint& server, std::string_view text) {
