--- a/libs/gateway/tests/gateway_settings_test.cc
+++ b/libs/gateway/tests/gateway_settings_test.cc
@@ -13,6 +13,7 @@
   },
   "rules": {"cold_factor": 1.5, "repeat_ratio": 0.2, "stop_grace_ms": 8000},
   "routing": {"policy": "predicted_finish"},
+  "limits": {"memory_mb": 112, "descriptors": 2870},
   "control": {"agent_port": 83},  // Comments and trailing commas are allowed.
 })";
 
@@ -26,6 +27,8 @@
   EXPECT_EQ(settings.value().rules.stop_grace, milliseconds(8'000));
   EXPECT_EQ(settings.value().agent_port, 83);
   EXPECT_EQ(settings.value().policy, placement_policy::kPredictedFinish);
+  EXPECT_EQ(settings.value().limits.memory_mb, 112U);
+  EXPECT_EQ(settings.value().limits.descriptors, 2'870U);
 }
 
 // Guards against a changed placement in deployments whose settings name no policy.
@@ -70,6 +73,7 @@
                     invalid_case{"routing_key", "\"policy\"", "\"policies\"", "/routing/policies"},
                     invalid_case{"negative_time", "8000", "-1", "/rules/stop_grace_ms"},
                     invalid_case{"ratio", "0.2", "2", "/rules/repeat_ratio"},
+                    invalid_case{"memory", "112", "0", "/limits/memory_mb"},
                     invalid_case{"no_name", R"("name": "edge-1",)", "", "/name"},
                     invalid_case{"syntax", "}", "]", "6:"}),
     [](const auto& info) { return std::string(info.param.name); });
