--- a/libs/placement/include/quincebank/placement/choose_upstream.h
+++ b/libs/placement/include/quincebank/placement/choose_upstream.h
@@ -26,16 +26,6 @@
   time_point ejected_until{};   ///< End of the last ejection.
   bool probing = false;         ///< Back from an ejection; takes one request at a time.
   bool superseded = false;      ///< A newer registration has the same address.
-  bool rate_limited = false;    ///< A request would exceed this entry's share of the cold limit.
-  time_point available_at{};    ///< When the next request may be sent, if rate-limited.
-  bool same_domain = false;     ///< In the same failure domain as this entry.
-  /// Load from which the current load is queried before a request is sent; 0: half of the slots.
-  int query_from = 0;
-  double failure_share = 0;    ///< Share of recent attempts that failed, 0 to 1.
-  bool ejected = false;        ///< Used only if no other upstream is usable.
-  time_point ejected_until{};  ///< End of the last ejection.
-  bool probing = false;        ///< Back from an ejection; takes one request at a time.
-  bool superseded = false;     ///< A newer registration has the same address.
   /// Its agent has not reported a load yet, so it may be another instance, or full. Used only if no
   /// other upstream has reported.
   bool unconfirmed = false;
@@ -44,6 +34,8 @@
   /// When the next request may be sent, if rate-limited or forming.
   time_point available_at{};
   bool same_domain = false;  ///< In the same failure domain as this entry.
+  /// Load from which the current load is queried before a request is sent; 0: half of the slots.
+  int query_from = 0;
   /// \name Only for policies other than `placement_policy::kCount`.
   /// @{
   work_amount outstanding;     ///< Work of its requests, from all entries.
