--- a/libs/expert_control/include/quincebank/expert_control/map_rollout.h
+++ b/libs/expert_control/include/quincebank/expert_control/map_rollout.h
@@ -32,8 +32,12 @@
   milliseconds order_patience{30};
   milliseconds prepare_patience{200};  ///< The same for a whole map over the link of a small host.
   milliseconds most_patience{400};     ///< Longest wait for one answer.
-  milliseconds settle_retry{5};        ///< Between repeats of an unanswered order.
-  milliseconds settle_limit{15'000};   ///< Unanswered orders may be carried out that late.
+  /// Usual wait for the answer to a repeated short order. A group stands still while one of its
+  /// ranks leaves orders unanswered, and each repeat may be answered, so that many are better than
+  /// long ones.
+  milliseconds held_patience{60};
+  milliseconds settle_retry{5};       ///< Between repeats of an unanswered order.
+  milliseconds settle_limit{15'000};  ///< Unanswered orders may be carried out that late.
   /// For all ranks to report that they are armed, beside the age of the reports.
   milliseconds confirm_limit{100};
   /// From the hold to the pass that uses the new map, for the calls to all ranks.
@@ -113,6 +117,10 @@
   /// \brief Reads all ranks; nothing unless they form one open group.
   [[nodiscard]] rollout_outcome Read(const std::vector<const upstream_record*>& ranks,
                                      group_state& group);
+  /// \brief Returns how long to wait for the answers to the next repeat of an order.
+  [[nodiscard]] milliseconds NextPatience(order_kind kind,
+                                          milliseconds patience,
+                                          int repeats) const noexcept;
   /// \brief Sends an order to some ranks until each has answered.
   /// \param wanted  whether a report shows the order's effect; decides after a conflict that may
   ///     come from an earlier copy of the order itself.
--- a/libs/expert_control/src/map_rollout.cc
+++ b/libs/expert_control/src/map_rollout.cc
@@ -18,6 +18,8 @@
 constexpr std::uint64_t kMostLead = 60;
 // Attempts to place a hold before its pass has begun.
 constexpr int kHoldTries = 3;
+// Each such repeat of a short order waits for as long as a slow host may take to answer.
+constexpr int kLongWaitPeriod = 5;
 // Growth of the lead with each attempt, in leads.
 constexpr int kLeadGrowth = 4;
 // Rounds of a recovery; each begins with fresh reports.
@@ -156,6 +158,16 @@
   return chosen;
 }
 
+milliseconds map_rollout::NextPatience(order_kind kind,
+                                       milliseconds patience,
+                                       int repeats) const noexcept {
+  const milliseconds longer = std::min(patience + patience / 2, settings_.most_patience);
+  if (kind == order_kind::kPrepare)
+    return longer;
+  return repeats % kLongWaitPeriod == 0 ? settings_.most_patience
+                                        : std::min(longer, settings_.held_patience);
+}
+
 std::optional<bool> map_rollout::Settle(group_state& group,
                                         const std::vector<std::size_t>& members,
                                         const engine_order& order,
@@ -167,6 +179,7 @@
   bool fits = true;
   milliseconds patience =
       order.kind == order_kind::kPrepare ? settings_.prepare_patience : settings_.order_patience;
+  int repeats = 0;
   while (!open.empty()) {
     if (!clock_.may_act()) {
       log_.Write(event_line("expert.order_withheld")
@@ -237,7 +250,8 @@
     if (clock_.now() >= until)
       return std::nullopt;
     clock_.sleep(settings_.settle_retry);
-    patience = std::min(patience + patience / 2, settings_.most_patience);
+    ++repeats;
+    patience = NextPatience(order.kind, patience, repeats);
   }
   if (disputed.empty())
     return fits;
--- a/libs/placement/include/quincebank/placement/attempt_timeouts.h
+++ b/libs/placement/include/quincebank/placement/attempt_timeouts.h
@@ -23,11 +23,6 @@
                                             bool retry_allowed,
                                             nanoseconds pass_time = nanoseconds(0)) noexcept;
 
-/// \brief How long an attempt may wait for the first byte before other entries are told that the
-/// upstream is silent. At most the first-byte timeout, which ejects the upstream here.
-[[nodiscard]] milliseconds SilenceReportTime(const route_rule& route,
-                                             nanoseconds pass_time) noexcept;
-
 /// \brief How long a stream may receive nothing before it is resumed at another upstream.
 /// \param time_left  time until the request's deadline.
 /// \param retry_allowed  whether another attempt is allowed after this one.
--- a/libs/placement/include/quincebank/placement/group_liveness.h
+++ b/libs/placement/include/quincebank/placement/group_liveness.h
@@ -39,6 +39,8 @@
   void OnPace(int pace) noexcept;
   /// \brief Speed of most ranks, in per mille; 0 if unknown.
   [[nodiscard]] double usual_pace() const noexcept { return usual_pace_; }
+  /// \brief Number of the last pass that a rank has reported.
+  [[nodiscard]] std::uint64_t last_pass() const noexcept { return last_pass_; }
   /// \brief Duration of one pass; 0 if it is unknown or the group is idle.
   [[nodiscard]] nanoseconds PassTime(time_point now) const noexcept;
 
--- a/libs/placement/src/attempt_timeouts.cc
+++ b/libs/placement/src/attempt_timeouts.cc
@@ -39,11 +39,6 @@
                   time_left / kTimeLeftDivisor);
 }
 
-milliseconds SilenceReportTime(const route_rule& route, nanoseconds pass_time) noexcept {
-  const auto passes = std::chrono::duration_cast<milliseconds>(pass_time * kFirstBytePasses);
-  return std::max(route.latency_objective, passes);
-}
-
 milliseconds StreamIdleTimeout(const route_rule& route,
                                milliseconds time_left,
                                bool retry_allowed) noexcept {
