End calls whose answer has no status of a final answer

Cause: operators of another system saw a status 000 passed on as an answer. Here 000 was taken for an interim answer, so that a head after it passed for the final one, and 101 and statuses from 600 were passed on as they were.

--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -35,6 +35,10 @@
 // Bytes held between reads. A chunk's extension or a trailer is held until it is complete, and the
 // parser itself sets no limit to them.
 constexpr std::size_t kMostBuffered = std::size_t{128} * 1024;
+constexpr int kFirstInterimStatus = 100;
+constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 // Foreign and interim answers that are skipped before a connection is given up.
 constexpr int kForeignAnswers = 3;
 // Bytes of one such answer that are skipped.
@@ -218,6 +222,13 @@
         headers_ = {};
         continue;
       }
+      if (!IsFinal()) {
+        const std::string odd_status = std::to_string(status());
+        Drop();
+        return MakeError(error_code::kTruncated,
+                         ToString(peer_) + " answers with status " + odd_status,
+                         verdict::kMayHaveRun);
+      }
       if (!call.belongs || call.belongs(headers_)) {
         KeepIfDone();
         return outcome_success();
@@ -322,8 +333,14 @@
  private:
   /// Whether the header is that of an interim answer, which has no body and precedes the final one.
   [[nodiscard]] bool IsInterim() const noexcept {
-    constexpr int kSwitchingProtocols = 101;
-    return status() < 200 && status() != kSwitchingProtocols;
+    return status() >= kFirstInterimStatus && status() < kFirstFinalStatus &&
+           status() != kSwitchingProtocols;
+  }
+
+  /// Whether the status is one of a final answer. No request asks for another protocol, so that 101
+  /// is none either.
+  [[nodiscard]] bool IsFinal() const noexcept {
+    return status() >= kFirstFinalStatus && status() <= kLastStatus;
   }
 
   void StartParser() {
