Discard the rest of refused bodies again, and report silence without pass numbers

A client that sends 9 MB lost the 413, since the server closed after 64 KiB more instead of twice the limit (bad_request_process_test); discarding needs no memory, so the earlier bound is back. An engine whose group states no passes was never reported as silent (shared_observation_test, three cases); such a group has no passes to wait for.

--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -259,7 +259,8 @@
   bool reported_silent_ = false;             ///< The current attempt is reported as silent.
   time_point silence_began_at_{};            ///< Start or last data of the current attempt.
   bool began_to_answer_ = false;             ///< The current attempt has received an event.
-  std::uint64_t sent_at_pass_ = 0;           ///< Pass of the group when the current attempt began.
+  std::uint64_t sent_at_pass_ =
+      0;  ///< Last pass of the group at the start of the attempt; 0 if unknown.
   milliseconds rest_of_silence_{0};          ///< From that report to the timeout of the attempt.
   bool is_silent_ = false;                   ///< The current attempt has exceeded its timeout.
   bool answer_needed_ = true;                ///< The rest of the current answer is passed on.
--- a/libs/gateway/src/forward_observations.cc
+++ b/libs/gateway/src/forward_observations.cc
@@ -33,7 +33,7 @@
   if (rest_of_silence_ <= milliseconds(0))
     return std::nullopt;
   // While the whole group stands still, its engines are silent through no fault of their own.
-  if (group_liveness_ && group_liveness_->last_pass() < sent_at_pass_ + kFirstEventPasses) {
+  if (sent_at_pass_ != 0 && group_liveness_->last_pass() < sent_at_pass_ + kFirstEventPasses) {
     const milliseconds wait = std::min(rest_of_silence_, kPassCheckPeriod);
     rest_of_silence_ -= wait;
     return wait;
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -505,7 +505,7 @@
       DiscardRest(peer, limits.body_bytes);
     } else if (ec.category() == http::make_error_code(http::error::body_limit).category()) {
       exchange.Respond(RefuseParse(ec));
-      DiscardRest(peer, kDiscardedBytes);
+      DiscardRest(peer, kDiscardedBodies * limits.body_bytes);
     }
   }
 
@@ -564,7 +564,7 @@
   }
 
   static constexpr milliseconds kDiscardLimit{2'000};
-  static constexpr std::uint64_t kDiscardedBytes = std::uint64_t{64} * 1024;
+  static constexpr std::uint64_t kDiscardedBodies = 2;  ///< In the largest that are allowed.
   static constexpr std::size_t kReadBytes = 4096;
   static constexpr std::size_t kFirstPiece = 4096;  ///< Of a body whose length is unknown.
   static constexpr std::size_t kPieceBytes = std::size_t{16} * 1024;
