Let priorities yield only while several of them compete

Cause: one route that is hardly used had another priority on an earlier deployment, so that the requests of all its other routes yielded to it (priority-capacity in its log). Change: priorities count only from an eighth of the recent arrivals on, and from 16 arrivals on; otherwise limits are those of a service without priorities.

--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -483,7 +483,7 @@
   call.peer = upstream.record.address;
   call.request = shared_.codec.EncodeForUpstream(
       exchange_.request(), {upstream.record.id, time_left, workspace_, last_event_id_,
-                            claim_ ? std::optional(priority_) : std::nullopt});
+                            HasPriorities() ? std::optional(priority_) : std::nullopt});
   call.body = exchange_.request().body;
   call.connect_timeout = std::min(kConnectTimeout, time_left);
   call.idle_timeout = FirstByteTimeout(*route_, time_left, RetryAllowed(), GroupPassTime());
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -146,6 +146,10 @@
   void LearnWork();
   /// \brief Adds the inputs and the result of the placement policy to the log line of an attempt.
   void AddCost(event_line& line) const;
+  /// \brief Whether requests of different priorities may come to the engines of the service.
+  [[nodiscard]] bool HasPriorities() const {
+    return service_->engine && shared_.AdmissionFor(*catalog_, *service_) != nullptr;
+  }
   /// \brief Determines what the request's priority may use, before the first attempt. Sets
   /// `claim_`.
   void ClaimCapacity();
--- a/libs/gateway/src/forward_priority.cc
+++ b/libs/gateway/src/forward_priority.cc
@@ -50,13 +50,17 @@
   if (admission == nullptr)
     return;
   const admission_draws draws{shared_.random.Unit(), shared_.random.Unit()};
-  claim_ = admission->OnArrival(priority_, draws, Now());
+  const time_point now = Now();
+  claim_ = admission->OnArrival(priority_, draws, now);
+  if (!admission->HasCompetition(now))
+    claim_.reset();
 }
 
 void forward_flow::OnCapacityGranted() {
-  if (!claim_ || sends_ > 0)
+  if (sends_ > 0 || !service_->engine)
     return;
-  claim_->is_guaranteed = true;
+  if (claim_)
+    claim_->is_guaranteed = true;
   if (priority_admission* const admission = shared_.AdmissionFor(*catalog_, *service_))
     admission->OnAdmitted(priority_, Now());
 }
--- a/libs/placement/include/quincebank/placement/priority_admission.h
+++ b/libs/placement/include/quincebank/placement/priority_admission.h
@@ -96,6 +96,9 @@
                                          time_point now) noexcept;
   /// \brief Counts a request that is sent to an engine; not called for its further attempts.
   void OnAdmitted(int priority, time_point now) noexcept;
+  /// \brief Whether several priorities have a considerable part of the recent arrivals. Otherwise a
+  /// route that is hardly used would make all requests of the service yield to it.
+  [[nodiscard]] bool HasCompetition(time_point now) const noexcept;
   /// \brief Returns the band of pass times in which requests of this priority are rejected.
   [[nodiscard]] pass_time_band PassTimeBand(int priority) const noexcept;
 
--- a/libs/placement/src/priority_admission.cc
+++ b/libs/placement/src/priority_admission.cc
@@ -1,6 +1,7 @@
 #include "quincebank/placement/priority_admission.h"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 #include <utility>
 
@@ -12,6 +13,10 @@
 // batch of four fifths of the slots still serves nine tenths as many streams.
 constexpr double kMinHeadroom = 0.05;
 constexpr double kMaxHeadroom = 0.2;
+// Part of the recent arrivals (one eighth) from which on a priority competes with others.
+constexpr int kCompetingPart = 8;
+// Fewer recent arrivals, as after a start, do not show the parts of the priorities.
+constexpr int kMinArrivals = 16;
 // Shares of the strictest event gap at which the pass time begins to count and counts fully. The
 // lower priorities divide this range, the lowest first. A mean pass time close to the objective
 // makes streams late already, since single passes are longer.
@@ -157,6 +162,17 @@
   return claim;
 }
 
+bool priority_admission::HasCompetition(time_point now) const noexcept {
+  std::array<int, kPriorities> arrived{};
+  for (std::size_t priority = 0; priority < kPriorities; ++priority)
+    arrived.at(priority) = Sum(priority, now).arrived;
+  const int all = std::accumulate(arrived.begin(), arrived.end(), 0);
+  if (all < kMinArrivals)
+    return false;
+  return std::count_if(arrived.begin(), arrived.end(),
+                       [&](int one) { return one > 0 && one * kCompetingPart >= all; }) > 1;
+}
+
 void priority_admission::OnAdmitted(int priority, time_point now) noexcept {
   ++CountsAt(priority, now).admitted;
 }
--- a/libs/placement/tests/priority_admission_test.cc
+++ b/libs/placement/tests/priority_admission_test.cc
@@ -368,6 +368,15 @@
   }
 }
 
+// Guards against a service whose requests all yield to a route that is hardly used.
+TEST(priority_admission, FewRequestsAreNoCompetition) {
+  priority_admission admission(Priorities());
+  for (int i = 0; i < 40; ++i)
+    (void)Claim(admission, i % 10 == 0 ? 0 : 1, 0);
+  EXPECT_FALSE(admission.HasCompetition(time_point{} + 1h));
+  EXPECT_TRUE(BusyAdmission().HasCompetition(time_point{} + 1h));
+}
+
 struct configured_case {
   const char* name;
   std::vector<int> routes;  ///< Priorities.
