--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -25,6 +25,7 @@
           "stall_ms": 1500, "fencing_enforced": False, "ttl_max_s": 5}
 LIMITS = {"edge": {"cpu_share": 0.25, "cores": 1, "memory_mb": 260, "max_fds": 4100},
           "side": {"cpu_share": 0.15, "cores": 1, "memory_mb": 128, "max_fds": 2048}}
+DESCRIPTORS = 8192  # Of the stand-ins, which hold the other ends of many connections.
 TAG = re.compile(r"\{\{([#^/]?)([^}|]+)(\|json)?\}\}")
 
 
@@ -59,6 +60,12 @@
     return "".join(out) + text[at:]
 
 
+def most_descriptors():
+    """The hard limit of this process."""
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    return DESCRIPTORS if hard == resource.RLIM_INFINITY else min(hard, DESCRIPTORS)
+
+
 def free_network():
     """A loopback network that this run shares with no other, and ports that are free there."""
     draw = random.SystemRandom()
@@ -98,7 +105,7 @@
 
     def limit_descriptors(self):
         """A machine's descriptors, as on the platform; the new process only."""
-        limit = self.fields["limits"]["max_fds"]
+        limit = min(self.fields["limits"]["max_fds"], most_descriptors())
         resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
 
     def descriptors(self):
@@ -120,6 +127,8 @@
 class Deployment:
     def __init__(self, record, zones):
         self.record = record
+        resource.setrlimit(resource.RLIMIT_NOFILE,
+                           (most_descriptors(), resource.getrlimit(resource.RLIMIT_NOFILE)[1]))
         self.network, self.first_port = free_network()
         self.zones = zones
         self.folder = tempfile.mkdtemp(prefix="quincebank-case-")
@@ -135,7 +144,8 @@
 
     def fields(self, name, role, machine_class, ip, zone, bounds=None, limits=None):
         return {"node_name": name, "role": role, "machine_class": machine_class, "ip": ip,
-                "zone": zone, "region": "region-1", "zones": {one: "region-1" for one in self.zones},
+                "zone": zone, "region": "region-1",
+                "zones": {one: "region-1" for one in self.zones},
                 "port_range": [self.first_port, self.first_port + 1],
                 "serves": self.roles[role]["serves"], "seeds": [], "bootstrap": True,
                 "listen": {use: f"{ip}:{self.port(use)}"
--- a/review/standins-2/ranks.py
+++ b/review/standins-2/ranks.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import random
 import time
 
 from wire import Server, answer, encode, json_answer
@@ -239,7 +238,3 @@
             writer.write(data + b"0\r\n\r\n")
         finally:
             self.running -= 1
-
-
-def random_delay(draw=random.Random()):
-    return draw.uniform(2, 12)
