--- a/review/6/case.py
+++ b/review/6/case.py
@@ -30,6 +30,7 @@
                "idle_timeout_ms": 15000},
     "tenants": [{"name": "tenant-1", "api_keys": [KEY], "priority": 1}]}
 LEAST_LATE_S, MOST_LATE_S = 2.0, 12.0
+DARK_S = 3.5      # Of the machine that loses power.
 LATE_FOR_S = 5.5  # How long orders are left unanswered.
 
 
@@ -142,6 +143,11 @@
         name = item[0].decode().split("/")[0] if item else None
         return next((one for one in self.gateways if one.name == name), None)
 
+    async def power_on(self, gateway):
+        gateway.process.wait()
+        await asyncio.sleep(DARK_S)
+        gateway.start()
+
     async def until(self, condition, limit_s):
         end = time.monotonic() + limit_s
         while not condition() and time.monotonic() < end:
@@ -170,6 +176,7 @@
             await asyncio.sleep(0.05)
             first.signal(signal.SIGKILL)
             self.late.killed = True
+            self.spawn(self.power_on(first))
             self.group.shift([13, 14])
         await self.until(lambda: self.group.breaches, 15 if TROUBLE else 5)
         self.record.write(f"map {before} -> {[rank.map for rank in self.group.ranks]}, orders"
--- a/review/standins-2/crashing.py
+++ b/review/standins-2/crashing.py
@@ -9,12 +9,14 @@
 STALL_S = 1.5
 FORM_S = 0.6
 EVENT_S = 0.085
+LAPSE_S = 3.6  # Three status report intervals.
 
 
 class CrashingGroup(Group):
     def __init__(self, record, name, size, store):
         super().__init__(record, name, size)
         self.store, self.open, self.stalled_until = store, True, 0.0
+        self.at_fault = ""
 
     async def run(self):
         while True:
@@ -28,7 +30,7 @@
         """The rank's process ends and starts again with a new id."""
         self.record.write(f"rank {rank.number} ({rank.id}) crashes with {rank.running} requests")
         self.open, self.stalled_until = False, time.monotonic() + STALL_S
-        crashed = rank.id
+        crashed = self.at_fault = rank.id
         rank.crash()
         await asyncio.sleep(down_s)
         rank.start_anew()
@@ -41,8 +43,9 @@
         self.open = True
         for one in self.ranks:
             self.publish(one)
-        self.store.remove("servers/" + crashed)
         self.record.write(f"{self.name} opens in epoch {self.epoch}")
+        await asyncio.sleep(LAPSE_S - down_s - FORM_S)
+        self.store.remove("servers/" + crashed)
 
     def publish(self, rank):
         self.store.put("servers/" + rank.id, rank.entry("drafts"))
@@ -73,7 +76,8 @@
 
     def reject(self, request, writer):
         writer.write(answer(503, {"X-Quincebank-Attempt-Id": request.get("x-quincebank-attempt-id"),
-                                  "X-Quincebank-Not-Executed": 1, "At-Server": self.id}))
+                                  "X-Quincebank-Not-Executed": 1,
+                                  "At-Server": self.group.at_fault}))
 
     async def next_event(self, boot, epoch):
         """Waits for the next event; returns false if the work is cut off."""
--- a/review/standins-2/replica.py
+++ b/review/standins-2/replica.py
@@ -34,10 +34,13 @@
         async with self.slot:
             self.runs += 1
             await asyncio.sleep(self.work_s)
-        writer.write(answer(200, {"X-Quincebank-Attempt-Id": attempt,
-                                  "X-Quincebank-Server-Stamp": f"{self.id}.{attempt}"},
-                            b"." * ANSWER_BYTES))
-        return True
+        head = {"X-Quincebank-Attempt-Id": attempt,
+                "X-Quincebank-Server-Stamp": f"{self.id}.{attempt}"}
+        leaving = self.state == "draining"
+        if leaving:
+            head.update({"Connection": "close", "Server-Leaving": 1})
+        writer.write(answer(200, head, b"." * ANSWER_BYTES))
+        return not leaving
 
 
 class ColdReplica(Replica):
