Assign each map version to one coordinator

Cause: a version began with the store revision of the published view of the fleet. The claim of the coordinator role publishes no view, so two coordinators in turn numbered from the same revision. The recovery used no revision at all, only the highest version that ranks report, and a version whose order is still on its way is in no report. Class: a number that must be unique is derived from a view that need not have changed.

The high bits of a version are now the position of the store at which the coordinator has claimed its role, from the answer to the claim or from the role's record, and the low bits count the maps of a group. The store grants the role to one claim at a time and its revisions only grow, so no two coordinators share a term. All orders that name a map take their version there, those of the recovery too; the count is kept while the process runs, so a coordinator whose group was incomplete doesn't assign a version again. A coordinator that is cut off from the store acts for some seconds longer: the first report with a version of a later term ends its term, and it resigns. A map change ends with the term in which it began. Log lines name the term.

Ruled out as a fix: publishing a view at each claim. A coordinator acts as soon as the store has confirmed its claim, before its view shows it.

The model of map_rollout_test gave each coordinator another first version, which the product did not, and compared only versions; its coordinators now order different maps, which are compared by content as well.

--- a/libs/expert_control/include/quincebank/expert_control/map_rollout.h
+++ b/libs/expert_control/include/quincebank/expert_control/map_rollout.h
@@ -9,6 +9,7 @@
 #include "quincebank/base/time.h"
 #include "quincebank/expert_control/engine_port.h"
 #include "quincebank/expert_control/group_map.h"
+#include "quincebank/expert_control/map_versions.h"
 
 namespace quincebank {
 
@@ -49,7 +50,9 @@
   kSwitched,   ///< All ranks use the new map from the same pass on.
   kUnchanged,  ///< All ranks keep their map.
   kGroupLost,  ///< The group has broken or formed anew; nothing is left of the orders.
-  kUnknown,    ///< Ranks did not answer; the next attempt has to recover the group first.
+  /// Ranks did not answer, or the coordinator may not go on; the next attempt has to recover the
+  /// group first.
+  kUnknown,
 };
 
 [[nodiscard]] std::string_view ToString(rollout_outcome outcome) noexcept;
@@ -58,9 +61,6 @@
 struct map_change {
   const std::vector<rank_experts>& map;  ///< New experts, by set and rank.
   milliseconds loading{0};               ///< Expected time until all ranks have loaded theirs.
-  /// Grows from one coordinator to the next. Ranks refuse versions up to any that they have had,
-  /// and after the group has formed anew they no longer tell which.
-  std::uint64_t least_version = 0;
 };
 
 /// \brief Changes the map of one expert group so that no pass ever sees two maps.
@@ -77,8 +77,10 @@
 /// newer version is loaded first, so that late orders to arm are refused.
 class map_rollout {
  public:
+  /// \param versions  of the group, for all terms of this process; outlives the rollout.
   map_rollout(engine_port& port,
               rollout_clock clock,
+              map_versions& versions,
               event_log& log,
               const rollout_settings& settings = {});
 
@@ -89,9 +91,6 @@
   /// \brief Whether the reports of all ranks show that they use different maps.
   [[nodiscard]] bool MapsDiffer(const rollout_group& target);
 
-  /// \brief Highest version that this process has used or seen.
-  [[nodiscard]] std::uint64_t last_version() const noexcept { return last_version_; }
-
  private:
   /// Age of reports before the first read.
   static constexpr milliseconds kAssumedAge{200};
@@ -117,6 +116,8 @@
   /// \brief Reads all ranks; nothing unless they form one open group.
   [[nodiscard]] rollout_outcome Read(const std::vector<const upstream_record*>& ranks,
                                      group_state& group);
+  /// \brief Returns the version of a new map; nothing, and logs why, if the term has ended.
+  [[nodiscard]] std::optional<std::uint64_t> NewVersion(const group_state& group);
   /// \brief Returns how long to wait for the answers to the next repeat of an order.
   [[nodiscard]] milliseconds NextPatience(order_kind kind,
                                           milliseconds patience,
@@ -164,9 +165,9 @@
 
   engine_port& port_;
   const rollout_clock clock_;
+  map_versions& versions_;
   event_log& log_;
   const rollout_settings settings_;
-  std::uint64_t last_version_ = 0;
   std::uint64_t replacement_ = 0;  ///< Version of the present map that an undo has loaded last.
   /// Time of one pass; 0 if unknown.
   nanoseconds pass_time_{0};
--- a/libs/expert_control/src/map_rollout.cc
+++ b/libs/expert_control/src/map_rollout.cc
@@ -67,9 +67,10 @@
 
 map_rollout::map_rollout(engine_port& port,
                          rollout_clock clock,
+                         map_versions& versions,
                          event_log& log,
                          const rollout_settings& settings)
-    : port_(port), clock_(std::move(clock)), log_(log), settings_(settings) {}
+    : port_(port), clock_(std::move(clock)), versions_(versions), log_(log), settings_(settings) {}
 
 rollout_outcome map_rollout::Read(const std::vector<const upstream_record*>& ranks,
                                   group_state& group) {
@@ -95,13 +96,23 @@
     if (!rank.report.open || rank.report.epoch != first.epoch || rank.report.group != first.group)
       return rollout_outcome::kGroupLost;
     step = std::max(step, rank.report.step);
-    last_version_ = std::max({last_version_, rank.report.map, rank.report.prepared.value_or(0),
-                              rank.report.armed ? rank.report.armed->version : 0});
+    versions_.Observe(std::max({rank.report.map, rank.report.prepared.value_or(0),
+                                rank.report.armed ? rank.report.armed->version : 0}));
   }
   MeasurePasses(step);
   return rollout_outcome::kUnchanged;
 }
 
+std::optional<std::uint64_t> map_rollout::NewVersion(const group_state& group) {
+  const std::optional<std::uint64_t> version = versions_.Next();
+  if (!version) {
+    log_.Write(event_line("expert.no_version")
+                   .Add("group", group.front().report.group)
+                   .Add("last", versions_.last()));
+  }
+  return version;
+}
+
 std::vector<const upstream_record*> map_rollout::Records(const group_state& group) {
   std::vector<const upstream_record*> ranks;
   ranks.reserve(group.size());
@@ -321,22 +332,23 @@
   });
   if (!idle)
     return Recover(target);
-  last_version_ = std::max(last_version_ + 1, change.least_version);
-  const std::uint64_t version = last_version_;
+  const auto version = NewVersion(group);
+  if (!version)
+    return rollout_outcome::kUnknown;
   const auto prepared =
-      Settle(group, All(group.size()), {order_kind::kPrepare, version, 0, 0, 0, &change.map},
+      Settle(group, All(group.size()), {order_kind::kPrepare, *version, 0, 0, 0, &change.map},
              // Loading takes a while, so only the number of orders shows that it has begun.
              [&](const rank_report& report) { return !report.armed; });
   if (!prepared)
     return rollout_outcome::kUnknown;
   if (!*prepared)
     return rollout_outcome::kUnchanged;
-  const rollout_outcome loaded = WaitPrepared(group, version, change.loading);
+  const rollout_outcome loaded = WaitPrepared(group, *version, change.loading);
   if (loaded != rollout_outcome::kUnchanged)
     return loaded;
   if (!clock_.may_hold())
     return rollout_outcome::kUnknown;
-  return Switch(target, group, version);
+  return Switch(target, group, *version);
 }
 
 rollout_outcome map_rollout::Switch(const rollout_group& target,
@@ -462,6 +474,9 @@
       continue;
     if (read != rollout_outcome::kUnchanged)
       return read;
+    // Whatever is unfinished is left to the next coordinator, which may be at work already.
+    if (versions_.TermEnded())
+      return rollout_outcome::kUnknown;
     const unfinished_change left = FindUnfinished(group);
     log_.Write(event_line("expert.recover")
                    .Add("group", group.front().report.group)
@@ -560,16 +575,18 @@
                  .Add("reason", map ? "" : map.error().message));
   if (!map)
     return rollout_outcome::kUnknown;
-  const std::uint64_t version = ++last_version_;
+  const auto version = NewVersion(group);
+  if (!version)
+    return rollout_outcome::kUnknown;
   const auto prepared =
-      Settle(group, All(group.size()), {order_kind::kPrepare, version, 0, 0, 0, &map.value()},
+      Settle(group, All(group.size()), {order_kind::kPrepare, *version, 0, 0, 0, &map.value()},
              [](const rank_report& report) { return !report.armed; });
   if (!prepared.value_or(false) ||
-      WaitPrepared(group, version, milliseconds(0)) != rollout_outcome::kUnchanged)
+      WaitPrepared(group, *version, milliseconds(0)) != rollout_outcome::kUnchanged)
     return rollout_outcome::kUnknown;
   if (left.held == 0)
     group.front().report.held = step;
-  return Finish(group, {version, step}) ? rollout_outcome::kSwitched : rollout_outcome::kUnknown;
+  return Finish(group, {*version, step}) ? rollout_outcome::kSwitched : rollout_outcome::kUnknown;
 }
 
 /// Holds the pass at every rank, so that no earlier coordinator can release it, disarms all, and
@@ -610,12 +627,14 @@
                    .Add("reason", present.error().message));
     return rollout_outcome::kUnknown;
   }
-  const std::uint64_t version = ++last_version_;
-  replacement_ = version;
+  const auto version = NewVersion(group);
+  if (!version)
+    return rollout_outcome::kUnknown;
+  replacement_ = *version;
   const bool replaced =
-      Settle(group, All(group.size()), {order_kind::kPrepare, version, 0, 0, 0, &present.value()},
+      Settle(group, All(group.size()), {order_kind::kPrepare, *version, 0, 0, 0, &present.value()},
              [&](const rank_report& report) {
-               return !report.armed && report.prepared.value_or(0) >= version;
+               return !report.armed && report.prepared.value_or(0) >= *version;
              })
           .value_or(false);
   if (!replaced)
--- a/libs/expert_control/tests/map_rollout_test.cc
+++ b/libs/expert_control/tests/map_rollout_test.cc
@@ -32,6 +32,17 @@
 
 struct crash {};
 
+/// Experts by set and rank.
+using whole_map = std::vector<rank_experts>;
+
+/// A map with one expert on each rank, which differs from the first one unless `shift` is 0.
+whole_map ShiftedMap(int shift) {
+  rank_experts ranks;
+  for (int rank = 0; rank < kRanks; ++rank)
+    ranks.push_back({(rank + shift) % kRanks});
+  return {ranks};
+}
+
 /// Group of ranks that follow the rules of their orders, on a virtual clock.
 class fake_group final : public engine_port {
  public:
@@ -91,7 +102,7 @@
     std::vector<result<held_experts>> held;
     for (const upstream_record* const rank : ranks) {
       const std::size_t i = Index(*rank);
-      held.emplace_back(held_experts{epoch_, ranks_[i].map, {{static_cast<int>(i)}}});
+      held.emplace_back(held_experts{epoch_, ranks_[i].map, {ranks_[i].experts.front()[i]}});
     }
     return held;
   }
@@ -102,19 +113,19 @@
     for (const rank_order& sent : orders) {
       MaybeFault();
       const std::size_t rank = Index(*sent.rank);
-      engine_order order = sent.order;
-      order.map = nullptr;
+      const engine_order& order = sent.order;
+      const whole_map map = order.map != nullptr ? *order.map : whole_map();
       if (faults_on_ && random_.Unit() < faults_.unanswered) {
         if (random_.Unit() < faults_.carried_out)
-          (void)Accept(rank, order);
+          (void)Accept(rank, order, map);
         else
-          late_.push_back({now_ + milliseconds(1'000 + random_.Below(8'000)), rank, order});
+          late_.push_back({now_ + milliseconds(1'000 + random_.Below(8'000)), rank, order, map});
         const bool repeated = faults_.repeated > 0 && order.kind == order_kind::kArm &&
                               random_.Unit() < faults_.repeated;
         answers.push_back(repeated ? ranks_[rank].answered : order_answer::kUnanswered);
         continue;
       }
-      ranks_[rank].answered = Accept(rank, order);
+      ranks_[rank].answered = Accept(rank, order, map);
       answers.push_back(ranks_[rank].answered);
     }
     const bool whole =
@@ -160,9 +171,11 @@
   struct rank_state {
     std::uint64_t orders = 0;
     std::uint64_t map = 0;
+    whole_map experts = ShiftedMap(0);  ///< Of the map in use.
     std::uint64_t highest = 0;
     std::optional<std::uint64_t> prepared;
     std::optional<std::uint64_t> loading;
+    whole_map new_experts;  ///< Of the map that is prepared or loading.
     time_point loaded_at;
     std::optional<armed_map> armed;
     std::optional<std::uint64_t> held;
@@ -172,6 +185,7 @@
     time_point at;
     std::size_t rank;
     engine_order order;
+    whole_map map;
   };
 
   std::size_t Index(const upstream_record& record) const {
@@ -186,6 +200,7 @@
       open_at_ = now_ + milliseconds(600);
       for (rank_state& rank : ranks_) {
         rank.map = 0;
+        rank.experts = ShiftedMap(0);
         rank.armed.reset();
         rank.held.reset();
         rank.prepared.reset();
@@ -211,23 +226,24 @@
         ++it;
         continue;
       }
-      (void)Accept(it->rank, it->order);
+      (void)Accept(it->rank, it->order, it->map);
       it = late_.erase(it);
     }
   }
 
-  order_answer Accept(std::size_t index, const engine_order& order) {
+  /// \param map  of an order to prepare.
+  order_answer Accept(std::size_t index, const engine_order& order, const whole_map& map) {
     rank_state& rank = ranks_[index];
     const bool counts_differ = faults_.counted && order.expected_orders != rank.orders;
     if (order.epoch != epoch_ || counts_differ || open_at_ > now_)
       return order_answer::kConflict;
-    const order_answer answer = Carry(rank, order);
+    const order_answer answer = Carry(rank, order, map);
     if (answer == order_answer::kBegun && faults_.counted)
       ++rank.orders;
     return answer;
   }
 
-  order_answer Carry(rank_state& rank, const engine_order& order) {
+  order_answer Carry(rank_state& rank, const engine_order& order, const whole_map& map) {
     switch (order.kind) {
       case order_kind::kPrepare:
         if (order.version <= rank.highest || rank.armed)
@@ -235,6 +251,7 @@
         rank.highest = order.version;
         rank.prepared.reset();
         rank.loading = order.version;
+        rank.new_experts = map;
         rank.loaded_at = now_ + milliseconds(random_.Below(900));
         return order_answer::kBegun;
       case order_kind::kArm:
@@ -279,11 +296,12 @@
       if (!rank.armed || rank.armed->step != next)
         continue;
       rank.map = rank.armed->version;
+      rank.experts = rank.new_experts;
       rank.armed.reset();
       rank.prepared.reset();
     }
     mixed_ = mixed_ || std::any_of(ranks_.begin(), ranks_.end(), [&](const rank_state& rank) {
-               return rank.map != ranks_.front().map;
+               return rank.map != ranks_.front().map || rank.experts != ranks_.front().experts;
              });
   }
 
@@ -340,17 +358,17 @@
 // to the coordinator, the ranks and the orders.
 TEST_P(map_rollout_test, NoPassSeesTwoMapsAndTheGroupGoesOn) {
   event_log log(10, /*descriptor=*/-1);
-  const std::vector<rank_experts> map{{{0}, {1}, {2}, {3}}};
   int switched = 0;
   for (std::uint64_t seed = 1; seed <= 400; ++seed) {
     fake_group group(GetParam(), seed);
     group.Advance(milliseconds(500));
+    int coordinators = 0;
     const auto act = [&] {
-      map_rollout rollout(group, group.Clock(), log);
-      switched += rollout.Run(Target(group), {map, milliseconds(0), group.Revision()}) ==
-                          rollout_outcome::kSwitched
-                      ? 1
-                      : 0;
+      const whole_map map = ShiftedMap(++coordinators);
+      map_versions versions;
+      versions.BeginTerm(group.Revision());
+      map_rollout rollout(group, group.Clock(), versions, log);
+      switched += rollout.Run(Target(group), {map}) == rollout_outcome::kSwitched ? 1 : 0;
     };
     group.SetInterloper(act);
     try {
@@ -426,9 +444,10 @@
   for (std::uint64_t seed = 1'000; seed < 1'400; ++seed) {
     fake_group group(faults, seed, 1);
     group.Advance(milliseconds(500));
-    map_rollout rollout(group, group.Clock(), log);
-    if (rollout.Run(Target(group), {map, milliseconds(0), group.Revision()}) !=
-        rollout_outcome::kSwitched)
+    map_versions versions;
+    versions.BeginTerm(group.Revision());
+    map_rollout rollout(group, group.Clock(), versions, log);
+    if (rollout.Run(Target(group), {map}) != rollout_outcome::kSwitched)
       continue;
     ++switched;
     paused += group.longest_hold() >= kStreamPause ? 1 : 0;
@@ -456,7 +475,9 @@
     group.Advance(milliseconds(500));
     group.LeaveTwoMaps(GetParam().held, GetParam().armed);
     group.Advance(milliseconds(500));
-    map_rollout rollout(group, group.Clock(), log);
+    map_versions versions;
+    versions.BeginTerm(group.Revision());
+    map_rollout rollout(group, group.Clock(), versions, log);
     ASSERT_TRUE(rollout.MapsDiffer(Target(group))) << "seed " << seed;
     (void)rollout.Recover(Target(group));
     group.Advance(milliseconds(12'000));
@@ -487,9 +508,10 @@
   group.Advance(milliseconds(500));
   rollout_clock clock = group.Clock();
   clock.may_hold = [] { return false; };
-  map_rollout rollout(group, clock, log);
-  EXPECT_NE(rollout.Run(Target(group), {map, milliseconds(0), group.Revision()}),
-            rollout_outcome::kSwitched);
+  map_versions versions;
+  versions.BeginTerm(group.Revision());
+  map_rollout rollout(group, clock, versions, log);
+  EXPECT_NE(rollout.Run(Target(group), {map}), rollout_outcome::kSwitched);
   EXPECT_EQ(group.longest_hold(), nanoseconds(0));
   const std::uint64_t pass = group.pass();
   group.Advance(milliseconds(1'000));
--- a/libs/gateway/include/quincebank/gateway/expert_rebalancer.h
+++ b/libs/gateway/include/quincebank/gateway/expert_rebalancer.h
@@ -9,6 +9,7 @@
 #include "quincebank/base/event_log.h"
 #include "quincebank/expert_control/engine_port.h"
 #include "quincebank/expert_control/map_rollout.h"
+#include "quincebank/expert_control/map_versions.h"
 #include "quincebank/experts/shift_detector.h"
 #include "quincebank/gateway/fleet_snapshot.h"
 #include "quincebank/gateway/fleet_sync.h"
@@ -64,14 +65,16 @@
   [[nodiscard]] bool HasExpertServices() const;
   /// \brief Claims the coordinator role and starts a fiber for each group that has none.
   void ScanLoop(fiber_thread& thread);
-  /// \brief Balances one group until it is incomplete or this entry is no longer coordinator.
+  /// \brief Balances one group until it is incomplete or the term of this entry as coordinator
+  /// ends.
   void GroupLoop(const std::string& group, group_state& state);
   /// \brief One round for a group: recovers it after a new epoch or when it makes no progress,
   /// reads its counts and changes its map if the gain justifies that.
   void Balance(const std::string& group,
                const rank_group& view,
                group_state& state,
-               map_rollout& rollout);
+               map_rollout& rollout,
+               const map_versions& versions);
   /// \brief Reads the map in use from the ranks. Returns false, and logs the reason, if that fails.
   [[nodiscard]] bool ReadMap(const rollout_group& target, group_state& state);
   /// \brief Starts from the popularity that the last coordinator has stored, if it fits the group.
@@ -87,6 +90,8 @@
   stop_signal stop_;
   std::atomic<int> running_fibers_{0};  ///< Fibers that have not ended.
   std::map<std::string, group_state> groups_;
+  /// By group. Never removed, since a version must not be assigned twice.
+  std::map<std::string, map_versions> versions_;
 };
 
 }  // namespace quincebank
--- a/libs/gateway/include/quincebank/gateway/fleet_sync.h
+++ b/libs/gateway/include/quincebank/gateway/fleet_sync.h
@@ -61,6 +61,10 @@
   void TryClaimCoordinatorRole();
   /// \brief Whether this incarnation of the entry is the coordinator and may act as such.
   [[nodiscard]] bool IsCoordinator() const;
+  /// \brief Returns the position of the store at which the coordinator has claimed its role. Grows
+  /// from one claim to the next, whichever entry makes it.
+  /// \pre `IsCoordinator()`
+  [[nodiscard]] store_position CoordinatorTerm() const;
   /// \brief Whether this entry is registered and the lease of its registration can't have ended
   /// yet.
   [[nodiscard]] bool HasValidRegistration() const;
@@ -211,6 +215,7 @@
   store_lease coordinator_lease_;          ///< Empty unless this entry has claimed the role.
   role_lease coordinator_role_;
   boot_time confirmed_claim_sent_{};  ///< When the last confirmed claim was sent.
+  store_position confirmed_claim_;    ///< Where the store has carried out that claim.
   std::map<std::string, time_point> popularity_stored_at_;  ///< By group.
   time_point registered_at_{};              ///< When this entry's record was written last.
   std::optional<time_point> vacant_since_;  ///< Since when no entry holds the role.
--- a/libs/gateway/include/quincebank/gateway/shared_store.h
+++ b/libs/gateway/include/quincebank/gateway/shared_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -53,16 +54,16 @@
   /// \brief Ends a lease and removes the keys written under it.
   [[nodiscard]] virtual result<void> EndLease(const store_lease& lease) = 0;
   /// \brief Writes a key if it does not exist. The key is removed when the lease ends.
-  /// \returns False if the key exists.
-  [[nodiscard]] virtual result<bool> Create(std::string_view key,
-                                            std::string_view value,
-                                            const store_lease& lease) = 0;
+  /// \returns The revision of the write; nothing if the key exists.
+  [[nodiscard]] virtual result<std::optional<std::uint64_t>> Create(std::string_view key,
+                                                                    std::string_view value,
+                                                                    const store_lease& lease) = 0;
   /// \brief Writes a key if the revision of its last change is still that of `expected`. The key is
   /// removed when the lease ends.
-  /// \returns False if the key has changed.
-  [[nodiscard]] virtual result<bool> Replace(const store_item& expected,
-                                             std::string_view value,
-                                             const store_lease& lease) = 0;
+  /// \returns The revision of the write; nothing if the key has changed.
+  [[nodiscard]] virtual result<std::optional<std::uint64_t>> Replace(const store_item& expected,
+                                                                     std::string_view value,
+                                                                     const store_lease& lease) = 0;
   /// \brief Writes a key unconditionally.
   /// \param lease  the key is removed when this lease ends; empty: the key is permanent.
   [[nodiscard]] virtual result<void> Put(std::string_view key,
--- a/libs/gateway/src/expert_rebalancer.cc
+++ b/libs/gateway/src/expert_rebalancer.cc
@@ -35,9 +35,6 @@
 // After this many consecutive reads without any expert choice, an idle group is recovered: its
 // ranks may wait at a held pass that nobody releases.
 constexpr int kIdleReadsBeforeRecovery = 5;
-// A map version has the store revision in its high bits, so that versions grow from one coordinator
-// to the next, and this many low bits that number the changes of one coordinator.
-constexpr int kChangeNumberBits = 16;
 // A restored store goes back to a lower revision, by fewer revisions than this.
 constexpr std::uint64_t kRevisionsPerEra = 1U << 20U;
 // Most experts, over all sets, that one rank may load for one map change.
@@ -61,9 +58,9 @@
   before = now;
 }
 
-/// Ranks refuse versions below those that they have had.
-std::uint64_t LeastVersion(const fleet_snapshot& snapshot) {
-  return (snapshot.store_era * kRevisionsPerEra + snapshot.store_revision) << kChangeNumberBits;
+/// Numbers the terms of all coordinators in their order.
+std::uint64_t TermNumber(const store_position& claim) {
+  return claim.era * kRevisionsPerEra + claim.revision;
 }
 
 even_share_shape ShapeOf(const engine_profile& profile, std::size_t ranks) {
@@ -143,25 +140,42 @@
 
 void expert_rebalancer::GroupLoop(const std::string& group, group_state& state) {
   state = MakeState(0);
-  log_.Write(event_line("expert.steering").Add("group", group));
+  const store_position term = sync_.CoordinatorTerm();
+  // Another entry may have been the coordinator between two terms of this one.
+  const auto in_term = [&] { return sync_.IsCoordinator() && sync_.CoordinatorTerm() == term; };
+  map_versions& versions = versions_[group];
+  versions.BeginTerm(TermNumber(term));
+  log_.Write(event_line("expert.steering")
+                 .Add("group", group)
+                 .Add("era", term.era)
+                 .Add("term", term.revision));
   map_rollout rollout(
       port_,
-      {[] { return Now(); }, [](milliseconds time) { boost::this_fiber::sleep_for(time); },
-       [this] { return sync_.IsCoordinator(); }, [this] { return !stop_.IsSet(); }},
-      log_);
+      {[] { return Now(); }, [](milliseconds time) { boost::this_fiber::sleep_for(time); }, in_term,
+       [this] { return !stop_.IsSet(); }},
+      versions, log_);
   // After a rollout, which takes longer than the period, the counts are read without delay.
   time_point next = Now();
   const auto wait = [&] {
     const auto left = std::chrono::duration_cast<milliseconds>(next - Now());
     return stop_.WaitFor(std::max(left, kMinReadPause));
   };
-  while (!wait() && sync_.IsCoordinator()) {
+  while (!wait() && in_term()) {
     next = Now() + kCountReadPeriod;
     const auto groups = FindRankGroups(snapshots_.Get());
     const auto found = groups.find(group);
     if (found == groups.end())
       return;
-    Balance(group, found->second, state, rollout);
+    Balance(group, found->second, state, rollout, versions);
+    if (versions.TermEnded()) {
+      // A later coordinator may be at work, or a new claim is needed for more versions.
+      log_.Write(event_line("expert.term_ended")
+                     .Add("group", group)
+                     .Add("term", term.revision)
+                     .Add("last", versions.last()));
+      sync_.ResignCoordinator();
+      return;
+    }
   }
 }
 
@@ -175,7 +189,8 @@
 void expert_rebalancer::Balance(const std::string& group,
                                 const rank_group& view,
                                 group_state& state,
-                                map_rollout& rollout) {
+                                map_rollout& rollout,
+                                const map_versions& versions) {
   const rollout_group target{view.ranks, ShapeOf(view.profile, view.ranks.size()),
                              static_cast<std::size_t>(view.profile.expert_sets)};
   if (state.epoch != view.epoch) {
@@ -229,12 +244,11 @@
                  .Add("change", change));
   if (!change)
     return;
-  const rollout_outcome outcome = rollout.Run(
-      target,
-      {plan.sets, plan.most_loads * view.profile.expert_load_time, LeastVersion(*view.snapshot)});
+  const rollout_outcome outcome =
+      rollout.Run(target, {plan.sets, plan.most_loads * view.profile.expert_load_time});
   log_.Write(event_line("expert.rollout")
                  .Add("group", group)
-                 .Add("version", rollout.last_version())
+                 .Add("version", versions.last())
                  .Add("outcome", ToString(outcome)));
   state.last_change = Now();
   sync_.StorePopularity(group, EncodePopularity(state.popularity.loads()));
--- a/libs/gateway/src/fleet_sync.cc
+++ b/libs/gateway/src/fleet_sync.cc
@@ -526,6 +526,14 @@
   return BootNow() - confirmed_claim_sent_ < kClaimVisibilityDelay;
 }
 
+store_position fleet_sync::CoordinatorTerm() const {
+  // The answer to a claim may have been lost, or the mirror may still show an earlier claim.
+  const store_item* const holder = FindHolder();
+  if (holder == nullptr || holder->value != CoordinatorId())
+    return confirmed_claim_;
+  return std::max(confirmed_claim_, store_position{mirror_.era(), holder->revision});
+}
+
 bool fleet_sync::ClaimIsDue() {
   const time_point now = Now();
   if (!vacant_since_) {
@@ -563,7 +571,7 @@
   const boot_time boot_sent = BootNow();
   const std::optional<store_item> replaced = own ? std::optional(*holder) : std::nullopt;
   auto lease = store_.OpenLease(settings_.coordinator_lease);
-  const auto claimed = !lease     ? result<bool>(lease.error())
+  const auto claimed = !lease     ? result<std::optional<std::uint64_t>>(lease.error())
                        : replaced ? store_.Replace(*replaced, CoordinatorId(), lease.value())
                                   : store_.Create(kCoordinatorKey, CoordinatorId(), lease.value());
   // A write that failed without an answer may still take effect, so its lease is kept.
@@ -573,12 +581,13 @@
   }
   if (lease && claimed && claimed.value()) {
     confirmed_claim_sent_ = boot_sent;
+    confirmed_claim_ = {lease.value().era, *claimed.value()};
     StoreLastCoordinator();
   }
   event_line line("coordinator.claim");
   line.Add("revision", mirror_.revision());
   if (claimed)
-    line.Add("claimed", claimed.value());
+    line.Add("claimed", claimed.value().has_value()).Add("term", claimed.value().value_or(0));
   else
     line.Add("reason", claimed.error().message);
   log_.Write(std::move(line));
