Repeat an order to load a map with the rank's present count

Cause: a rank refuses a repeated order if it has carried out an earlier copy of it, or if it has accepted another order since, which changes its count. While a map is loading no report tells which, and the coordinator took each such refusal for the first. Class: a refusal has several causes, and one is assumed.

A rank whose count has changed now gets the order once more with the count that it reports. If it refuses that too, the count was right, and it has had the version, which belongs to one map only. Orders to arm and to hold are not sent once more: reports show their effect, and a late hold that has come between is released by a recovery only.

Test: expert_control/map_rollout.LateOrderOfAnEarlierCoordinatorDelaysNoChange failed for each of the four ranks before, and passes.

After an answer that is lost the order is sent once more than before.

--- a/libs/expert_control/include/quincebank/expert_control/map_rollout.h
+++ b/libs/expert_control/include/quincebank/expert_control/map_rollout.h
@@ -130,6 +130,21 @@
                                            const std::vector<std::size_t>& members,
                                            const engine_order& order,
                                            const std::function<bool(const rank_report&)>& wanted);
+  /// What reports show of ranks that have refused a repeated order.
+  struct refusal_causes {
+    /// Ranks that have accepted other orders since their report, and have to be sent the order once
+    /// more with their present count.
+    std::vector<std::size_t> miscounted;
+    bool fits = true;  ///< All others are in the wanted state.
+  };
+  /// \brief Finds out why ranks have refused a repeated order: they have carried out an earlier
+  /// copy of it, they have accepted other orders meanwhile, or it does not fit their state.
+  /// \returns Nothing if some ranks did not answer.
+  [[nodiscard]] std::optional<refusal_causes> ExplainRefusals(
+      group_state& group,
+      const std::vector<std::size_t>& members,
+      const engine_order& order,
+      const std::function<bool(const rank_report&)>& wanted);
   /// \brief Waits until all ranks have loaded a map; reads only those that have not.
   [[nodiscard]] rollout_outcome WaitPrepared(group_state& group,
                                              std::uint64_t version,
--- a/libs/expert_control/src/map_rollout.cc
+++ b/libs/expert_control/src/map_rollout.cc
@@ -256,6 +256,14 @@
     }
     log_.Write(std::move(line));
     open = std::move(unanswered);
+    if (open.empty() && !disputed.empty()) {
+      const auto causes = ExplainRefusals(group, disputed, order, wanted);
+      if (!causes)
+        return std::nullopt;
+      fits = fits && causes->fits;
+      open = causes->miscounted;
+      disputed.clear();
+    }
     if (open.empty())
       break;
     if (clock_.now() >= until)
@@ -264,25 +272,39 @@
     ++repeats;
     patience = NextPatience(order.kind, patience, repeats);
   }
-  if (disputed.empty())
-    return fits;
-  // The conflict may come from the first copy of the order, which then has taken effect.
+  return fits;
+}
+
+std::optional<map_rollout::refusal_causes> map_rollout::ExplainRefusals(
+    group_state& group,
+    const std::vector<std::size_t>& members,
+    const engine_order& order,
+    const std::function<bool(const rank_report&)>& wanted) {
   AwaitFreshReports();
   std::vector<const upstream_record*> ranks;
-  ranks.reserve(disputed.size());
-  for (const std::size_t member : disputed)
+  ranks.reserve(members.size());
+  for (const std::size_t member : members)
     ranks.push_back(group[member].record);
   const auto reports = port_.Reports(ranks);
-  for (std::size_t i = 0; i < disputed.size(); ++i) {
-    rank_state& rank = group[disputed[i]];
+  refusal_causes causes;
+  for (std::size_t i = 0; i < members.size(); ++i) {
     if (!reports[i])
       return std::nullopt;
-    const bool same = reports[i].value().epoch == rank.report.epoch &&
-                      reports[i].value().incarnation == rank.report.incarnation;
-    fits = fits && same && wanted(reports[i].value());
-    rank.orders = reports[i].value().orders;
+    rank_state& rank = group[members[i]];
+    const rank_report& report = reports[i].value();
+    const bool right_count = report.orders == std::exchange(rank.orders, report.orders);
+    const bool same =
+        report.epoch == rank.report.epoch && report.incarnation == rank.report.incarnation;
+    if (!same || !wanted(report)) {
+      causes.fits = false;
+      continue;
+    }
+    // No report tells which map a rank is loading. If an order with the right count is refused, it
+    // is this one, since ranks refuse versions that they have had.
+    if (order.kind == order_kind::kPrepare && !right_count && report.prepared != order.version)
+      causes.miscounted.push_back(members[i]);
   }
-  return fits;
+  return causes;
 }
 
 rollout_outcome map_rollout::WaitPrepared(group_state& group,
--- a/libs/expert_control/tests/map_rollout_test.cc
+++ b/libs/expert_control/tests/map_rollout_test.cc
@@ -115,6 +115,14 @@
       const std::size_t rank = Index(*sent.rank);
       const engine_order& order = sent.order;
       const whole_map map = order.map != nullptr ? *order.map : whole_map();
+      if (crossed_rank_ == rank) {
+        crossed_rank_.reset();
+        const engine_order earlier{order_kind::kPrepare, 1,      0, epoch_,
+                                   ranks_[rank].orders,  nullptr};
+        late_.push_back({now_ + kTick, rank, earlier, ShiftedMap(2)});
+        answers.push_back(order_answer::kUnanswered);
+        continue;
+      }
       if (faults_on_ && random_.Unit() < faults_.unanswered) {
         if (random_.Unit() < faults_.carried_out)
           (void)Accept(rank, order, map);
@@ -142,6 +150,10 @@
   /// Runs another coordinator at a random call of the first one.
   void SetInterloper(std::function<void()> run) { interloper_ = std::move(run); }
 
+  /// The next order to a rank is lost, and before it is repeated the rank carries out an order that
+  /// an earlier coordinator has sent.
+  void CrossNextOrder(std::size_t rank) { crossed_rank_ = rank; }
+
   [[nodiscard]] bool mixed() const noexcept { return mixed_; }
   /// Longest time that a pass was due and had to wait for a release.
   [[nodiscard]] nanoseconds longest_hold() const noexcept { return longest_hold_; }
@@ -336,6 +348,7 @@
   std::deque<std::vector<rank_report>> history_;
   std::vector<late_order> late_;
   std::function<void()> interloper_;
+  std::optional<std::size_t> crossed_rank_;
   time_point now_{std::chrono::hours(1)};
   time_point next_pass_{};
   time_point open_at_{};
@@ -499,6 +512,26 @@
                                          two_maps_case{"armed_late", true, true, true}),
                          [](const auto& info) { return std::string(info.param.name); });
 
+// Guards against a group that keeps its map for as long as loading may take, since a rank that has
+// counted a late order of an earlier coordinator refuses the repeated order, and the refusal passes
+// for the effect of its first copy.
+TEST(map_rollout, LateOrderOfAnEarlierCoordinatorDelaysNoChange) {
+  const fault_case faults{"none"};
+  event_log log(10, /*descriptor=*/-1);
+  const whole_map map = ShiftedMap(1);
+  for (std::size_t rank = 0; rank < kRanks; ++rank) {
+    fake_group group(faults, 1, 1);
+    group.Advance(milliseconds(500));
+    map_versions versions;
+    versions.BeginTerm(group.Revision());
+    map_rollout rollout(group, group.Clock(), versions, log);
+    group.CrossNextOrder(rank);
+    EXPECT_EQ(rollout.Run(Target(group), {map}), rollout_outcome::kSwitched) << "rank " << rank;
+    EXPECT_EQ(group.map(rank), versions.last());
+    EXPECT_FALSE(group.mixed());
+  }
+}
+
 // Guards against a coordinator that holds a pass although its process is about to stop.
 TEST(map_rollout, HoldsNoPassWhileItsProcessStops) {
   const fault_case faults{"none"};
