Leave a group alone while its ranks report a later term

Cause: what ranks report was kept as if this process had assigned it. Only versions that it has assigned must never come again; what ranks report is read anew each time.

A read that shows a version of a later coordinator now fails, as one does that not all ranks answer: no order follows, and the next round reads again. The role is given up only once a term has no versions left.

Test: adapter/coordinator_takeover.OrdersNothingWhileRanksReportALaterTerm replaces ReplacedCoordinatorOrdersNothingAndResigns. It still requires that nothing is ordered meanwhile, and instead of the resignation, which was the fault, that orders follow again after the reports are right. It failed on (no order within 8 s) and passes. map_versions_test has the same cases in the new form.

--- a/libs/expert_control/include/quincebank/expert_control/map_rollout.h
+++ b/libs/expert_control/include/quincebank/expert_control/map_rollout.h
@@ -113,10 +113,11 @@
     bool one_map = true;     ///< All ranks use the same version.
   };
 
-  /// \brief Reads all ranks; nothing unless they form one open group.
+  /// \brief Reads all ranks; nothing unless they form one open group. Fails if they report a
+  /// version of a later coordinator, to which the group is left.
   [[nodiscard]] rollout_outcome Read(const std::vector<const upstream_record*>& ranks,
                                      group_state& group);
-  /// \brief Returns the version of a new map; nothing, and logs why, if the term has ended.
+  /// \brief Returns the version of a new map; nothing if the term has none left.
   [[nodiscard]] std::optional<std::uint64_t> NewVersion(const group_state& group);
   /// \brief Returns how long to wait for the answers to the next repeat of an order.
   [[nodiscard]] milliseconds NextPatience(order_kind kind,
@@ -183,6 +184,7 @@
   map_versions& versions_;
   event_log& log_;
   const rollout_settings settings_;
+  std::uint64_t reported_version_ = 0;  ///< Highest one in the last read.
   std::uint64_t replacement_ = 0;  ///< Version of the present map that an undo has loaded last.
   /// Time of one pass; 0 if unknown.
   nanoseconds pass_time_{0};
--- a/libs/expert_control/include/quincebank/expert_control/map_versions.h
+++ b/libs/expert_control/include/quincebank/expert_control/map_versions.h
@@ -18,20 +18,23 @@
   /// assigned again.
   /// \param term  grows from one coordinator to the next; below 2^47.
   void BeginTerm(std::uint64_t term) noexcept { first_ = term << kMapNumberBits; }
-  /// \brief Notes a version that a rank has reported.
-  void Observe(std::uint64_t version) noexcept { last_ = std::max(last_, version); }
-  /// \brief Returns a version above all that were assigned or observed; nothing if the term has
-  /// ended.
-  [[nodiscard]] std::optional<std::uint64_t> Next() noexcept {
-    if (TermEnded())
+  /// \brief Returns a version above all that were assigned before; nothing if the term has none
+  /// left.
+  /// \param reported  highest version that ranks report; the result is above it as well.
+  [[nodiscard]] std::optional<std::uint64_t> Next(std::uint64_t reported) noexcept {
+    const std::uint64_t version = std::max({last_ + 1, first_, reported + 1});
+    if (IsOfLaterTerm(version))
       return std::nullopt;
-    last_ = std::max(last_ + 1, first_);
-    return last_;
+    last_ = version;
+    return version;
   }
-  /// \brief Whether the term has no versions left: a rank has reported one of a later coordinator,
-  /// or all have been assigned.
-  [[nodiscard]] bool TermEnded() const noexcept { return last_ >= first_ + kMapsPerTerm - 1; }
-  /// \brief Highest version that was assigned or observed.
+  /// \brief Whether a later coordinator has assigned a version.
+  [[nodiscard]] bool IsOfLaterTerm(std::uint64_t version) const noexcept {
+    return version >= first_ + kMapsPerTerm;
+  }
+  /// \brief Whether all versions of the term have been assigned.
+  [[nodiscard]] bool Exhausted() const noexcept { return IsOfLaterTerm(last_ + 1); }
+  /// \brief Version that was assigned last.
   [[nodiscard]] std::uint64_t last() const noexcept { return last_; }
 
  private:
--- a/libs/expert_control/src/map_rollout.cc
+++ b/libs/expert_control/src/map_rollout.cc
@@ -91,20 +91,29 @@
   const rank_report& first = group.front().report;
   std::uint64_t step = 0;
   report_age_ = milliseconds(0);
+  reported_version_ = 0;
   for (const rank_state& rank : group) {
     report_age_ = std::max(report_age_, rank.report.age);
     if (!rank.report.open || rank.report.epoch != first.epoch || rank.report.group != first.group)
       return rollout_outcome::kGroupLost;
     step = std::max(step, rank.report.step);
-    versions_.Observe(std::max({rank.report.map, rank.report.prepared.value_or(0),
-                                rank.report.armed ? rank.report.armed->version : 0}));
+    reported_version_ =
+        std::max({reported_version_, rank.report.map, rank.report.prepared.value_or(0),
+                  rank.report.armed ? rank.report.armed->version : 0});
+  }
+  if (versions_.IsOfLaterTerm(reported_version_)) {
+    log_.Write(event_line("expert.later_term")
+                   .Add("group", first.group)
+                   .Add("reported", reported_version_)
+                   .Add("last", versions_.last()));
+    return rollout_outcome::kUnknown;
   }
   MeasurePasses(step);
   return rollout_outcome::kUnchanged;
 }
 
 std::optional<std::uint64_t> map_rollout::NewVersion(const group_state& group) {
-  const std::optional<std::uint64_t> version = versions_.Next();
+  const std::optional<std::uint64_t> version = versions_.Next(reported_version_);
   if (!version) {
     log_.Write(event_line("expert.no_version")
                    .Add("group", group.front().report.group)
@@ -496,9 +505,6 @@
       continue;
     if (read != rollout_outcome::kUnchanged)
       return read;
-    // Whatever is unfinished is left to the next coordinator, which may be at work already.
-    if (versions_.TermEnded())
-      return rollout_outcome::kUnknown;
     const unfinished_change left = FindUnfinished(group);
     log_.Write(event_line("expert.recover")
                    .Add("group", group.front().report.group)
--- a/libs/gateway/src/expert_rebalancer.cc
+++ b/libs/gateway/src/expert_rebalancer.cc
@@ -167,12 +167,10 @@
     if (found == groups.end())
       return;
     Balance(group, found->second, state, rollout, versions);
-    if (versions.TermEnded()) {
-      // A later coordinator may be at work, or a new claim is needed for more versions.
-      log_.Write(event_line("expert.term_ended")
-                     .Add("group", group)
-                     .Add("term", term.revision)
-                     .Add("last", versions.last()));
+    if (versions.Exhausted()) {
+      // The next claim begins a term with versions of its own.
+      log_.Write(
+          event_line("expert.term_exhausted").Add("group", group).Add("last", versions.last()));
       sync_.ResignCoordinator();
       return;
     }
