--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""Releases of a service between peaks, and then new channels of consumers."""
+"""The operator allows longer heads, and a consumer inside the limit sends a long field."""
 
 import asyncio
 import os
@@ -10,116 +10,72 @@
 import http1  # noqa: E402
 from config import route, service  # noqa: E402
 from replica import Replica  # noqa: E402
-from world import BROKEN, CONTACT_S, HELD, NOT_RUN, TROUBLE, play  # noqa: E402
+from world import BROKEN, HELD, NOT_RUN, TROUBLE, play  # noqa: E402
 
-REPLICAS, SLOTS = 16, 12
-# A release replaces half of the replicas, two at a time, one second after the other.
-RELEASES, SHARE, AT_A_TIME, GAP_S = 20, 0.5, 2, 1.0
-DRAIN_S = 2.0
-PEAK_S, PAUSE_S = 0.6, 0.4
-CALLERS = 1000  # Consumers, each with a kept channel.
-TRIERS = 12
-TRIED_S = 5.0  # Over `contact_ms`, and over the route's 4 s and half a second more.
+HEADER_BYTES = 131_072  # The operator's new limit.
+FIELD_BYTES = 70_000
+ORDERS = 12
+ALLOWED = 3  # "more than three times"
 
 
 class Desk(Replica):
-    def __init__(self, *arguments):
-        super().__init__(*arguments)
-        self.work_s = 0.1
+    """Runs an order for two seconds."""
 
+    async def run(self, message, writer, fields):
+        self.work_s = 2.0 if message.body == b"order" else 0.01
+        await super().run(message, writer, fields)
 
-class Peak:
-    def __init__(self, world):
-        self.world, self.calls = world, asyncio.Event()
-        self.served = self.refused = self.broken = 0
 
-    async def caller(self):
-        """Sends one request after the other on a kept channel while there is a peak."""
-        reader, writer = await asyncio.open_connection(*self.world.gateways[0].frontend)
-        while True:
-            await self.calls.wait()
-            writer.write(http1.encode("GET /status/1 HTTP/1.1", self.world.fields()))
+async def order(world, number):
+    """Returns whether the order that a consumer sends on a kept channel is answered."""
+    reader, writer = await asyncio.open_connection(*world.gateways[0].frontend)
+    try:
+        for body in (b"first", b"order"):
+            fields = world.fields()
+            writer.write(http1.encode("POST /order/1 HTTP/1.1",
+                                      {**fields, "Content-Length": len(body)}, body))
             message = await http1.read_head(reader)
+            if message is not None:
+                await http1.read_body(reader, message)
+            runs = world.runs(fields["X-Quincebank-Attempt-Id"])
+            world.record.write(f"consumer {number} sent", body.decode(),
+                               fields["X-Quincebank-Attempt-Id"], "and gets",
+                               message.start if message else "no answer; the channel has ended",
+                               f"(it has run {runs} times)")
             if message is None:
-                self.broken += 1
-                return
-            await http1.read_body(reader, message)
-            if message.status == 200:
-                self.served += 1
-                continue
-            self.refused += 1
-            await asyncio.sleep(float(message.get("retry-after", "0.3")))
-
-
-class Platform:
-    """Asks the gateway once a second, on a kept channel, whether it is ready."""
-
-    def __init__(self):
-        self.answers = []
-
-    async def check(self, address):
-        reader, writer = await asyncio.open_connection(*address)
-        while True:
-            writer.write(http1.encode("GET /-/readyz HTTP/1.1", {"Host": "gateway"}))
-            message = await http1.read_head(reader)
-            self.answers.append(message.status if message else "closed")
-            if message is None:
-                return
-            await asyncio.sleep(1)
-
-
-async def release(world, replicas, tasks):
-    """The new replica starts first, the old one drains."""
-    for first in range(0, int(REPLICAS * SHARE), AT_A_TIME):
-        old = replicas[:AT_A_TIME]
-        del replicas[:AT_A_TIME]
-        for leaving in old:
-            if not TROUBLE:
-                replicas.append(leaving)
-                continue
-            replicas.append(await world.add_replica("desk", SLOTS, Desk, leaving.address[0]))
-            tasks.append(asyncio.ensure_future(leaving.drain(DRAIN_S)))
-        if first + AT_A_TIME < REPLICAS * SHARE:
-            await asyncio.sleep(GAP_S)
-
-
-async def try_channel(world, number):
-    answer = await http1.exchange(world.gateways[0].frontend, "GET", "/status/1", world.fields(),
-                                  timeout=TRIED_S)
-    world.record.write(f"new channel {number}:", answer.start if answer else "not taken")
-    return answer is not None
+                return False
+        return True
+    except (OSError, asyncio.IncompleteReadError) as failure:
+        world.record.write(f"consumer {number}: the channel ends without an answer:", failure)
+        return False
+    finally:
+        writer.close()
 
 
 async def case(world):
-    replicas = [await world.add_replica("desk", SLOTS, Desk) for _ in range(REPLICAS)]
-    if not await world.start([route("status", "safe", "desk")], [service("desk")]):
-        return NOT_RUN
-    gateway, platform, peak = world.gateways[0], Platform(), Peak(world)
-    tasks = [asyncio.ensure_future(platform.check(gateway.readiness))]
-    if not await try_channel(world, 0):
+    for _ in range(2):
+        await world.add_replica("desk", 12, Desk)
+    if not await world.start([route("order", "unsafe", "desk"), route("status", "safe", "desk")],
+                             [service("desk")]):
         return NOT_RUN
-    tasks += [asyncio.ensure_future(peak.caller()) for _ in range(CALLERS)]
-    for number in range(RELEASES):
-        before = peak.served
-        peak.calls.set()
-        await asyncio.sleep(PEAK_S)
-        peak.calls.clear()
-        world.record.write(f"peak {number}: served {peak.served}, refused {peak.refused}, cut off",
-                           f"{peak.broken} so far; descriptors {gateway.descriptors()} of",
-                           gateway.limits["max_fds"])
-        if peak.served == before:
-            break  # Nothing is served any more.
-        await asyncio.sleep(PAUSE_S)
-        await release(world, replicas, tasks)
-        await asyncio.sleep(PAUSE_S)
-    await asyncio.sleep(DRAIN_S + CONTACT_S)
-    first = len(platform.answers)
-    taken = await asyncio.gather(*(try_channel(world, n + 1) for n in range(TRIERS)))
+    gateway = world.gateways[0]
+    world.values["version"] += 4
+    world.values["limits"]["max_header_bytes"] = HEADER_BYTES
+    world.store.put("op/config", world.values)
+    await asyncio.sleep(4)
+    orders = [asyncio.ensure_future(order(world, n)) for n in range(ORDERS)]
     await asyncio.sleep(1)
-    ready = platform.answers[first - 1:]
-    world.record.write(f"{sum(taken)} of {TRIERS} new channels taken; ready: {ready}; descriptors",
-                       gateway.descriptors())
-    return BROKEN if not any(taken) and set(ready) == {200} else HELD
+    if any(task.done() for task in orders):
+        return NOT_RUN
+    field = "a" * (FIELD_BYTES if TROUBLE else 1_000)
+    world.record.write(f"another consumer sends a head with a field of {len(field)} bytes; the",
+                       f"limit of heads is {HEADER_BYTES}")
+    answer = await http1.exchange(gateway.frontend, "GET", "/status/1", world.fields(Note=field))
+    world.record.write("it gets", answer.start if answer else "no answer")
+    lost = (await asyncio.gather(*orders)).count(False)
+    world.record.write(f"{lost} of {ORDERS} orders lost; the gateway's exit code:",
+                       gateway.process.poll())
+    return BROKEN if lost > ALLOWED else HELD
 
 
 play(HERE, case)
