--- a/review/standins-3/machines.py
+++ b/review/standins-3/machines.py
@@ -16,6 +16,7 @@
 ROOT = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", ".."))
 STOP_S = 10
 PR_SET_PDEATHSIG = 1
+PORTS, METRICS_PORT = 80, 7351
 LIBC = ctypes.CDLL(None)
 BOUNDS = {"cold_factor": 1.5, "cold_allowance": 5, "retry_budget_ratio": 0.2,
           "retry_allowance": 92, "grace_s": 8, "ttl_max_s": 5, "stall_ms": 1500}
@@ -47,8 +48,9 @@
     def host(self):
         self.hosts += 1
         address = f"{self.prefix}{self.hosts}"
-        with socket.socket() as probe:
-            probe.bind((address, self.port))
+        for port in (*range(self.port, self.port + PORTS), METRICS_PORT):
+            with socket.socket() as probe:
+                probe.bind((address, port))  # Fails unless the port is free.
         return address
 
 
@@ -64,7 +66,7 @@
         self.name = f"{deploy['on']}-{zone}-{network.hosts}"
         self.limits = EDGE if edge else SIDE
         self.frontend, self.readiness = (self.host, port + 1), (self.host, port + 2)
-        self.directory, self.metrics = (self.host, port + 3), (self.host, 7351)
+        self.directory, self.metrics = (self.host, port + 3), (self.host, METRICS_PORT)
         text = {name: f"{self.host}:{address[1]}" for name, address in
                 (("frontend", self.frontend), ("readiness", self.readiness),
                  ("directory", self.directory))}
