Keep an exception inside the operation that throws it

Cause: completion handlers run inside asio_scheduler::suspend_until, which is noexcept, so whatever one of them throws ends the process. Here Beast's container of fields threw length_error for a trailer field of 70,000 bytes. A plain catch would not do: the handler is destroyed without a call, and the fiber that waits for it would wait for ever.

Evidence: "terminate called after throwing an instance of boost::wrapexcept<std::length_error>"; with fields of 65,533 bytes the process goes on, with 65,534 it aborts, whatever the memory.

Change: the event loop catches and logs what a callback throws. The handler of an operation reports operation_aborted to its fiber when it is destroyed without a call, so the fiber closes its connection as after any failed read. The same cause on related paths: fibers of parallel calls to ranks and of hedged requests had no handler of exceptions, the accept loop and loops of the own interface ended for good, and a node that had lost a tracked fiber did not stop.

Why it works: each of these places now has an owner for the failure (operation, call, connection or loop), and no state of others is touched.

The loops of the own interface and the hedged request were changed by reading, without a test.

--- a/libs/agent/src/agent_impl.cc
+++ b/libs/agent/src/agent_impl.cc
@@ -47,14 +47,20 @@
       ledger_(self, limits, Now(), std::chrono::system_clock::now()) {}
 
 void agent_service::impl::Start() {
-  Spawn([this] { ProbeLoop(); });
-  Spawn([this] { SweepLoop(); });
+  SpawnLoop("probe", &impl::ProbeLoop);
+  SpawnLoop("sweep", &impl::SweepLoop);
+}
+
+void agent_service::impl::SpawnLoop(std::string what, void (impl::*loop)()) {
+  ++fibers;
+  traffic.SpawnLoop(
+      std::move(what), [this, loop] { (this->*loop)(); }, stop, [this] { --fibers; });
 }
 
 void agent_service::impl::Spawn(std::function<void()> task) {
   ++fibers;
   traffic.Spawn([this, task = std::move(task)] {
-    task();
+    RunGuarded("agent task", task);
     --fibers;
   });
 }
--- a/libs/agent/src/agent_impl.h
+++ b/libs/agent/src/agent_impl.h
@@ -69,6 +69,8 @@
   };
 
   void Spawn(std::function<void()> task);
+  /// \brief Runs a loop that ends with the agent; begins it anew after an exception.
+  void SpawnLoop(std::string what, void (impl::*loop)());
   void ProbeLoop();
   void SweepLoop();
   void ApplyQueue();
--- a/libs/entry/src/claim_service.cc
+++ b/libs/entry/src/claim_service.cc
@@ -63,7 +63,7 @@
 }
 
 void claim_service::Start() {
-  node_.SpawnTracked([this] { SweepLoop(); });
+  node_.SpawnTrackedLoop("claim sweep", [this] { SweepLoop(); });
 }
 
 void claim_service::SweepLoop() {
--- a/libs/entry/src/request_hedge.cc
+++ b/libs/entry/src/request_hedge.cc
@@ -9,6 +9,7 @@
 #include "quincebank/base/clock.h"
 #include "quincebank/idempotency/timed_attempt.h"
 #include "quincebank/messages/messages.h"
+#include "quincebank/net/fiber_thread.h"
 #include "request_flow.h"
 #include "target_chooser.h"
 
@@ -49,10 +50,12 @@
   second_copy second;
   second.first_sent = Now();
   second.delay = delay;
-  boost::fibers::fiber beside(boost::fibers::launch::post, std::allocator_arg,
-                              boost::fibers::fixedsize_stack(kStackBytes),
-                              [&] { RunSecond(race, action, second); });
-  const copy_result result = RunCopyAt(action.target, call, first);
+  boost::fibers::fiber beside(
+      boost::fibers::launch::post, std::allocator_arg, boost::fibers::fixedsize_stack(kStackBytes),
+      [&] { RunGuarded("second copy", [&] { RunSecond(race, action, second); }); });
+  copy_result result;
+  // The second fiber refers to this one's stack, so an exception must not leave it here.
+  RunGuarded("first copy", [&] { result = RunCopyAt(action.target, call, first); });
   const bool beaten = race.winner() != nullptr && !first.won();
   race.EndFirst();
   if (beaten && result.report.outcome == copy_outcome::kLost)
--- a/libs/entry/src/upstream_directory.cc
+++ b/libs/entry/src/upstream_directory.cc
@@ -50,7 +50,7 @@
       view_(settings.host, {.polls_per_second = kPollsPerSecond}, Now()) {}
 
 void upstream_directory::Start() {
-  node_.SpawnTracked([this] { Loop(); });
+  node_.SpawnTrackedLoop("upstreams", [this] { Loop(); });
 }
 
 void upstream_directory::Loop() {
--- a/libs/expert_group/src/switch_runner.cc
+++ b/libs/expert_group/src/switch_runner.cc
@@ -6,6 +6,7 @@
 
 #include "overloaded.h"
 #include "quincebank/base/clock.h"
+#include "quincebank/net/fiber_thread.h"
 
 namespace quincebank {
 namespace {
@@ -34,9 +35,11 @@
   std::vector<boost::fibers::fiber> calls;
   for (std::size_t rank = 0; rank < agents.size(); ++rank) {
     calls.emplace_back([&, rank] {
-      auto answer = rpc.Call(agents[rank], method, params[rank], kCallTimeout);
-      if (answer)
-        answers[rank] = std::move(answer).value();
+      RunGuarded(method, [&] {
+        auto answer = rpc.Call(agents[rank], method, params[rank], kCallTimeout);
+        if (answer)
+          answers[rank] = std::move(answer).value();
+      });
     });
   }
   for (boost::fibers::fiber& call : calls)
--- a/libs/net/include/quincebank/net/impl/asio_scheduler.h
+++ b/libs/net/include/quincebank/net/impl/asio_scheduler.h
@@ -7,6 +7,8 @@
 #include <boost/fiber/scheduler.hpp>
 #include <chrono>
 
+#include "quincebank/net/fiber_thread.h"
+
 namespace quincebank::impl {
 
 /// \brief Fiber scheduler that runs the event loop whenever no fiber is ready.
@@ -31,11 +33,15 @@
 
   void suspend_until(const std::chrono::steady_clock::time_point& until) noexcept override {
     io_.restart();
-    if (until == std::chrono::steady_clock::time_point::max()) {
-      io_.run_one();
-    } else {
-      io_.run_one_until(until);
-    }
+    // An exception here would end the process, with the requests of all other connections. The
+    // operation it belongs to is gone; `completion_handler` tells the fiber that waits for it.
+    RunGuarded("event loop", [&] {
+      if (until == std::chrono::steady_clock::time_point::max()) {
+        io_.run_one();
+      } else {
+        io_.run_one_until(until);
+      }
+    });
   }
 
   void notify() noexcept override {
--- a/libs/net/include/quincebank/net/run_parallel.h
+++ b/libs/net/include/quincebank/net/run_parallel.h
@@ -6,9 +6,12 @@
 #include <memory>
 #include <vector>
 
+#include "quincebank/net/fiber_thread.h"
+
 namespace quincebank {
 
-/// \brief Runs `call(0)` to `call(count - 1)` in fibers of this thread and waits for all.
+/// \brief Runs `call(0)` to `call(count - 1)` in fibers of this thread and waits for all. An
+/// exception ends the call that throws it, and no other.
 template <typename Call>
 void RunParallel(std::size_t count, const Call& call) {
   constexpr std::size_t kStackBytes = std::size_t{128} * 1024;
@@ -18,7 +21,7 @@
   fibers.reserve(count);
   for (std::size_t i = 0; i < count; ++i) {
     fibers.emplace_back(boost::fibers::launch::post, std::allocator_arg, stacks,
-                        [&call, i] { call(i); });
+                        [&call, i] { RunGuarded("parallel call", [&] { call(i); }); });
   }
   for (boost::fibers::fiber& fiber : fibers)
     fiber.join();
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -250,7 +250,8 @@
   void Start() {
     ++fibers_;
     thread_.Spawn([self = shared_from_this()] {
-      self->Accept();
+      while (!RunGuarded("accept", [&] { self->Accept(); }))
+        boost::this_fiber::sleep_for(kAcceptRetryDelay);
       --self->fibers_;
     });
   }
@@ -320,7 +321,7 @@
     ++fibers_;
     thread_.Spawn(
         [self = shared_from_this(), shared = std::make_shared<tcp::socket>(std::move(socket))] {
-          self->Serve(std::move(*shared));
+          RunGuarded("connection", [&] { self->Serve(std::move(*shared)); });
           --self->fibers_;
         });
   }
--- a/libs/net/src/silence_watch.h
+++ b/libs/net/src/silence_watch.h
@@ -38,6 +38,9 @@
         handler(ec, bytes);
       });
     });
+    // An operation that an exception has ended did not call its handler.
+    active_ = false;
+    timer_.cancel();
     if (expired_)
       outcome.ec = boost::beast::error::timeout;
     return outcome;
@@ -54,7 +57,7 @@
   }
 
   void OnSilence() {
-    // The event loop has no handler of exceptions; a handler that fails gives no more time.
+    // A handler that fails gives no more time.
     std::optional<milliseconds> more;
     RunGuarded("silence", [&] { more = on_silence_(); });
     if (more) {
--- a/libs/node/include/quincebank/node/node_control.h
+++ b/libs/node/include/quincebank/node/node_control.h
@@ -70,6 +70,9 @@
   [[nodiscard]] kv_store& kv() noexcept { return *kv_; }
   /// \brief Runs a task in a fiber that `Stop` waits for.
   void SpawnTracked(std::function<void()> task);
+  /// \brief The same for a task that is meant to go on until the node stops; begins it anew after
+  /// an exception.
+  void SpawnTrackedLoop(std::string what, std::function<void()> task);
   /// \brief Suspends the fiber. \returns True if the node stops.
   bool WaitOrStop(milliseconds duration) { return stop_.WaitFor(duration); }
 
--- a/libs/node/src/node_control.cc
+++ b/libs/node/src/node_control.cc
@@ -57,8 +57,8 @@
 
 void node_control::Start(observers callbacks) {
   observers_ = std::move(callbacks);
-  SpawnTracked([this] { ExchangeLoop(); });
-  SpawnTracked([this] { HostListLoop(); });
+  SpawnTrackedLoop("configuration exchange", [this] { ExchangeLoop(); });
+  SpawnTrackedLoop("host list", [this] { HostListLoop(); });
 }
 
 void node_control::Stop() {
@@ -70,11 +70,16 @@
 void node_control::SpawnTracked(std::function<void()> task) {
   ++fibers_;
   control_.Spawn([this, task = std::move(task)] {
-    task();
+    RunGuarded("control task", task);
     --fibers_;
   });
 }
 
+void node_control::SpawnTrackedLoop(std::string what, std::function<void()> task) {
+  ++fibers_;
+  control_.SpawnLoop(std::move(what), std::move(task), stop_, [this] { --fibers_; });
+}
+
 void node_control::ExchangeLoop() {
   do {
     RunDue();
