Read and send header fields of any length

A trailer of a request counted as a part of its head.

Cause: all fields went through Beast's container, which throws for names and values from 65,534 bytes on, also those of trailers, which nothing uses.

Evidence: large_field_test on the code before: with names and values of 65,533 bytes the process goes on, from 65,534 on it aborts with "field name too large" or "field value too large", in trailers of answers and in heads and trailers of requests.

Change: the parser keeps the fields of a head itself, so that only the limits in force bound them, and discards trailers (RFC 9110, 6.5.1). The head of a request to an upstream is written without the container, so that what was accepted can be sent on.

--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -4,9 +4,11 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -15,6 +17,7 @@
 #include <utility>
 #include <vector>
 
+#include "message_parser.h"
 #include "quincebank/base/time.h"
 #include "quincebank/net/fiber_thread.h"
 #include "quincebank/net/impl/await.h"
@@ -115,6 +118,27 @@
   return Await(std::move(start));
 }
 
+/// Head of a request. Beast's container of fields holds no names or values over 64 KB.
+std::string MakeHead(const http_request& request, const endpoint& peer, std::size_t body_bytes) {
+  std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
+  const auto add = [&head](std::string_view name, std::string_view value) {
+    head.append(name).append(": ").append(value).append("\r\n");
+  };
+  for (const http_header& field : request.headers) {
+    if (IsHopByHop(field.name))
+      continue;
+    add(field.name, field.value);
+  }
+  if (!request.headers.Find("Host"))
+    add("Host", ToString(peer));
+  // RFC 9110, 8.6: methods that give a body a meaning state the length of an empty one too.
+  const bool expects_body =
+      request.method == "POST" || request.method == "PUT" || request.method == "OPTIONS";
+  if (body_bytes > 0 || expects_body)
+    add("Content-Length", std::to_string(body_bytes));
+  return head + "\r\n";
+}
+
 error ToError(const boost::system::error_code& ec, std::string what, verdict outcome) {
   const bool timeout = ec == beast::error::timeout;
   return MakeError(timeout ? error_code::kTimeout : error_code::kUnavailable,
@@ -254,8 +278,7 @@
         pool_->DropIdle(peer_, asked);
       return ToError(read.ec, "no answer from " + ToString(peer_), verdict::kMayHaveRun);
     }
-    for (const auto& field : parser_->get())
-      headers_.Add(std::string(field.name_string()), std::string(field.value()));
+    headers_ = parser_->TakeHeaders();
     return outcome_success();
   }
 
@@ -377,7 +400,7 @@
   milliseconds idle_timeout_;
   time_point deadline_ = time_point::max();
   std::size_t most_idle_;
-  std::optional<http::response_parser<http::buffer_body>> parser_;
+  std::optional<impl::message_parser<false>> parser_;
   http_headers headers_;
 };
 
@@ -392,27 +415,16 @@
   BOOST_OUTCOME_TRY(std::unique_ptr<connection> connected, impl_->Connect(call));
   if (call.cancellation && call.cancellation->cancelled())
     return MakeError(error_code::kUnavailable, "the call was cancelled", verdict::kNotRun);
-  http::request<http::span_body<const char>> message;
-  message.method_string(call.request.method);
-  message.target(call.request.target);
-  message.version(11);
-  for (const http_header& field : call.request.headers) {
-    if (IsHopByHop(field.name))
-      continue;
-    message.insert(field.name, field.value);
-  }
-  if (message.find(http::field::host) == message.end())
-    message.set(http::field::host, ToString(call.peer));
   const std::string_view body = call.body.value_or(call.request.body);
-  message.body() = {body.data(), body.size()};
-  message.prepare_payload();
+  const std::string head = MakeHead(call.request, call.peer, body.size());
+  const std::array message{asio::buffer(head), asio::buffer(body.data(), body.size())};
   cancellation_scope writing(call.cancellation, *connected);
   std::shared_ptr<quincebank::impl::silence_watch> watch;
   if (call.on_silence)
     watch = std::make_shared<quincebank::impl::silence_watch>(connected->stream, call.on_silence);
   const time_point until = std::chrono::steady_clock::now() + call.response_timeout;
   const io_outcome written = AwaitUntil(connected->stream, watch.get(), until, [&](auto handler) {
-    http::async_write(connected->stream, message, std::move(handler));
+    asio::async_write(connected->stream, message, std::move(handler));
   });
   writing.Release();
   impl_->CountBytes(written.bytes);
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -12,6 +12,7 @@
 #include <boost/intrusive/list.hpp>
 #include <utility>
 
+#include "message_parser.h"
 #include "quincebank/base/clock.h"
 #include "quincebank/base/log.h"
 #include "quincebank/base/random.h"
@@ -37,7 +38,7 @@
 // Pause after a failed accept (such as no file descriptors left), so that the loop doesn't spin.
 constexpr milliseconds kAcceptRetryDelay{50};
 
-using body_parser = http::request_parser<http::buffer_body>;
+using body_parser = impl::message_parser<true>;
 
 enum class connection_state : std::uint8_t {
   kIdle,       ///< Between two requests.
@@ -194,11 +195,10 @@
   return ec;
 }
 
-void CopyHead(const http::request<http::buffer_body>& message, http_request& request) {
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  for (const auto& field : message)
-    request.headers.Add(std::string(field.name_string()), std::string(field.value()));
+void TakeHead(body_parser& parser, http_request& request) {
+  request.method = std::string(parser.get().method_string());
+  request.target = std::string(parser.get().target());
+  request.headers = parser.TakeHeaders();
 }
 
 /// Response to a request that was not passed to the handler, so it has not run.
@@ -374,7 +374,7 @@
       ec = ReadBody(peer, parser, limits, request.body, memory);
     const bool keep_alive = !ec && parser.keep_alive() && !closing_ && !server_.announce_close_;
     if (!ec)
-      CopyHead(parser.get(), request);
+      TakeHead(parser, request);
     beast_exchange exchange(peer, request, limits, keep_alive);
     if (ec) {
       Refuse(peer, exchange, ec, limits);
