Check the numbers that ranks state before they are used

Cause: the decoders took any number as an expert, and ReadGroupMap compared the count of sets only; the planner uses experts as indexes.

Evidence: wrong_expert_test, whose ranks carry out no order, so that no wrong map can come back from them: 95, -1 and 2,147,483,647 end the process, an expert that one rank holds twice is planned with.

Change: ranges in the decoders of reports, maps, counts and loads, in the gateway and in the rank agent. A map is planned with or ordered only if it passes CheckGroupMap: experts of the group, none twice on a rank, each on some rank. The same cause on related paths: a configuration that states other dimensions of a group than when its map was read ended the coordinator too, without any wrong byte; the map that is completed when ranks differ; sums of loads and periods of subscriptions that overflow.

Why it works: no number reaches an index, a sum or a duration before its range was checked, and the check is made again before each plan. A refused map costs a read: expert.map_unread names rank and expert, and the map is read again 100 ms later.

Tests: stated_map_test, group_map, bad_experts_test, bad_report_test, unreadable_load_test, load_messages, held_experts_test, wrong_expert_test and coordinator_takeover.PlansNothingForOtherDimensionsThanThoseOfTheMap.

--- a/libs/expert_control/src/rank_messages.cc
+++ b/libs/expert_control/src/rank_messages.cc
@@ -3,6 +3,7 @@
 #include <boost/json/array.hpp>
 
 #include "quincebank/base/json_reader.h"
+#include "quincebank/expert_control/rank_limits.h"
 
 namespace quincebank {
 namespace {
@@ -18,20 +19,20 @@
   return json::array(numbers.begin(), numbers.end());
 }
 
-template <typename Value>
-result<std::vector<Value>> ReadNumbers(const json::value& value) {
+result<std::vector<int>> ReadExperts(const json::value& value) {
   const json::array* const array = value.if_array();
   if (array == nullptr)
-    return MakeError(error_code::kInvalidArgument, "expected an array of numbers");
-  std::vector<Value> numbers;
-  numbers.reserve(array->size());
+    return MakeError(error_code::kInvalidArgument, "expected an array of experts");
+  std::vector<int> experts;
+  experts.reserve(array->size());
   for (const json::value& item : *array) {
     boost::system::error_code ec;
-    numbers.push_back(item.to_number<Value>(ec));
-    if (ec)
-      return MakeError(error_code::kInvalidArgument, "expected a number: " + ec.message());
+    const auto expert = item.to_number<std::int64_t>(ec);
+    if (ec || expert < 0 || expert > kMaxExpert)
+      return MakeError(error_code::kInvalidArgument, "expected the number of an expert");
+    experts.push_back(static_cast<int>(expert));
   }
-  return numbers;
+  return experts;
 }
 
 const json::value& MemberOrNull(const json::value& value, std::string_view key) {
@@ -73,7 +74,7 @@
   report.incarnation = Number(reader, "incarnation");
   report.group = reader.String("group");
   report.epoch = Number(reader, "epoch");
-  report.rank = static_cast<int>(reader.Int("rank", {0, 1'000'000}));
+  report.rank = static_cast<int>(reader.Int("rank", {0, kMaxRank}));
   report.open = reader.Bool("open", false);
   report.step = Number(reader, "step");
   report.map = Number(reader, "map");
@@ -85,8 +86,8 @@
   });
   if (reader.Has("held"))
     report.held = Number(reader, "held");
-  report.kv_used = reader.Int("kv_used", {}, 0);
-  report.pace = static_cast<int>(reader.Int("pace", {0, 1'000'000}, 0));
+  report.kv_used = reader.Int("kv_used", {0, kMaxRankTokens}, 0);
+  report.pace = static_cast<int>(reader.Int("pace", {0, kMaxRankPace}, 0));
   if (!errors.empty())
     return JoinErrors(errors);
   return report;
@@ -111,7 +112,7 @@
   if (sets == nullptr)
     return MakeError(error_code::kInvalidArgument, "an answer without experts");
   for (const json::value& set : *sets) {
-    BOOST_OUTCOME_TRY(std::vector<int> experts, ReadNumbers<int>(set));
+    BOOST_OUTCOME_TRY(std::vector<int> experts, ReadExperts(set));
     held.experts.push_back(std::move(experts));
   }
   return held;
--- a/libs/expert_control/tests/load_messages_test.cc
+++ b/libs/expert_control/tests/load_messages_test.cc
@@ -70,7 +70,18 @@
                                          R"(["i-1",1,2,3,[1,2,0,0,0,0,0,0],5])",
                                          R"(["i-1",1,2,3,4])",
                                          R"(["i-1",1,2,3,-4,5])",
-                                         R"(["i-1",1,2,3,4,"5"])"));
+                                         R"(["i-1",1,2,3,4,"5"])",
+                                         R"(["i-1",2147483647,2147483647,3])",
+                                         R"(["i-1",1,2,3,9223372036854775807,5])",
+                                         R"(["i-1",1,2,3,4,2147483648])",
+                                         R"(["i-1",1,2,3,[1,2,0,0,0,0,9223372036854775807,0]])",
+                                         R"(["i-1",1,2,3,[1,2,0,0,0,0,0,9223372036854775807]])"));
+
+// Guards against a period of a subscription that overflows the clock of an agent.
+TEST(load_messages, RefuseALongPeriod) {
+  EXPECT_TRUE(DecodeSubscription(R"(["i-1",60000])"));
+  EXPECT_FALSE(DecodeSubscription(R"(["i-1",9223372036854775807])"));
+}
 
 }  // namespace
 }  // namespace quincebank
--- a/libs/expert_control/tests/rank_messages_test.cc
+++ b/libs/expert_control/tests/rank_messages_test.cc
@@ -68,8 +68,33 @@
                     R"({"incarnation":1,"group":"g","rank":0,"step":1,"map":0,"orders":0})"},
         bad_message{"text_as_step",
                     R"({"incarnation":1,"group":"g","epoch":1,"rank":0,"step":"1","map":0,)"
-                    R"("orders":0})"}),
+                    R"("orders":0})"},
+        bad_message{"negative_memory",
+                    R"({"incarnation":1,"group":"g","epoch":1,"rank":0,"step":1,"map":0,)"
+                    R"("orders":0,"kv_used":-1})"},
+        bad_message{"memory_beyond_any_engine",
+                    R"({"incarnation":1,"group":"g","epoch":1,"rank":0,"step":1,"map":0,)"
+                    R"("orders":0,"kv_used":9223372036854775807})"}),
     [](const auto& info) { return std::string(info.param.name); });
 
+class bad_experts_test : public testing::TestWithParam<bad_message> {};
+
+// Guards against a wrong number of an expert, which the coordinator would use as an index.
+TEST_P(bad_experts_test, AreRefused) {
+  const auto document =
+      ParseJson(R"({"epoch":1,"version":1,"experts":[[0,)" + std::string(GetParam().text) + "]]}");
+  ASSERT_TRUE(document);
+  EXPECT_FALSE(HeldExpertsFromJson(document.value()));
+}
+
+INSTANTIATE_TEST_SUITE_P(numbers,
+                         bad_experts_test,
+                         testing::Values(bad_message{"negative", "-1"},
+                                         bad_message{"beyond_any_engine", "1048576"},
+                                         bad_message{"beyond_32_bits", "4294967301"},
+                                         bad_message{"fraction", "1.5"},
+                                         bad_message{"text", R"("1")"}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
 }  // namespace
 }  // namespace quincebank
--- a/libs/gateway/src/expert_rebalancer.cc
+++ b/libs/gateway/src/expert_rebalancer.cc
@@ -208,6 +208,13 @@
   }
   if (state.map.empty() && !ReadMap(target, state))
     return;
+  // The configuration may state other dimensions of the groups than when the map was read.
+  if (const auto fits = CheckGroupMap(target, state.map); !fits) {
+    log_.Write(
+        event_line("expert.map_outdated").Add("group", group).Add("reason", fits.error().message));
+    state = MakeState(0);
+    return;
+  }
   if (!state.popularity.known())
     AssumePopularity(group, target, state);
   const bool known = ReadCounts(view, state);
