Pass every event of a first answer, and resume only at a known place

Cause: RelayStream took each event whose id was not higher than the last one for a repeat of what the client has, in every answer, and dropped it without a log line. A drop did not keep the stream from its end as complete.

Change: stream_position decides. A first answer has no repeats, so all of it is passed. An id is a place to resume only if it follows its predecessor by one; after another higher id the next upstream is asked for one event more and has to repeat it; after an id that is not higher or is unreadable the stream is not resumed until two ids follow each other. A later answer may repeat only events that end with the last one of the client; otherwise it is given up. SseEventId takes whole numbers only, without letters behind them.

Why it works: whether the client has an event is known without its id in a first answer, and where the id is needed, for the place of another run, one wrong byte cannot agree with both of its neighbours. What is skipped or out of order is in request.attempt and in three counters.

--- a/libs/gateway/include/quincebank/gateway/gateway_metrics.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_metrics.h
@@ -32,6 +32,18 @@
       {"quincebank_repeats_total", "Attempts after the first one of a request.", {}});
   counter& resumed_streams = registry.AddCounter(
       {"quincebank_streams_resumed_total", "Streams that went on at another upstream.", {}});
+  counter& skipped_events =
+      registry.AddCounter({"quincebank_stream_events_skipped_total",
+                           "Events of resumed streams that the client had already.",
+                           {}});
+  counter& disordered_events = registry.AddCounter(
+      {"quincebank_stream_events_disordered_total",
+       "Events passed although their id is unreadable or not higher than the one before.",
+       {}});
+  counter& unplaced_runs =
+      registry.AddCounter({"quincebank_stream_runs_rejected_total",
+                           "Answers to resumed streams that did not continue after the last event.",
+                           {}});
   counter& load_queries =
       registry.AddCounter({"quincebank_engines_asked_total",
                            "Choices for which engines told their present loads.",
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -150,7 +150,7 @@
       workspace != nullptr ? workspace->priority.value_or(route_->priority) : route_->priority;
   deadline_ =
       received_at_ + std::min(request_.time_left.value_or(route_->timeout), route_->timeout);
-  last_event_id_ = request_.resume_after;
+  position_ = stream_position(request_.resume_after);
   return std::nullopt;
 }
 
@@ -413,6 +413,7 @@
       EjectGroup(*upstream);
     if (last_result.outcome == attempt_outcome::kStalled && upstream->record.group)
       stalled_groups_.push_back(upstream->record.group->group);
+    CountStreamEvents();
     LogAttempt(*upstream, last_result, std::chrono::duration_cast<milliseconds>(Now() - sent_at));
     if (last_result.connection_lost)
       CheckForCrash(*upstream);
@@ -468,6 +469,8 @@
 bool forward_flow::TryStartRetry(const attempt_result& attempt) {
   if (successor_)
     return true;
+  if (!position_.CanResume())
+    return false;
   if (sends_ >= kMaxSends || TimeLeft() < kMinTimeLeft)
     return false;
   if (attempt.ran != verdict::kNotRun &&
@@ -478,11 +481,12 @@
 
 attempt_result forward_flow::SendAttempt(const known_upstream& upstream) {
   const milliseconds time_left = TimeLeft();
+  position_.BeginRun();
   cancellation_ = new call_cancellation;
   http_call call;
   call.peer = upstream.record.address;
   call.request = shared_.codec.EncodeForUpstream(
-      exchange_.request(), {upstream.record.id, time_left, workspace_, last_event_id_,
+      exchange_.request(), {upstream.record.id, time_left, workspace_, position_.resume_after(),
                             HasPriorities() ? std::optional(priority_) : std::nullopt});
   call.body = exchange_.request().body;
   call.connect_timeout = std::min(kConnectTimeout, time_left);
@@ -582,16 +586,20 @@
     if (group_liveness_)
       group_liveness_->OnProgress(Now());
     std::string complete_events;
+    bool is_continued = true;
     splitter.Feed(*chunk.value(), [&](std::string_view event) {
-      const auto id = SseEventId(event);
-      // After resumption, an upstream may repeat events that the client has received already.
-      if (id && last_event_id_ && *id <= *last_event_id_)
+      const event_action action = is_continued ? position_.OnEvent(event) : event_action::kReject;
+      is_continued = action != event_action::kReject;
+      if (action != event_action::kPass)
         return;
-      if (id)
-        last_event_id_ = id;
       CountEvent();
       complete_events += event;
     });
+    if (!is_continued) {
+      shared_.metrics.unplaced_runs.Add();
+      attempt.reason = "resumed stream does not continue after the last event";
+      return attempt;
+    }
     memory.Set(chunk.value()->size() + complete_events.size() + splitter.rest().size());
     if (splitter.overflowed()) {
       attempt.reason = "event exceeds the size limit";
@@ -622,6 +630,11 @@
     attempt.reason = "stream ended within an event";
     return attempt;
   }
+  if (!position_.IsCompleteAtEnd()) {
+    shared_.metrics.unplaced_runs.Add();
+    attempt.reason = "resumed stream ended before the last event";
+    return attempt;
+  }
   if (!head_sent_) {
     head_sent_ = true;
     status_ = stream.status();
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -8,6 +8,7 @@
 #include "quincebank/base/clock.h"
 #include "quincebank/base/verdict.h"
 #include "quincebank/gateway/gateway_service.h"
+#include "quincebank/gateway/stream_position.h"
 #include "quincebank/net/call_cancellation.h"
 #include "quincebank/net/sse.h"
 #include "quincebank/placement/choose_upstream.h"
@@ -197,6 +198,8 @@
   /// \brief Sends a response that this entry generates itself and logs the end of the request.
   void SendOwnResponse(const gateway_response& own_response);
   void LogRequestEnd(std::string_view outcome, int status, std::string_view reason);
+  /// \brief Counts the events of an attempt whose ids were no help to place them.
+  void CountStreamEvents() const;
   void LogAttempt(const known_upstream& upstream,
                   const attempt_result& attempt,
                   milliseconds duration);
@@ -283,8 +286,8 @@
   verdict verdict_ = verdict::kNotRun;    ///< Of all attempts together.
   bool head_sent_ = false;
   bool end_logged_ = false;
-  int status_ = 0;  ///< HTTP status sent to the client.
-  std::optional<std::uint64_t> last_event_id_;
+  int status_ = 0;            ///< HTTP status sent to the client.
+  stream_position position_;  ///< Of the client in a stream.
   std::optional<time_point> first_byte_at_;
 };
 
--- a/libs/gateway/src/forward_report.cc
+++ b/libs/gateway/src/forward_report.cc
@@ -88,6 +88,11 @@
   shared_.log.Write(std::move(line));
 }
 
+void forward_flow::CountStreamEvents() const {
+  shared_.metrics.skipped_events.Add(position_.skipped());
+  shared_.metrics.disordered_events.Add(position_.disordered());
+}
+
 void forward_flow::LogAttempt(const known_upstream& upstream,
                               const attempt_result& attempt,
                               milliseconds duration) {
@@ -110,8 +115,12 @@
   AddCost(line);
   if (!attempt.reason.empty())
     line.Add("reason", attempt.reason);
-  if (last_event_id_)
-    line.Add("last_event", *last_event_id_);
+  if (position_.last_id())
+    line.Add("last_event", *position_.last_id());
+  if (position_.skipped() > 0)
+    line.Add("skipped_events", position_.skipped());
+  if (position_.disordered() > 0)
+    line.Add("disordered_events", position_.disordered());
   shared_.log.Write(std::move(line));
 }
 
--- a/libs/gateway/src/forward_takeover.cc
+++ b/libs/gateway/src/forward_takeover.cc
@@ -15,7 +15,7 @@
 }  // namespace
 
 bool forward_flow::RetryAllowed() const {
-  return possible_runs_ + 1 < route_->max_attempts && sends_ < kMaxSends;
+  return position_.CanResume() && possible_runs_ + 1 < route_->max_attempts && sends_ < kMaxSends;
 }
 
 std::optional<milliseconds> forward_flow::OnSilence(const known_upstream& upstream) {
--- a/libs/net/include/quincebank/net/sse.h
+++ b/libs/net/include/quincebank/net/sse.h
@@ -34,7 +34,10 @@
 /// \brief Whether an event holds only comment lines, such as a heartbeat.
 [[nodiscard]] bool IsSseComment(std::string_view event) noexcept;
 
-/// \brief Returns the number in the `id` field of an event; nothing if it has none.
+/// \brief Returns the number in the `id` field of an event.
+///
+/// \returns Nothing if there is no such field, if there are several, or if its value is anything
+/// but the digits of an unsigned 64-bit number.
 [[nodiscard]] std::optional<std::uint64_t> SseEventId(std::string_view event) noexcept;
 
 }  // namespace quincebank
--- a/libs/net/src/sse.cc
+++ b/libs/net/src/sse.cc
@@ -31,24 +31,28 @@
 }
 
 std::optional<std::uint64_t> SseEventId(std::string_view event) noexcept {
-  constexpr std::string_view kField = "id:";
+  constexpr std::string_view kField = "id";
+  std::optional<std::uint64_t> id;
   std::size_t start = 0;
   while (start < event.size()) {
     const std::size_t end = std::min(event.find('\n', start), event.size());
     std::string_view line = event.substr(start, end - start);
     start = end + 1;
-    if (!line.starts_with(kField))
+    if (line.ends_with('\r'))
+      line.remove_suffix(1);
+    const std::size_t name_end = std::min(line.find(':'), line.size());
+    if (line.substr(0, name_end) != kField)
       continue;
-    line.remove_prefix(kField.size());
+    line.remove_prefix(std::min(name_end + 1, line.size()));
     if (line.starts_with(' '))
       line.remove_prefix(1);
-    std::uint64_t id = 0;
-    const auto parsed = std::from_chars(line.data(), line.data() + line.size(), id);
-    if (parsed.ec != std::errc())
+    std::uint64_t number = 0;
+    const auto [rest, status] = std::from_chars(line.data(), line.data() + line.size(), number);
+    if (id || status != std::errc() || rest != line.data() + line.size())
       return std::nullopt;
-    return id;
+    id = number;
   }
-  return std::nullopt;
+  return id;
 }
 
 }  // namespace quincebank
--- a/libs/net/tests/http_reuse_test.cc
+++ b/libs/net/tests/http_reuse_test.cc
@@ -191,7 +191,16 @@
                          testing::Values(event_case{"first", "id: 7\ndata: x\n\n", 7},
                                          event_case{"last", "data: x\nid:12\n\n", 12},
                                          event_case{"none", "data: id: 3\n\n", std::nullopt},
-                                         event_case{"no_number", "id: a\n\n", std::nullopt}),
+                                         event_case{"no_number", "id: a\n\n", std::nullopt},
+                                         event_case{"letters", "id: 7a\n\n", std::nullopt},
+                                         event_case{"negative", "id: -7\n\n", std::nullopt},
+                                         event_case{"blank", "id:\n\n", std::nullopt},
+                                         event_case{"no_value", "id\n\n", std::nullopt},
+                                         event_case{"other_field", "id7: 7\n\n", std::nullopt},
+                                         event_case{"twice", "id: 7\nid: 7\n\n", std::nullopt},
+                                         event_case{"over_64_bits", "id: 18446744073709551616\n\n",
+                                                    std::nullopt},
+                                         event_case{"carriage_return", "id: 7\r\ndata: x\n\n", 7}),
                          [](const auto& info) { return std::string(info.param.name); });
 
 }  // namespace
