Start with the settings that can be used

No gateway started again, since grace_s was 7.5 in the settings by then.

Cause: a settings file was used whole or not at all, although a gateway needs hardly any of its figures. The template wrote seconds as milliseconds by appending zeros, so that 7.5 became 7.5000; 0 and true became 0000 and true000, which is no JSON.

Change: a value that cannot be used is logged (settings.unusable) and replaced by the one in force, at the start by the default. Only the name and the addresses of clients, peers and store are needed. Words that are no JSON value are read as null. Figures may have a fraction; the template gives the bounds in seconds.

--- a/libs/base/include/quincebank/base/json_reader.h
+++ b/libs/base/include/quincebank/base/json_reader.h
@@ -21,12 +21,26 @@
 /// \returns The value, or an error whose path is `line:column` of the syntax error.
 [[nodiscard]] result<boost::json::value> ParseJson(std::string_view text);
 
+/// \brief Replaces what stands for a value in a JSON text, but is none, by `null`.
+///
+/// A template that composes figures from text may yield `0000`, `true000`, `1e1000` or nothing at
+/// all. One of them would make the whole text unreadable.
+///
+/// \param invalid  receives an error for each, whose path is `line:column`.
+[[nodiscard]] std::string ReplaceInvalidValues(std::string_view text, std::vector<error>& invalid);
+
 /// \brief Inclusive range of a number in a document.
 struct int_range {
   std::int64_t min = 0;
   std::int64_t max = std::numeric_limits<std::int64_t>::max();
 };
 
+/// \brief Inclusive range of a duration in a document.
+struct duration_range {
+  milliseconds min;
+  milliseconds max;
+};
+
 /// \brief Reads one JSON object and reports every wrong, missing or unknown key by its path.
 ///
 /// Each read names one key. `Finish` refuses the keys that no read named.
@@ -53,6 +67,17 @@
   [[nodiscard]] bool Bool(std::string_view key, bool fallback);
   /// \brief Reads a count of milliseconds; the key should end in `_ms`.
   [[nodiscard]] milliseconds Millis(std::string_view key, int_range range, milliseconds fallback);
+  /// \brief Reads a number that may have a fraction, rounded down to a whole one.
+  [[nodiscard]] std::int64_t RoundedInt(std::string_view key,
+                                        int_range range,
+                                        std::int64_t fallback);
+  /// \brief Reads a duration that may have a fraction, rounded down to milliseconds. A positive one
+  /// below a millisecond counts as one millisecond.
+  /// \param unit  of the number in the document.
+  [[nodiscard]] milliseconds Duration(std::string_view key,
+                                      milliseconds unit,
+                                      duration_range range,
+                                      milliseconds fallback);
   [[nodiscard]] std::vector<std::string> Strings(std::string_view key);
 
   /// \brief Calls `visit` with a reader for each object of the array `key`, if it is present.
--- a/libs/base/src/json_reader.cc
+++ b/libs/base/src/json_reader.cc
@@ -1,7 +1,9 @@
 #include "quincebank/base/json_reader.h"
 
 #include <algorithm>
+#include <boost/json/parse.hpp>
 #include <boost/json/stream_parser.hpp>
+#include <cmath>
 #include <utility>
 
 namespace quincebank {
@@ -32,8 +34,82 @@
   return escaped;
 }
 
+bool IsJsonValue(std::string_view word) {
+  boost::system::error_code ec;
+  const json::value value = json::parse(word, ec);
+  return !ec && (!value.is_double() || std::isfinite(value.get_double()));
+}
+
+/// Returns the position behind the string or comment that begins at `start`; `start` if there is
+/// none.
+std::size_t SkipStringOrComment(std::string_view text, std::size_t start) {
+  const std::string_view rest = text.substr(start);
+  if (rest.starts_with("//"))
+    return std::min(text.find('\n', start), text.size());
+  if (rest.starts_with("/*")) {
+    const std::size_t end = text.find("*/", start + 2);
+    return end == std::string_view::npos ? text.size() : end + 2;
+  }
+  if (!rest.starts_with('"'))
+    return start;
+  for (std::size_t at = start + 1; at < text.size(); ++at) {
+    if (text[at] == '"')
+      return at + 1;
+    if (text[at] == '\\')
+      ++at;
+  }
+  return text.size();
+}
+
 }  // namespace
 
+std::string ReplaceInvalidValues(std::string_view text, std::vector<error>& invalid) {
+  constexpr std::string_view kPunctuation = "{}[]:,";
+  constexpr std::string_view kBlank = " \t\r\n";
+  constexpr std::string_view kWordEnd = "{}[]:,\"/ \t\r\n";
+  constexpr std::size_t kMaxShown = 40;
+  std::string replaced;
+  bool value_expected = false;
+  const auto replace = [&](std::size_t at, std::string_view word) {
+    replaced += "null";
+    invalid.push_back({error_code::kInvalidArgument,
+                       "not a value: '" + std::string(word.substr(0, kMaxShown)) + "'",
+                       verdict::kNotRun, LineAndColumn(text, at)});
+  };
+  for (std::size_t at = 0; at < text.size();) {
+    const std::size_t skipped = SkipStringOrComment(text, at);
+    if (skipped != at) {
+      value_expected = value_expected && text[at] == '/';
+      replaced += text.substr(at, skipped - at);
+      at = skipped;
+      continue;
+    }
+    const char next = text[at];
+    if (kBlank.find(next) != std::string_view::npos) {
+      replaced += next;
+      ++at;
+      continue;
+    }
+    if (kPunctuation.find(next) != std::string_view::npos) {
+      if (value_expected && (next == ',' || next == '}'))
+        replace(at, {});
+      value_expected = next == ':';
+      replaced += next;
+      ++at;
+      continue;
+    }
+    const std::size_t end = std::min(text.find_first_of(kWordEnd, at + 1), text.size());
+    const std::string_view word = text.substr(at, end - at);
+    if (IsJsonValue(word))
+      replaced += word;
+    else
+      replace(at, word);
+    value_expected = false;
+    at = end;
+  }
+  return replaced;
+}
+
 result<json::value> ParseJson(std::string_view text) {
   json::parse_options options;
   options.allow_comments = true;
@@ -157,6 +233,35 @@
   return milliseconds(Int(key, range, fallback.count()));
 }
 
+std::int64_t json_reader::RoundedInt(std::string_view key, int_range range, std::int64_t fallback) {
+  const json::value* const value = Find(key, false);
+  if (value == nullptr || !value->is_double())
+    return Int(key, range, fallback);
+  const double rounded = std::floor(value->get_double());
+  if (rounded >= static_cast<double>(range.min) && rounded < static_cast<double>(range.max) + 1)
+    return static_cast<std::int64_t>(rounded);
+  Fail(key,
+       "expected a number from " + std::to_string(range.min) + " to " + std::to_string(range.max));
+  return fallback;
+}
+
+milliseconds json_reader::Duration(std::string_view key,
+                                   milliseconds unit,
+                                   duration_range range,
+                                   milliseconds fallback) {
+  const auto scale = static_cast<double>(unit.count());
+  const std::size_t errors_before = errors_.size();
+  const double in_units = Number(key, 0, static_cast<double>(range.max.count()) / scale, 0);
+  if (errors_.size() != errors_before || !Has(key))
+    return fallback;
+  const milliseconds duration(std::max<std::int64_t>(
+      static_cast<std::int64_t>(std::floor(in_units * scale)), in_units > 0 ? 1 : 0));
+  if (duration >= range.min)
+    return duration;
+  Fail(key, "expected at least " + std::to_string(range.min.count()) + " ms");
+  return fallback;
+}
+
 std::vector<std::string> json_reader::Strings(std::string_view key) {
   std::vector<std::string> strings;
   const json::value* const value = Find(key, false);
--- a/libs/base/tests/json_reader_test.cc
+++ b/libs/base/tests/json_reader_test.cc
@@ -85,5 +85,75 @@
   EXPECT_EQ(errors[1].path, "/number");
 }
 
+struct word_case {
+  const char* name;
+  const char* text;
+  const char* replaced;  ///< Equal to the text if all of it is JSON.
+  const char* path;      ///< Of the first replaced word.
+};
+
+class invalid_word_test : public testing::TestWithParam<word_case> {};
+
+// Guards against a document that cannot be read at all because of one composed figure in it, and
+// against changes of strings, comments and sound values.
+TEST_P(invalid_word_test, IsReplacedAndReported) {
+  std::vector<error> errors;
+  EXPECT_EQ(ReplaceInvalidValues(GetParam().text, errors), GetParam().replaced);
+  EXPECT_EQ(errors.empty() ? "" : errors[0].path, GetParam().path);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    texts,
+    invalid_word_test,
+    testing::Values(word_case{"sound", R"({"a": [1, -2.5e3, true, null], "b": {}})",
+                              R"({"a": [1, -2.5e3, true, null], "b": {}})", ""},
+                    word_case{"string", R"({"a": "true000, \" // 00"})",
+                              R"({"a": "true000, \" // 00"})", ""},
+                    word_case{"comment", "{/* 00: , */\"a\": 1, // 00\n}",
+                              "{/* 00: , */\"a\": 1, // 00\n}", ""},
+                    word_case{"truth", "{\n\"a\": true000}", "{\n\"a\": null}", "2:6"},
+                    word_case{"zeros", R"({"a": 0000, "b": 7})", R"({"a": null, "b": 7})", "1:7"},
+                    word_case{"beyond_double", R"([1e1000])", R"([null])", "1:2"},
+                    word_case{"missing", R"({"a": , "b":})", R"({"a": null, "b":null})", "1:7"},
+                    word_case{"behind_comment", R"({"a": /**/})", R"({"a": /**/null})", "1:11"},
+                    word_case{"open_string", R"({"a": "x)", R"({"a": "x)", ""}),
+    [](const auto& info) { return info.param.name; });
+
+struct rounding_case {
+  const char* name;
+  const char* number;
+  std::int64_t whole;     ///< -1 if it is refused.
+  milliseconds duration;  ///< Of so many seconds; -1 if it is refused.
+};
+
+class rounding_test : public testing::TestWithParam<rounding_case> {};
+
+TEST_P(rounding_test, RoundsDown) {
+  const auto parsed = ParseJson(std::string(R"({"n":)") + GetParam().number + "}");
+  std::vector<error> errors;
+  json_reader reader(parsed.value(), "", errors);
+  EXPECT_EQ(reader.RoundedInt("n", {0, 5'000}, -1), GetParam().whole);
+  EXPECT_EQ(reader.Duration("n", seconds(1), {milliseconds(1), seconds(60)}, milliseconds(-1)),
+            GetParam().duration);
+  EXPECT_EQ(errors.size(),
+            (GetParam().whole < 0 ? 1U : 0U) + (GetParam().duration.count() < 0 ? 1U : 0U));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    numbers,
+    rounding_test,
+    testing::Values(rounding_case{"whole", "7", 7, milliseconds(7'000)},
+                    rounding_case{"whole_fraction", "7.0", 7, milliseconds(7'000)},
+                    rounding_case{"fraction", "7.9999", 7, milliseconds(7'999)},
+                    rounding_case{"exponent", "2e1", 20, milliseconds(20'000)},
+                    rounding_case{"tiny", "1e-9", 0, milliseconds(1)},
+                    rounding_case{"zero", "0", 0, milliseconds(-1)},
+                    rounding_case{"negative", "-0.5", -1, milliseconds(-1)},
+                    rounding_case{"long", "4000", 4'000, milliseconds(-1)},
+                    rounding_case{"huge", "1e300", -1, milliseconds(-1)},
+                    rounding_case{"truth", "true", -1, milliseconds(-1)},
+                    rounding_case{"none", "null", -1, milliseconds(-1)}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 }  // namespace
 }  // namespace quincebank
--- a/libs/daemon/src/daemon_main.cc
+++ b/libs/daemon/src/daemon_main.cc
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "quincebank/base/file.h"
+#include "quincebank/base/json_reader.h"
 #include "quincebank/base/log.h"
 #include "quincebank/daemon/daemon_options.h"
 #include "quincebank/daemon/options.h"
@@ -19,9 +20,14 @@
   InitLogging(options.verbose);
   BlockShutdownSignals();
   const auto text = ReadFile(options.settings);
-  const result<void> parsed = text ? program.parse(text.value()) : result<void>(text.error());
-  if (!parsed) {
-    std::cerr << options.settings << ": " << Describe(parsed.error()) << "\n";
+  const auto unusable =
+      text ? program.parse(text.value()) : result<std::vector<error>>(text.error());
+  if (!unusable) {
+    std::cerr << options.settings << ": " << Describe(unusable.error()) << "\n";
+    return kExitUsage;
+  }
+  if (options.check && !unusable.value().empty()) {
+    std::cerr << options.settings << ": " << Describe(JoinErrors(unusable.value())) << "\n";
     return kExitUsage;
   }
   if (options.check) {
--- a/libs/gateway/include/quincebank/gateway/gateway_settings.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_settings.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "quincebank/base/error.h"
+#include "quincebank/base/parsed_settings.h"
 #include "quincebank/base/time.h"
 #include "quincebank/net/endpoint.h"
 #include "quincebank/net/process_limits.h"
@@ -97,7 +98,16 @@
 };
 
 /// \brief Parses and validates a settings file (JSON with comments).
-/// \returns The settings, or all errors, each with the path of the invalid value.
-[[nodiscard]] result<gateway_settings> ParseGatewaySettings(std::string_view text);
+///
+/// A value that cannot be used is reported, and the other ones are used: the platform starts an
+/// ended process again with the same file, so that one figure would keep the gateway down.
+///
+/// \param running  settings of the running process, whose values take the place of unusable ones;
+/// if null, the defaults do.
+/// \returns The settings, or all errors, each with the path of the invalid value, if the name or an
+/// address without which the gateway cannot work is missing.
+[[nodiscard]] result<parsed_settings<gateway_settings>> ParseGatewaySettings(
+    std::string_view text,
+    const gateway_settings* running = nullptr);
 
 }  // namespace quincebank
--- a/libs/net/src/process_limits.cc
+++ b/libs/net/src/process_limits.cc
@@ -41,9 +41,10 @@
     return limits;
   reader.Child("limits", [&](json_reader& child) {
     if (child.Has("memory_mb"))
-      limits.memory_mb = static_cast<std::size_t>(child.Int("memory_mb", kMegabytes));
+      limits.memory_mb = static_cast<std::size_t>(child.RoundedInt("memory_mb", kMegabytes, 0));
     if (child.Has("descriptors"))
-      limits.descriptors = static_cast<std::size_t>(child.Int("descriptors", kDescriptors));
+      limits.descriptors =
+          static_cast<std::size_t>(child.RoundedInt("descriptors", kDescriptors, 0));
     child.Finish();
   });
   return limits;
--- a/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
+++ b/libs/rank_agent/include/quincebank/rank_agent/rank_agent.h
@@ -12,6 +12,7 @@
 
 #include "quincebank/base/error.h"
 #include "quincebank/base/event_log.h"
+#include "quincebank/base/parsed_settings.h"
 #include "quincebank/expert_control/count_window.h"
 #include "quincebank/expert_control/engine_port.h"
 #include "quincebank/expert_control/load_messages.h"
@@ -38,8 +39,13 @@
 };
 
 /// \brief Parses and validates a settings file (JSON with comments).
-/// \returns The settings, or an error for malformed JSON or for invalid, missing or unknown keys.
-[[nodiscard]] result<rank_agent_settings> ParseRankAgentSettings(std::string_view text);
+///
+/// A value that cannot be used is reported, and its default is used.
+///
+/// \returns The settings, or all errors if the JSON is malformed, or the name or an address is
+/// missing.
+[[nodiscard]] result<parsed_settings<rank_agent_settings>> ParseRankAgentSettings(
+    std::string_view text);
 
 /// \brief Agent on the host of an engine. Serves reports, expert counts and held experts of the
 /// engine to the coordinator of the expert groups, and sends its load to entries.
--- a/libs/rank_agent/src/rank_agent.cc
+++ b/libs/rank_agent/src/rank_agent.cc
@@ -67,24 +67,26 @@
 
 }  // namespace
 
-result<rank_agent_settings> ParseRankAgentSettings(std::string_view text) {
-  constexpr int_range kMillis{1, 600'000};
+result<parsed_settings<rank_agent_settings>> ParseRankAgentSettings(std::string_view text) {
+  constexpr duration_range kTimeouts{milliseconds(1), seconds(600)};
   constexpr int_range kLines{10, 1'000'000};
-  BOOST_OUTCOME_TRY(const json::value document, ParseJson(text));
-  std::vector<error> errors;
-  rank_agent_settings settings;
+  parsed_settings<rank_agent_settings> parsed;
+  std::vector<error>& errors = parsed.unusable;
+  BOOST_OUTCOME_TRY(const json::value document, ParseJson(ReplaceInvalidValues(text, errors)));
+  rank_agent_settings& settings = parsed.settings;
   json_reader reader(document, "", errors);
   settings.name = reader.String("name");
   settings.address = ReadEndpoint(reader, "address");
   settings.engine = ReadEndpoint(reader, "engine");
-  settings.engine_timeout = reader.Millis("engine_timeout_ms", kMillis, settings.engine_timeout);
+  settings.engine_timeout =
+      reader.Duration("engine_timeout_ms", milliseconds(1), kTimeouts, settings.engine_timeout);
   settings.log_lines = static_cast<std::size_t>(
-      reader.Int("log_lines", kLines, static_cast<std::int64_t>(settings.log_lines)));
+      reader.RoundedInt("log_lines", kLines, static_cast<std::int64_t>(settings.log_lines)));
   settings.limits = ReadProcessLimits(reader);
   reader.Finish();
-  if (!errors.empty())
+  if (settings.name.empty() || settings.address.port == 0 || settings.engine.port == 0)
     return JoinErrors(errors);
-  return settings;
+  return parsed;
 }
 
 rank_agent::rank_agent(const rank_agent_settings& settings, event_log* log)
--- a/programs/entry/main.cc
+++ b/programs/entry/main.cc
@@ -33,9 +33,9 @@
   using namespace quincebank;
   entry_settings settings;
   return DaemonMain(argc, argv,
-                    {[&](std::string_view text) -> result<void> {
+                    {[&](std::string_view text) -> result<std::vector<error>> {
                        BOOST_OUTCOME_TRY(settings, ParseEntrySettings(text));
-                       return BOOST_OUTCOME_V2_NAMESPACE::success();
+                       return std::vector<error>{};
                      },
                      [&] { return Run(settings); }});
 }
--- a/programs/gateway/main.cc
+++ b/programs/gateway/main.cc
@@ -12,6 +12,7 @@
 #include "quincebank/daemon/options.h"
 #include "quincebank/daemon/signals.h"
 #include "quincebank/gateway/gateway_service.h"
+#include "quincebank/gateway/settings_watcher.h"
 #include "quincebank/net/process_limits.h"
 
 namespace quincebank {
@@ -23,42 +24,8 @@
 // Interval of checks of the settings file, which may change without a signal.
 constexpr milliseconds kSettingsCheckPeriod{2'000};
 
-/// Rereads the settings file and applies changes.
-class settings_watcher {
- public:
-  settings_watcher(std::string path, event_log& log) : path_(std::move(path)), log_(log) {
-    const auto text = ReadFile(path_);
-    if (text)
-      last_text_ = text.value();
-  }
-
-  /// \param reload_signalled  SIGHUP was received: reloads even if the file has not changed.
-  void Check(gateway_service& gateway, bool reload_signalled) {
-    const auto text = ReadFile(path_);
-    if (text && text.value() == last_text_ && !reload_signalled)
-      return;
-    const auto parsed =
-        text ? ParseGatewaySettings(text.value()) : result<gateway_settings>(text.error());
-    if (parsed) {
-      last_text_ = text.value();
-      gateway.Reload(parsed.value());
-      return;
-    }
-    if (!reload_signalled && text && text.value() == rejected_text_)
-      return;
-    rejected_text_ = text ? text.value() : std::string();
-    log_.Write(
-        event_line("settings.refused").Add("path", path_).Add("reason", Describe(parsed.error())));
-  }
-
- private:
-  const std::string path_;
-  event_log& log_;
-  std::string last_text_;
-  std::string rejected_text_;  ///< Content whose errors were logged already.
-};
-
-int Run(const gateway_settings& settings, const std::string& path) {
+int Run(const parsed_settings<gateway_settings>& parsed, const std::string& path) {
+  const gateway_settings& settings = parsed.settings;
   ApplyMemoryLimit(settings.limits);
   event_log log(settings.max_log_lines);
   const auto http_codec = adapter::MakeExchangeCodec();
@@ -69,6 +36,7 @@
                 .Add("version", QUINCEBANK_VERSION)
                 .Add("clients", ToString(settings.clients))
                 .Add("store", ToString(settings.store)));
+  LogUnusableSettings(parsed.unusable, log);
   const auto started = gateway.Start(
       adapter::MakeHandlers(gateway), *records,
       adapter::MakeStoreClient(gateway.control_http(), settings.store, settings.store_timeout),
@@ -78,12 +46,13 @@
     log.Write(event_line("process.failed").Add("reason", started.error().message));
     return kExitFailure;
   }
-  settings_watcher watcher(path, log);
+  settings_watcher watcher(path, settings, log);
   for (;;) {
     const int signal = WaitForShutdown(kSettingsCheckPeriod);
     if (signal != 0 && signal != SIGHUP)
       break;
-    watcher.Check(gateway, signal == SIGHUP);
+    if (const auto changed = watcher.Check(signal == SIGHUP))
+      gateway.Reload(*changed);
   }
   gateway.Shutdown();
   log.Flush(kLogFlushTimeout);
@@ -97,12 +66,12 @@
 
 int main(int argc, char** argv) {
   using namespace quincebank;
-  gateway_settings settings;
+  parsed_settings<gateway_settings> parsed;
   std::string path = adapter::SettingsPath();
   return DaemonMain(argc, argv,
-                    {[&](std::string_view text) -> result<void> {
-                       BOOST_OUTCOME_TRY(settings, ParseGatewaySettings(text));
-                       return BOOST_OUTCOME_V2_NAMESPACE::success();
+                    {[&](std::string_view text) -> result<std::vector<error>> {
+                       BOOST_OUTCOME_TRY(parsed, ParseGatewaySettings(text));
+                       return parsed.unusable;
                      },
-                     [&] { return Run(settings, path); }, path});
+                     [&] { return Run(parsed, path); }, path});
 }
--- a/programs/rank_agent/main.cc
+++ b/programs/rank_agent/main.cc
@@ -18,7 +18,7 @@
 // Longest wait for the reader of the log at the end.
 constexpr milliseconds kLogFlush{200};
 
-int Run(const rank_agent_settings& settings) {
+int Run(const rank_agent_settings& settings, const std::vector<error>& unusable) {
   ApplyMemoryLimit(settings.limits);
   event_log log(settings.log_lines);
   rank_agent agent(settings, &log);
@@ -27,6 +27,7 @@
                 .Add("version", QUINCEBANK_VERSION)
                 .Add("address", ToString(settings.address))
                 .Add("engine", ToString(settings.engine)));
+  LogUnusableSettings(unusable, log);
   const auto started = agent.Start(adapter::MakeEngineClient(
       agent.http(), {settings.engine_timeout, /*report_age=*/milliseconds(0)}));
   if (!started) {
@@ -47,11 +48,12 @@
 
 int main(int argc, char** argv) {
   using namespace quincebank;
-  rank_agent_settings settings;
-  return DaemonMain(argc, argv,
-                    {[&](std::string_view text) -> result<void> {
-                       BOOST_OUTCOME_TRY(settings, ParseRankAgentSettings(text));
-                       return BOOST_OUTCOME_V2_NAMESPACE::success();
-                     },
-                     [&] { return Run(settings); }, adapter::SettingsPath()});
+  parsed_settings<rank_agent_settings> parsed;
+  return DaemonMain(
+      argc, argv,
+      {[&](std::string_view text) -> result<std::vector<error>> {
+         BOOST_OUTCOME_TRY(parsed, ParseRankAgentSettings(text));
+         return parsed.unusable;
+       },
+       [&] { return Run(parsed.settings, parsed.unusable); }, adapter::SettingsPath()});
 }
