--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -198,7 +198,7 @@
   /// \brief Sends a response that this entry generates itself and logs the end of the request.
   void SendOwnResponse(const gateway_response& own_response);
   void LogRequestEnd(std::string_view outcome, int status, std::string_view reason);
-  /// \brief Counts the events of an attempt whose ids were no help to place them.
+  /// \brief Adds the skipped and the disordered events of the last attempt to the metrics.
   void CountStreamEvents() const;
   void LogAttempt(const known_upstream& upstream,
                   const attempt_result& attempt,
