Send passed events before an attempt is given up

Cause: RelayStream asks stream_position about each event of a read, which counts the event as passed. It checked the size of the rest and gave the attempt up before it wrote those events, so that the next upstream was asked to go on after an event that the client never got.

Change: SendEvents writes what was passed before any check that ends the attempt.

--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -569,7 +569,6 @@
   // Events are counted without a check: a stream that has begun is not cut for want of memory, and
   // what one stream holds is bounded by the size of an event.
   memory_reservation memory(shared_.memory);
-  bool client_open = true;
   // Only complete events count as progress: a faulty upstream may send single bytes from time to
   // time, or an endless event.
   time_point last_event_at = Now();
@@ -601,30 +600,24 @@
       return attempt;
     }
     memory.Set(chunk.value()->size() + complete_events.size() + splitter.rest().size());
-    if (splitter.overflowed()) {
-      attempt.reason = "event exceeds the size limit";
-      return attempt;
+    if (!complete_events.empty()) {
+      last_event_at = Now();
+      is_silent_ = false;
+      ObserveProgress();
+      timeout = StreamIdleTimeout(*route_, TimeLeft(), RetryAllowed());
+      stream.SetIdleTimeout(timeout);
     }
-    if (complete_events.empty())
-      continue;
-    last_event_at = Now();
-    is_silent_ = false;
-    ObserveProgress();
-    timeout = StreamIdleTimeout(*route_, TimeLeft(), RetryAllowed());
-    if (!head_sent_) {
-      head_sent_ = true;
-      status_ = stream.status();
-      first_byte_at_ = Now();
-      client_open = exchange_.StartStream(status_, shared_.codec.EncodeForClient(stream.headers()));
-    }
-    stream.SetIdleTimeout(timeout);
-    client_open = client_open && exchange_.Write(complete_events);
-    if (!client_open) {
+    // What `position_` counts as passed is sent before the attempt may be given up.
+    if (!complete_events.empty() && !SendEvents(stream, complete_events)) {
       client_disconnected_ = true;
       attempt.outcome = attempt_outcome::kAbandoned;
       attempt.reason = "client closed its connection";
       return attempt;
     }
+    if (splitter.overflowed()) {
+      attempt.reason = "event exceeds the size limit";
+      return attempt;
+    }
   }
   if (!splitter.rest().empty()) {
     attempt.reason = "stream ended within an event";
@@ -635,17 +628,25 @@
     attempt.reason = "resumed stream ended before the last event";
     return attempt;
   }
-  if (!head_sent_) {
-    head_sent_ = true;
-    status_ = stream.status();
-    exchange_.StartStream(status_, shared_.codec.EncodeForClient(stream.headers()));
-  }
+  (void)SendEvents(stream, {});
   attempt.ran = verdict::kRan;
   attempt.outcome = attempt_outcome::kServed;
   attempt.delivered = exchange_.Finish();
   return attempt;
 }
 
+bool forward_flow::SendEvents(const http_stream& stream, std::string_view events) {
+  if (!head_sent_) {
+    head_sent_ = true;
+    status_ = stream.status();
+    if (!events.empty())
+      first_byte_at_ = Now();
+    if (!exchange_.StartStream(status_, shared_.codec.EncodeForClient(stream.headers())))
+      return false;
+  }
+  return exchange_.Write(events);
+}
+
 attempt_result forward_flow::RelayBuffered(http_stream& stream) {
   attempt_result attempt;
   http_response response{stream.status(), shared_.codec.EncodeForClient(stream.headers()), {}};
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -180,6 +180,9 @@
   [[nodiscard]] attempt_result HandleResponse(http_stream& stream);
   /// \brief Passes on the events of a stream as they arrive, each one only when it is complete.
   [[nodiscard]] attempt_result RelayStream(http_stream& stream);
+  /// \brief Writes events to the client, after the header if that has not been sent yet.
+  /// \returns False if the client has left.
+  [[nodiscard]] bool SendEvents(const http_stream& stream, std::string_view events);
   /// \brief Passes on a response after all of it has arrived, so that a truncated one can be
   /// retried.
   [[nodiscard]] attempt_result RelayBuffered(http_stream& stream);
