Decide by its place whether an event is a repeat

Cause: in a later answer the id alone decided that an event is a repeat, and two ids that follow each other were taken for a certain place to resume. The gateway knows better: what it asked for, and how many events the client has.

Change: stream_position counts. An id is confirmed if its distance from the last confirmed one, or from two others, is the number of events in between and their fields have the same names, since a damaged line end joins or splits events. After a confirmed id an event that does not agree is held until a later one does; if the connection breaks off, the client never gets it and the next upstream begins after the confirmed id, so that a wrong id neither moves the place nor ends the stream. Before an id is confirmed, the first three events are asked for again and skipped by their number. Repeats that were not asked for are skipped only if two ids in a row show them. Where the place stays unknown, the answer does not look complete. request.attempt has resumed_after and dropped_events.

--- a/libs/gateway/include/quincebank/gateway/gateway_metrics.h
+++ b/libs/gateway/include/quincebank/gateway/gateway_metrics.h
@@ -36,10 +36,14 @@
       registry.AddCounter({"quincebank_stream_events_skipped_total",
                            "Events of resumed streams that the client had already.",
                            {}});
-  counter& disordered_events = registry.AddCounter(
-      {"quincebank_stream_events_disordered_total",
-       "Events passed although their id is unreadable or not higher than the one before.",
-       {}});
+  counter& dropped_events =
+      registry.AddCounter({"quincebank_stream_events_dropped_total",
+                           "Events held for their ids when the connection broke off.",
+                           {}});
+  counter& disordered_events =
+      registry.AddCounter({"quincebank_stream_events_disordered_total",
+                           "Events whose id is unreadable or not higher than the one before.",
+                           {}});
   counter& unplaced_runs =
       registry.AddCounter({"quincebank_stream_runs_rejected_total",
                            "Answers to resumed streams that did not continue after the last event.",
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -413,7 +413,7 @@
       EjectGroup(*upstream);
     if (last_result.outcome == attempt_outcome::kStalled && upstream->record.group)
       stalled_groups_.push_back(upstream->record.group->group);
-    CountStreamEvents();
+    CountStreamEvents(last_result);
     LogAttempt(*upstream, last_result, std::chrono::duration_cast<milliseconds>(Now() - sent_at));
     if (last_result.connection_lost)
       CheckForCrash(*upstream);
@@ -467,10 +467,10 @@
 }
 
 bool forward_flow::TryStartRetry(const attempt_result& attempt) {
-  if (successor_)
-    return true;
   if (!position_.CanResume())
     return false;
+  if (successor_)
+    return true;
   if (sends_ >= kMaxSends || TimeLeft() < kMinTimeLeft)
     return false;
   if (attempt.ran != verdict::kNotRun &&
@@ -482,11 +482,12 @@
 attempt_result forward_flow::SendAttempt(const known_upstream& upstream) {
   const milliseconds time_left = TimeLeft();
   position_.BeginRun();
+  resumed_after_ = position_.resume_after();
   cancellation_ = new call_cancellation;
   http_call call;
   call.peer = upstream.record.address;
   call.request = shared_.codec.EncodeForUpstream(
-      exchange_.request(), {upstream.record.id, time_left, workspace_, position_.resume_after(),
+      exchange_.request(), {upstream.record.id, time_left, workspace_, resumed_after_,
                             HasPriorities() ? std::optional(priority_) : std::nullopt});
   call.body = exchange_.request().body;
   call.connect_timeout = std::min(kConnectTimeout, time_left);
@@ -569,6 +570,7 @@
   // Events are counted without a check: a stream that has begun is not cut for want of memory, and
   // what one stream holds is bounded by the size of an event.
   memory_reservation memory(shared_.memory);
+  relayed_events events;
   // Only complete events count as progress: a faulty upstream may send single bytes from time to
   // time, or an endless event.
   time_point last_event_at = Now();
@@ -584,23 +586,14 @@
       break;
     if (group_liveness_)
       group_liveness_->OnProgress(Now());
-    std::string complete_events;
+    events.passed.clear();
     bool is_continued = true;
     splitter.Feed(*chunk.value(), [&](std::string_view event) {
-      const event_action action = is_continued ? position_.OnEvent(event) : event_action::kReject;
-      is_continued = action != event_action::kReject;
-      if (action != event_action::kPass)
-        return;
-      CountEvent();
-      complete_events += event;
+      is_continued = is_continued && TakeEvent(event, events);
     });
-    if (!is_continued) {
-      shared_.metrics.unplaced_runs.Add();
-      attempt.reason = "resumed stream does not continue after the last event";
-      return attempt;
-    }
-    memory.Set(chunk.value()->size() + complete_events.size() + splitter.rest().size());
-    if (!complete_events.empty()) {
+    memory.Set(chunk.value()->size() + events.passed.size() + events.held.size() +
+               splitter.rest().size());
+    if (!events.passed.empty()) {
       last_event_at = Now();
       is_silent_ = false;
       ObserveProgress();
@@ -608,12 +601,17 @@
       stream.SetIdleTimeout(timeout);
     }
     // What `position_` counts as passed is sent before the attempt may be given up.
-    if (!complete_events.empty() && !SendEvents(stream, complete_events)) {
+    if (!events.passed.empty() && !SendEvents(stream, events.passed)) {
       client_disconnected_ = true;
       attempt.outcome = attempt_outcome::kAbandoned;
       attempt.reason = "client closed its connection";
       return attempt;
     }
+    if (!is_continued) {
+      shared_.metrics.unplaced_runs.Add();
+      attempt.reason = "resumed stream does not continue after the last event";
+      return attempt;
+    }
     if (splitter.overflowed()) {
       attempt.reason = "event exceeds the size limit";
       return attempt;
@@ -628,13 +626,28 @@
     attempt.reason = "resumed stream ended before the last event";
     return attempt;
   }
-  (void)SendEvents(stream, {});
+  (void)SendEvents(stream, events.held);
   attempt.ran = verdict::kRan;
   attempt.outcome = attempt_outcome::kServed;
   attempt.delivered = exchange_.Finish();
   return attempt;
 }
 
+bool forward_flow::TakeEvent(std::string_view event, relayed_events& events) {
+  const event_action action = position_.OnEvent(event);
+  if (action == event_action::kReject)
+    return false;
+  if (action == event_action::kPass)
+    events.passed += events.held;
+  if (action != event_action::kHold)
+    events.held.clear();
+  if (action == event_action::kSkip)
+    return true;
+  CountEvent();
+  (action == event_action::kHold ? events.held : events.passed) += event;
+  return true;
+}
+
 bool forward_flow::SendEvents(const http_stream& stream, std::string_view events) {
   if (!head_sent_) {
     head_sent_ = true;
--- a/libs/gateway/src/forward_flow.h
+++ b/libs/gateway/src/forward_flow.h
@@ -81,6 +81,12 @@
     milliseconds retry_spread{0};
   };
 
+  /// \brief Events of a stream that are on their way to the client.
+  struct relayed_events {
+    std::string passed;  ///< Of the last read, not written yet.
+    std::string held;    ///< See `event_action::kHold`.
+  };
+
   /// \brief Determines route, workspace, service, priority and deadline.
   /// \returns The error response if the request can't be forwarded.
   [[nodiscard]] std::optional<gateway_response> ResolveRoute();
@@ -139,7 +145,7 @@
   void AddWork(const known_upstream& upstream, placement_candidate& candidate) const;
   /// \brief The next attempt is sent: its work is outstanding at the upstream.
   void StartWork(const known_upstream& upstream);
-  /// \brief An event of the current attempt was passed on.
+  /// \brief An event of the current attempt was passed on, or held.
   void CountEvent();
   /// \brief The current attempt has ended.
   void EndWork(const attempt_result& attempt, nanoseconds duration);
@@ -180,6 +186,9 @@
   [[nodiscard]] attempt_result HandleResponse(http_stream& stream);
   /// \brief Passes on the events of a stream as they arrive, each one only when it is complete.
   [[nodiscard]] attempt_result RelayStream(http_stream& stream);
+  /// \brief Adds the next event of a stream to those that the client gets, or to those that wait.
+  /// \returns False if the answer cannot be used any further.
+  [[nodiscard]] bool TakeEvent(std::string_view event, relayed_events& events);
   /// \brief Writes events to the client, after the header if that has not been sent yet.
   /// \returns False if the client has left.
   [[nodiscard]] bool SendEvents(const http_stream& stream, std::string_view events);
@@ -201,8 +210,8 @@
   /// \brief Sends a response that this entry generates itself and logs the end of the request.
   void SendOwnResponse(const gateway_response& own_response);
   void LogRequestEnd(std::string_view outcome, int status, std::string_view reason);
-  /// \brief Adds the skipped and the disordered events of the last attempt to the metrics.
-  void CountStreamEvents() const;
+  /// \brief Adds the skipped, dropped and disordered events of an attempt to the metrics.
+  void CountStreamEvents(const attempt_result& attempt) const;
   void LogAttempt(const known_upstream& upstream,
                   const attempt_result& attempt,
                   milliseconds duration);
@@ -289,8 +298,9 @@
   verdict verdict_ = verdict::kNotRun;    ///< Of all attempts together.
   bool head_sent_ = false;
   bool end_logged_ = false;
-  int status_ = 0;            ///< HTTP status sent to the client.
-  stream_position position_;  ///< Of the client in a stream.
+  int status_ = 0;                              ///< HTTP status sent to the client.
+  stream_position position_;                    ///< Of the client in a stream.
+  std::optional<std::uint64_t> resumed_after_;  ///< Event after which the current attempt begins.
   std::optional<time_point> first_byte_at_;
 };
 
--- a/libs/gateway/src/forward_report.cc
+++ b/libs/gateway/src/forward_report.cc
@@ -88,7 +88,9 @@
   shared_.log.Write(std::move(line));
 }
 
-void forward_flow::CountStreamEvents() const {
+void forward_flow::CountStreamEvents(const attempt_result& attempt) const {
+  if (!attempt.delivered)
+    shared_.metrics.dropped_events.Add(position_.held());
   shared_.metrics.skipped_events.Add(position_.skipped());
   shared_.metrics.disordered_events.Add(position_.disordered());
 }
@@ -115,10 +117,14 @@
   AddCost(line);
   if (!attempt.reason.empty())
     line.Add("reason", attempt.reason);
+  if (resumed_after_)
+    line.Add("resumed_after", *resumed_after_);
   if (position_.last_id())
     line.Add("last_event", *position_.last_id());
   if (position_.skipped() > 0)
     line.Add("skipped_events", position_.skipped());
+  if (!attempt.delivered && position_.held() > 0)
+    line.Add("dropped_events", position_.held());
   if (position_.disordered() > 0)
     line.Add("disordered_events", position_.disordered());
   shared_.log.Write(std::move(line));
--- a/libs/net/include/quincebank/net/sse.h
+++ b/libs/net/include/quincebank/net/sse.h
@@ -40,4 +40,10 @@
 /// but the digits of an unsigned 64-bit number.
 [[nodiscard]] std::optional<std::uint64_t> SseEventId(std::string_view event) noexcept;
 
+/// \brief Returns the names of an event's fields in their order, each with a comma behind it.
+///
+/// Several lines of one field count once. Events of one stream mostly have the same names, and a
+/// damaged line end changes them.
+[[nodiscard]] std::string SseFieldNames(std::string_view event);
+
 }  // namespace quincebank
--- a/libs/net/src/sse.cc
+++ b/libs/net/src/sse.cc
@@ -4,6 +4,28 @@
 #include <charconv>
 
 namespace quincebank {
+namespace {
+
+/// Calls `visit` with each line of an event, without its end. The blank line behind the event is
+/// left out.
+template <typename Visitor>
+void ForEachLine(std::string_view event, Visitor visit) {
+  std::size_t start = 0;
+  while (start + 1 < event.size()) {
+    const std::size_t end = std::min(event.find('\n', start), event.size());
+    std::string_view line = event.substr(start, end - start);
+    start = end + 1;
+    if (line.ends_with('\r'))
+      line.remove_suffix(1);
+    visit(line);
+  }
+}
+
+std::string_view FieldName(std::string_view line) noexcept {
+  return line.substr(0, line.find(':'));
+}
+
+}  // namespace
 
 void sse_splitter::Feed(std::string_view bytes,
                         const std::function<void(std::string_view)>& visit) {
@@ -33,26 +55,31 @@
 std::optional<std::uint64_t> SseEventId(std::string_view event) noexcept {
   constexpr std::string_view kField = "id";
   std::optional<std::uint64_t> id;
-  std::size_t start = 0;
-  while (start < event.size()) {
-    const std::size_t end = std::min(event.find('\n', start), event.size());
-    std::string_view line = event.substr(start, end - start);
-    start = end + 1;
-    if (line.ends_with('\r'))
-      line.remove_suffix(1);
-    const std::size_t name_end = std::min(line.find(':'), line.size());
-    if (line.substr(0, name_end) != kField)
-      continue;
-    line.remove_prefix(std::min(name_end + 1, line.size()));
+  bool is_number = true;
+  ForEachLine(event, [&](std::string_view line) {
+    if (FieldName(line) != kField)
+      return;
+    line.remove_prefix(std::min(kField.size() + 1, line.size()));
     if (line.starts_with(' '))
       line.remove_prefix(1);
     std::uint64_t number = 0;
     const auto [rest, status] = std::from_chars(line.data(), line.data() + line.size(), number);
-    if (id || status != std::errc() || rest != line.data() + line.size())
-      return std::nullopt;
+    is_number = is_number && !id && status == std::errc() && rest == line.data() + line.size();
     id = number;
-  }
-  return id;
+  });
+  return is_number ? id : std::nullopt;
+}
+
+std::string SseFieldNames(std::string_view event) {
+  std::string names;
+  std::optional<std::string_view> previous;
+  ForEachLine(event, [&](std::string_view line) {
+    const std::string_view name = FieldName(line);
+    if (name != previous)
+      names.append(name).append(",");
+    previous = name;
+  });
+  return names;
 }
 
 }  // namespace quincebank
