Pass comments of a stream ahead of events that are held

An upstream that sends comments behind an event that is held would have them kept without a bound, and the client would miss the signs of life that they are. They mean nothing for the place of the stream, so they go ahead. stream_position.CommentsMoveNothing has the case.

--- a/libs/gateway/include/quincebank/gateway/stream_position.h
+++ b/libs/gateway/include/quincebank/gateway/stream_position.h
@@ -13,6 +13,7 @@
 enum class event_action : std::uint8_t {
   kPass,       ///< The client gets it, after the events that are held.
   kPassAlone,  ///< The client gets it, but none of the events that are held: it has them already.
+  kPassAhead,  ///< The client gets it, and the events that are held go on waiting.
   kHold,       ///< It is kept until a later event shows where it belongs.
   kSkip,       ///< The client has it already, and so it has the events that are held.
   kReject,     ///< Its place in the stream is unknown, so the answer cannot be used any further.
@@ -34,8 +35,8 @@
 /// a stream whose ids do not grow by one, it is asked for the last one again and has to begin with
 /// it.
 ///
-/// Events of a run are repeats only if two ids in a row show that it begins earlier than it was
-/// asked to. Whatever else a run holds is passed, or the run is rejected.
+/// A run that begins earlier than it was asked to is recognised after a confirmed id by two ids in
+/// a row. Whatever else a run holds is passed, or the run is rejected.
 class stream_position {
  public:
   stream_position() = default;
--- a/libs/gateway/src/forward_flow.cc
+++ b/libs/gateway/src/forward_flow.cc
@@ -639,7 +639,7 @@
     return false;
   if (action == event_action::kPass)
     events.passed += events.held;
-  if (action != event_action::kHold)
+  if (action != event_action::kHold && action != event_action::kPassAhead)
     events.held.clear();
   if (action == event_action::kSkip)
     return true;
--- a/libs/gateway/src/stream_position.cc
+++ b/libs/gateway/src/stream_position.cc
@@ -35,7 +35,7 @@
 
 event_action stream_position::OnEvent(std::string_view event) {
   if (IsSseComment(event))
-    return held_.empty() ? event_action::kPass : event_action::kHold;
+    return event_action::kPassAhead;
   event_mark mark{SseEventId(event), SseFieldNames(event)};
   if (is_aligned_)
     return Accept(std::move(mark));
--- a/libs/gateway/tests/stream_position_test.cc
+++ b/libs/gateway/tests/stream_position_test.cc
@@ -26,15 +26,21 @@
   EXPECT_EQ(position.resume_after(), 16U);
 }
 
-// Guards against a second run at the wrong event because a comment counts as progress.
+// Guards against a second run at the wrong event because a comment counts as progress, and against
+// comments that pile up behind an event that is held.
 TEST(stream_position, CommentsMoveNothing) {
   stream_position position;
   position.BeginRun();
   for (const char* const id : {"0", "1", "2"})
     EXPECT_EQ(position.OnEvent(Event(id)), event_action::kPass) << id;
-  EXPECT_EQ(position.OnEvent(": alive\n\n"), event_action::kPass);
+  EXPECT_EQ(position.OnEvent(": alive\n\n"), event_action::kPassAhead);
+  EXPECT_EQ(position.resume_after(), 2U);
+  EXPECT_EQ(position.OnEvent(Event("9")), event_action::kHold);
+  EXPECT_EQ(position.OnEvent(": alive\n\n"), event_action::kPassAhead);
   EXPECT_TRUE(position.CanResume());
   EXPECT_EQ(position.resume_after(), 2U);
+  EXPECT_EQ(position.OnEvent(Event("4")), event_action::kPass);
+  EXPECT_EQ(position.resume_after(), 4U);
 }
 
 struct place_case {
