Name the tests of streams numbered by one, and relay comments in them

The tests that hold only for streams numbered by one have a table of their own instead of a return for the others, and the stand-in of the relay treats comments as the gateway does. No product code is changed.

--- a/libs/gateway/tests/stream_position_test.cc
+++ b/libs/gateway/tests/stream_position_test.cc
@@ -94,10 +94,10 @@
         place_case{"in_tens_after_three", {"7", "8", "9", "10", "20", "30", "40"}, 30}),
     [](const auto& info) { return std::string(info.param.name); });
 
-/// Events of a stream that is numbered in a certain way, and what a client of `position` gets.
+/// Events of a stream whose ids grow by a step.
 class numbered_stream {
  public:
-  explicit numbered_stream(std::uint64_t first, std::uint64_t step) {
+  numbered_stream(std::uint64_t first, std::uint64_t step) {
     for (std::uint64_t id = first; id < first + kEvents * step; id += step) {
       starts_.push_back(body_.size());
       ids_.push_back(id);
@@ -142,8 +142,8 @@
   return body;
 }
 
-/// Adds what the client gets of a run that breaks off. Returns what is held then; nothing if the
-/// run was rejected or ended within an event.
+/// Relays a run as the gateway does and adds what the client gets to `received`. Returns what is
+/// held after it; nothing if the run was rejected or ended within an event.
 std::optional<std::string> Relay(stream_position& position,
                                  std::string_view run,
                                  std::string& received) {
@@ -156,11 +156,11 @@
     is_continued = action != event_action::kReject;
     if (action == event_action::kPass)
       received += held;
-    if (action != event_action::kHold)
+    if (action != event_action::kHold && action != event_action::kPassAhead)
       held.clear();
     if (action == event_action::kHold)
       held += event;
-    else if (action == event_action::kPass || action == event_action::kPassAlone)
+    else if (is_continued && action != event_action::kSkip)
       received += event;
   });
   return is_continued && splitter.rest().empty() ? std::optional(held) : std::nullopt;
@@ -195,6 +195,8 @@
   const std::string bytes_ = "0123456789x: \r\n";
 };
 
+class numbered_by_one_test : public wrong_byte_test {};
+
 // Guards against a resumed stream that ends as complete although one wrong byte, wherever it
 // stands, made an event come twice or go missing.
 TEST_P(wrong_byte_test, NeverMovesThePlaceOfTheNextRun) {
@@ -227,9 +229,7 @@
 }
 
 // Guards against a stream that is cut although its place is known.
-TEST_P(wrong_byte_test, IsNoReasonToCutAStreamNumberedByOne) {
-  if (GetParam().step != 1)
-    return;
+TEST_P(numbered_by_one_test, IsNotCutForAWrongId) {
   for (const std::size_t at : stream_.IdDigits()) {
     for (const char byte : std::string("0123456789x")) {
       const std::string wrong = WithByte(body_, at, byte);
@@ -243,9 +243,7 @@
 }
 
 // Guards against two wrong ids, one in each run, that agree with each other by chance.
-TEST_P(wrong_byte_test, MovesNothingIfEachRunHasOne) {
-  if (GetParam().step != 1)
-    return;
+TEST_P(numbered_by_one_test, KeepsItsPlaceIfEachRunHasAWrongId) {
   const std::string digits = "0123456789";
   for (const std::size_t first : stream_.IdDigits()) {
     for (const std::size_t second : stream_.IdDigits()) {
@@ -264,14 +262,16 @@
   }
 }
 
-INSTANTIATE_TEST_SUITE_P(streams,
-                         wrong_byte_test,
-                         testing::Values(numbering{"from_zero", 0, 1},
-                                         numbering{"from_one", 1, 1},
-                                         numbering{"over_nine", 7, 1},
-                                         numbering{"in_twos", 8, 2},
-                                         numbering{"in_tens", 10, 10}),
-                         [](const auto& info) { return std::string(info.param.name); });
+const numbering kNumberedByOne[]{{"from_zero", 0, 1}, {"from_one", 1, 1}, {"over_nine", 7, 1}};
+const numbering kNumberedBySteps[]{{"in_twos", 8, 2}, {"in_tens", 10, 10}};
+
+std::string Name(const testing::TestParamInfo<numbering>& info) {
+  return info.param.name;
+}
+
+INSTANTIATE_TEST_SUITE_P(by_one, wrong_byte_test, testing::ValuesIn(kNumberedByOne), Name);
+INSTANTIATE_TEST_SUITE_P(by_steps, wrong_byte_test, testing::ValuesIn(kNumberedBySteps), Name);
+INSTANTIATE_TEST_SUITE_P(by_one, numbered_by_one_test, testing::ValuesIn(kNumberedByOne), Name);
 
 }  // namespace
 }  // namespace quincebank
